Clarify the design page and add the shared core modules

Cause: a rewrite for plain wording showed ambiguous limits, and the parts need the message types. Change: exact intervals and definitions; sorted map, error table, chart interpreter, table, registry, dispatch messages. Conclusion: the pure parts can be built against these types.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,1 +1,1 @@
-//! Placeholder.
+//! See `docs/design.md`.
--- /dev/null
+++ b/crates/core/src/dispatch_messages.rs
@@ -0,0 +1,166 @@
+//! Messages between routers and the dispatcher.
+//!
+//! Reports carry absolute values and a sequence number, so doubled and
+//! reordered ones have no effect and lost ones are repaired by the next.
+
+use crate::upstream_registry::WorkTarget;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Cost of a request in thousandths of a token.
+pub type CostUnits = u64;
+/// Cost units of one token.
+pub const UNITS_PER_TOKEN: CostUnits = 1000;
+
+/// A process of the fleet at one start.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct NodeIdentity {
+    /// Name from the settings, unique in the fleet.
+    pub name: String,
+    /// Grows with each restart.
+    pub incarnation: u64,
+}
+
+/// Identity of one slot lease; grants of a lower term are refused.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct LeaseId {
+    /// Term of the dispatcher that granted it.
+    pub term: u64,
+    /// Number within the term, from 1.
+    pub number: u64,
+}
+
+/// Requests of one workspace for one target that wait at a router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BacklogEntry {
+    /// What the requests ask for.
+    pub target: WorkTarget,
+    /// Workspace that sent them.
+    pub workspace: String,
+    /// Number of waiting requests; zero clears the entry.
+    pub queued: u32,
+    /// Cost hint of the first request in the queue.
+    pub cost_hint: CostUnits,
+    /// Hash of the first request's prompt prefix, if it has one.
+    pub prefix: Option<u64>,
+    /// Upstream that the first request must avoid after a failed attempt.
+    pub avoid: Option<String>,
+}
+
+/// How the use of a slot ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeaseEnd {
+    /// The request finished.
+    Finished,
+    /// The upstream failed.
+    Failed,
+    /// The upstream answered that it is full.
+    Refused,
+    /// The slot was not used.
+    Unused,
+}
+
+/// Use of a slot lease as its router reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseUsage {
+    /// The lease.
+    pub lease: LeaseId,
+    /// Upstream and incarnation that the slot belongs to.
+    pub upstream: String,
+    /// Incarnation of the upstream.
+    pub incarnation: u64,
+    /// What the request asks for.
+    pub target: WorkTarget,
+    /// Workspace that is charged.
+    pub workspace: String,
+    /// Cost so far, never falling.
+    pub charged: CostUnits,
+    /// Time to the first token in milliseconds, once known.
+    pub first_token_ms: Option<u32>,
+    /// Set once the slot is free again; repeated until acknowledged.
+    pub end: Option<LeaseEnd>,
+}
+
+/// Report of a router to the dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DispatchReport {
+    /// Reporting router.
+    pub router: NodeIdentity,
+    /// Availability zone of the router.
+    pub zone: String,
+    /// Grows with each report of one incarnation.
+    pub sequence: u64,
+    /// True when the report lists the whole backlog and every held lease.
+    pub full: bool,
+    /// Changed backlog entries, or all of them.
+    pub backlog: Vec<BacklogEntry>,
+    /// Changed or ended leases, or all of them.
+    pub usage: Vec<LeaseUsage>,
+    /// Highest grant number received in the dispatcher's term.
+    pub received_grant: u64,
+    /// How long the dispatcher may hold the answer for grants, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// How a router reaches an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamRoute {
+    /// Name of the upstream.
+    pub name: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Where to connect to.
+    pub address: SocketAddr,
+    /// It refuses orders with an older fencing token.
+    pub honours_fencing: bool,
+    /// Broken streams can be resumed by position.
+    pub resume: bool,
+    /// `POST /cancel/{request_id}` is understood.
+    pub cancel: bool,
+}
+
+/// The right to run one request of a workspace on an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotGrant {
+    /// Identity of the lease.
+    pub lease: LeaseId,
+    /// What the request must ask for.
+    pub target: WorkTarget,
+    /// Workspace whose request runs.
+    pub workspace: String,
+    /// Where it runs.
+    pub upstream: UpstreamRoute,
+}
+
+/// Refusal of waiting requests of a workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BacklogRefusal {
+    /// What the requests ask for.
+    pub target: WorkTarget,
+    /// Workspace concerned.
+    pub workspace: String,
+    /// Queue length above which requests are refused.
+    pub keep: u32,
+    /// Time after which to retry, in milliseconds.
+    pub retry_after_ms: u32,
+}
+
+/// Answer of the dispatcher to a report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DispatchAnswer {
+    /// Term of the dispatcher.
+    pub term: u64,
+    /// Highest report sequence applied for this router.
+    pub acknowledged: u64,
+    /// True when the router must send a full report next.
+    pub resync: bool,
+    /// Grants that the router has not acknowledged, by number.
+    pub grants: Vec<SlotGrant>,
+    /// Requests to refuse.
+    pub refusals: Vec<BacklogRefusal>,
+    /// Number of routers known to the dispatcher.
+    pub routers: u32,
+}
--- /dev/null
+++ b/crates/core/src/state_chart.rs
@@ -0,0 +1,150 @@
+//! Interpreter of the state charts in `charts/*.scxml`.
+//!
+//! A chart is parsed and validated once, then compiled to a dense table of
+//! (state, event) to state, so a step on the request path is one array lookup.
+
+use thiserror::Error;
+
+/// Source of the request life cycle chart.
+pub const REQUEST_CHART: &str = include_str!("../charts/request.scxml");
+
+/// Index of a state in its chart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StateId(u16);
+
+/// Index of an event in its chart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EventId(u16);
+
+/// Why a chart could not be used.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum ChartError {
+    /// The chart is not valid SCXML.
+    #[error("The state chart cannot be read: {0}")]
+    Invalid(String),
+    /// The chart names no such state or event.
+    #[error("The state chart has no state or event named {0}.")]
+    UnknownName(String),
+    /// The state does not answer the event.
+    #[error("State {state} does not accept event {event}.")]
+    UnknownTransition {
+        /// Name of the state.
+        state: String,
+        /// Name of the event.
+        event: String,
+    },
+}
+
+/// A compiled chart.
+#[derive(Clone, Debug)]
+pub struct CompiledChart {
+    states: Vec<String>,
+    finals: Vec<bool>,
+    events: Vec<String>,
+    targets: Vec<Option<StateId>>,
+    initial: StateId,
+}
+
+impl CompiledChart {
+    /// Parses and compiles an SCXML chart of flat states.
+    ///
+    /// ```
+    /// use baobabfall_core::state_chart::{CompiledChart, REQUEST_CHART};
+    /// let chart = CompiledChart::parse(REQUEST_CHART).unwrap();
+    /// let queued = chart.step(chart.initial(), chart.event("admit").unwrap()).unwrap();
+    /// assert_eq!(chart.state_name(queued), "queued");
+    /// ```
+    pub fn parse(source: &str) -> Result<Self, ChartError> {
+        let parsed =
+            scxml::parse_xml(source).map_err(|error| ChartError::Invalid(error.to_string()))?;
+        scxml::validate(&parsed).map_err(|error| ChartError::Invalid(error.to_string()))?;
+        let mut states: Vec<String> = parsed.states.iter().map(|s| s.id.to_string()).collect();
+        states.sort();
+        let mut events: Vec<String> = parsed
+            .states
+            .iter()
+            .flat_map(|state| &state.transitions)
+            .filter_map(|transition| transition.event.as_ref().map(ToString::to_string))
+            .collect();
+        events.sort();
+        events.dedup();
+        let mut chart = Self {
+            finals: vec![false; states.len()],
+            targets: vec![None; states.len() * events.len()],
+            initial: StateId(0),
+            states,
+            events,
+        };
+        for state in &parsed.states {
+            let from = chart.state(&state.id)?;
+            chart.finals[usize::from(from.0)] = state.transitions.is_empty();
+            for transition in &state.transitions {
+                let (Some(event), Some(target)) =
+                    (transition.event.as_ref(), transition.targets.first())
+                else {
+                    let id = state.id.to_string();
+                    return Err(ChartError::Invalid(format!("{id} lacks an event or a target")));
+                };
+                let index = chart.index(from, chart.event(event)?);
+                chart.targets[index] = Some(chart.state(target)?);
+            }
+        }
+        chart.initial = chart.state(&parsed.initial)?;
+        Ok(chart)
+    }
+
+    fn index(&self, state: StateId, event: EventId) -> usize {
+        usize::from(state.0) * self.events.len() + usize::from(event.0)
+    }
+
+    /// The state in which a life cycle begins.
+    pub fn initial(&self) -> StateId {
+        self.initial
+    }
+
+    /// Looks a state up by name.
+    pub fn state(&self, name: &str) -> Result<StateId, ChartError> {
+        let found = self.states.binary_search_by(|held| held.as_str().cmp(name)).ok();
+        found
+            .and_then(|index| u16::try_from(index).ok())
+            .map(StateId)
+            .ok_or_else(|| ChartError::UnknownName(name.to_owned()))
+    }
+
+    /// Looks an event up by name.
+    pub fn event(&self, name: &str) -> Result<EventId, ChartError> {
+        let found = self.events.binary_search_by(|held| held.as_str().cmp(name)).ok();
+        found
+            .and_then(|index| u16::try_from(index).ok())
+            .map(EventId)
+            .ok_or_else(|| ChartError::UnknownName(name.to_owned()))
+    }
+
+    /// Name of a state.
+    pub fn state_name(&self, state: StateId) -> &str {
+        &self.states[usize::from(state.0)]
+    }
+
+    /// True when the state has no way out.
+    pub fn is_final(&self, state: StateId) -> bool {
+        self.finals[usize::from(state.0)]
+    }
+
+    /// All state names, sorted.
+    pub fn state_names(&self) -> &[String] {
+        &self.states
+    }
+
+    /// All event names, sorted.
+    pub fn event_names(&self) -> &[String] {
+        &self.events
+    }
+
+    /// The state that follows `state` on `event`.
+    pub fn step(&self, state: StateId, event: EventId) -> Result<StateId, ChartError> {
+        self.targets[self.index(state, event)].ok_or_else(|| ChartError::UnknownTransition {
+            state: self.state_name(state).to_owned(),
+            event: self.events[usize::from(event.0)].clone(),
+        })
+    }
+}
--- a/crates/local/src/main.rs
+++ b/crates/local/src/main.rs
@@ -1,2 +1,2 @@
-//! Placeholder.
+//! Command-line program; see `docs/design.md`.
 fn main() {}
