Add the plumbing shared by all processes

Cause: router, controller and tools need the same settings loader, log, metrics, credentials and HTTP code. Change: crate baobabfall-node with units, settings, JSON log, codec, credentials, HTTP server and client, metrics, messages. Conclusion: the roles can be written against it.

--- /dev/null
+++ b/crates/node/src/http_server.rs
@@ -0,0 +1,300 @@
+//! HTTP/1.1 and HTTP/2 server with bounded connections, headers and times.
+
+use crate::codec::{self, MESSAGE_LIMIT};
+use crate::stop_signal::{StopPhase, StopSignal};
+use baobabfall_core::error_kind::ErrorKind;
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Request, Response};
+use http_body::Body;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use hyper_util::service::TowerToHyperService;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tower::Service;
+
+/// Header that says whether a refused request is known not to have run.
+pub const NOT_RUN_HEADER: &str = "baobabfall-not-run";
+/// Header that carries the request id.
+pub const REQUEST_ID_HEADER: &str = "baobabfall-request-id";
+
+/// Bounds of a listener, in force before authentication.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Connections served at once; more wait in the kernel's backlog.
+    pub connections: usize,
+    /// Time in which the headers of a request must arrive.
+    pub header_timeout: Duration,
+    /// Headers of one request.
+    pub headers: usize,
+    /// Bytes of the headers of one request.
+    pub header_bytes: u32,
+    /// Streams of one HTTP/2 connection.
+    pub streams: u32,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            header_timeout: Duration::from_secs(10),
+            headers: 64,
+            header_bytes: 32 << 10,
+            streams: 1024,
+        }
+    }
+}
+
+/// Serves connections of `listener` until the signal says stop.
+///
+/// While draining, connections finish their requests and then close.
+pub async fn serve<S, B>(
+    listener: TcpListener,
+    service: S,
+    limits: ServerLimits,
+    mut signal: StopSignal,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
+    S: Clone + Send + 'static,
+    S::Future: Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    let builder = connection_builder(limits);
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let mut stopping = signal.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = accept(&listener, &permits) => accepted,
+            () = stopping.reached(StopPhase::Draining) => break,
+        };
+        let (stream, permit) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("connection not accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        // Small stream events must not wait for Nagle's algorithm.
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(service.clone());
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection = graceful.watch(connection);
+        let mut ended = signal.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                result = connection => {
+                    if let Err(error) = result {
+                        log::debug!("connection ended: {error}");
+                    }
+                }
+                () = ended.reached(StopPhase::Stopped) => {}
+            }
+            drop(permit);
+        });
+    }
+    drop(listener);
+    tokio::select! {
+        () = graceful.shutdown() => {}
+        () = signal.reached(StopPhase::Stopped) => {}
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> std::io::Result<(tokio::net::TcpStream, tokio::sync::OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.map_err(std::io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, permit))
+}
+
+fn connection_builder(limits: ServerLimits) -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_headers(limits.headers)
+        .max_buf_size(usize::try_from(limits.header_bytes).unwrap_or(usize::MAX).max(8 << 10));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.header_bytes)
+        .max_concurrent_streams(limits.streams)
+        .keep_alive_interval(Duration::from_secs(10))
+        .keep_alive_timeout(Duration::from_secs(10));
+    builder
+}
+
+/// Response with a complete body, for control and operator paths.
+pub type FullResponse = Response<Full<Bytes>>;
+
+/// Body of every refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+/// Content of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct ErrorDetail {
+    /// Stable code, one of the error table.
+    pub code: String,
+    /// What happened and what to change.
+    pub message: String,
+    /// True when the request is known not to have run.
+    pub not_run: bool,
+    /// True when the same request may be sent again.
+    pub retry: bool,
+    /// Time after which to retry, in milliseconds.
+    #[serde(default)]
+    pub retry_after_ms: Option<u64>,
+    /// Id of the request, when it has one.
+    #[serde(default)]
+    pub request_id: Option<String>,
+}
+
+/// Builds the refusal of `kind`.
+pub fn error_response(kind: ErrorKind, message: &str) -> FullResponse {
+    error_response_with(kind, message, None, None)
+}
+
+/// Builds the refusal of `kind` with a time to wait and a request id.
+pub fn error_response_with(
+    kind: ErrorKind,
+    message: &str,
+    retry_after: Option<Duration>,
+    request_id: Option<&str>,
+) -> FullResponse {
+    let answer = kind.answer();
+    let retry_after_ms =
+        retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    let body = ErrorBody {
+        error: ErrorDetail {
+            code: answer.code.to_owned(),
+            message: message.to_owned(),
+            not_run: answer.not_run,
+            retry: answer.retry,
+            retry_after_ms,
+            request_id: request_id.map(str::to_owned),
+        },
+    };
+    let mut response = json_response(answer.status, &body);
+    let headers = response.headers_mut();
+    let not_run = if answer.not_run { "true" } else { "false" };
+    headers.insert(NOT_RUN_HEADER, HeaderValue::from_static(not_run));
+    if let Some(wait) = retry_after {
+        let seconds = wait.as_millis().div_ceil(1000).max(1);
+        if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    if let Some(value) = request_id.and_then(|id| HeaderValue::from_str(id).ok()) {
+        headers.insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
+
+/// Builds a JSON response.
+pub fn json_response<T: Serialize>(status: u16, body: &T) -> FullResponse {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    bytes_response(status, "application/json", bytes)
+}
+
+/// Builds a MessagePack response for the system's own processes.
+pub fn message_response<T: Serialize>(message: &T) -> FullResponse {
+    match codec::encode(message) {
+        Ok(bytes) => bytes_response(200, "application/msgpack", bytes),
+        Err(error) => error_response(ErrorKind::Internal, &error.to_string()),
+    }
+}
+
+/// Builds a response from bytes of the given type.
+pub fn bytes_response(status: u16, content_type: &'static str, bytes: Vec<u8>) -> FullResponse {
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    if let Ok(status) = http::StatusCode::from_u16(status) {
+        *response.status_mut() = status;
+    }
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+/// Why a request body was not accepted.
+#[derive(Debug)]
+pub struct BodyRefusal {
+    /// Kind of the refusal.
+    pub kind: ErrorKind,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl BodyRefusal {
+    /// The refusal as a response.
+    pub fn response(&self) -> FullResponse {
+        error_response(self.kind, &self.message)
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes within `timeout`.
+pub async fn read_body<B>(body: B, limit: usize, timeout: Duration) -> Result<Bytes, BodyRefusal>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let refuse = |kind: ErrorKind, message: String| Err(BodyRefusal { kind, message });
+    match tokio::time::timeout(timeout, Limited::new(body, limit).collect()).await {
+        Err(_) => {
+            let message = format!("The body did not arrive within {} ms.", timeout.as_millis());
+            refuse(ErrorKind::SlowRequest, message)
+        }
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            refuse(ErrorKind::OversizedRequest, format!("The body exceeds {limit} bytes."))
+        }
+        Ok(Err(error)) => {
+            refuse(ErrorKind::MalformedRequest, format!("The body is not readable: {error}."))
+        }
+    }
+}
+
+/// Time in which a control message must arrive.
+pub const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reads a MessagePack message of the system's own processes.
+pub async fn read_message<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, BodyRefusal> {
+    let bytes = read_body(request.into_body(), MESSAGE_LIMIT, MESSAGE_TIMEOUT).await?;
+    codec::decode(&bytes)
+        .map_err(|error| BodyRefusal { kind: error.kind(), message: error.to_string() })
+}
+
+/// Reads a JSON message of at most `limit` bytes.
+pub async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    limit: usize,
+) -> Result<T, BodyRefusal> {
+    let bytes = read_body(request.into_body(), limit, MESSAGE_TIMEOUT).await?;
+    serde_json::from_slice(&bytes).map_err(|error| BodyRefusal {
+        kind: ErrorKind::MalformedRequest,
+        message: format!("The JSON body is not accepted: {error}."),
+    })
+}
+
+/// The bearer token that a request presents.
+pub fn presented_token(headers: &HeaderMap) -> Option<&str> {
+    crate::credentials::bearer_token(headers.get(AUTHORIZATION)?.to_str().ok()?)
+}
--- /dev/null
+++ b/crates/node/src/json_log.rs
@@ -0,0 +1,91 @@
+//! Logger that writes one JSON object per line.
+
+use log::kv::{Error as KvError, Key, Value, VisitSource};
+use log::{LevelFilter, Log, Metadata, Record};
+use simplelog::{Config, SharedLogger};
+use std::io::Write;
+use std::sync::Mutex;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Writes log records as JSON lines with time, level, target, message, fields.
+pub struct JsonLogger<W> {
+    level: LevelFilter,
+    config: Config,
+    output: Mutex<W>,
+}
+
+impl<W: Write + Send + 'static> JsonLogger<W> {
+    /// A logger that writes records up to `level` to `output`.
+    pub fn new(level: LevelFilter, output: W) -> Self {
+        Self { level, config: Config::default(), output: Mutex::new(output) }
+    }
+}
+
+struct FieldVisitor<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldVisitor<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), KvError> {
+        let json = match (value.to_u64(), value.to_i64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (_, Some(number), _) => number.into(),
+            (_, _, Some(flag)) => flag.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+impl<W: Write + Send + 'static> Log for JsonLogger<W> {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut line = serde_json::Map::new();
+        line.insert("time_ms".into(), u64::try_from(time.as_millis()).unwrap_or(u64::MAX).into());
+        line.insert("level".into(), record.level().as_str().into());
+        line.insert("target".into(), record.target().into());
+        line.insert("message".into(), record.args().to_string().into());
+        let _ = record.key_values().visit(&mut FieldVisitor(&mut line));
+        let text = serde_json::Value::Object(line).to_string();
+        if let Ok(mut output) = self.output.lock() {
+            // A log line that cannot be written must not end the process.
+            let _ = writeln!(output, "{text}");
+        }
+    }
+
+    fn flush(&self) {
+        if let Ok(mut output) = self.output.lock() {
+            let _ = output.flush();
+        }
+    }
+}
+
+impl<W: Write + Send + 'static> SharedLogger for JsonLogger<W> {
+    fn level(&self) -> LevelFilter {
+        self.level
+    }
+
+    fn config(&self) -> Option<&Config> {
+        Some(&self.config)
+    }
+
+    fn as_log(self: Box<Self>) -> Box<dyn Log> {
+        self
+    }
+}
+
+/// Installs a JSON-lines logger on standard error for the whole process.
+///
+/// A second call in the same process has no effect.
+pub fn install(level: LevelFilter) {
+    let logger = Box::new(JsonLogger::new(level, std::io::stderr()));
+    if log::set_boxed_logger(logger.as_log()).is_ok() {
+        log::set_max_level(level);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,12 @@
-//! See `docs/design.md`.
+//! Plumbing shared by the processes of baobabfall.
+
+pub mod codec;
+pub mod credentials;
+pub mod http_client;
+pub mod http_server;
+pub mod json_log;
+pub mod messages;
+pub mod node_metrics;
+pub mod settings;
+pub mod stop_signal;
+pub mod units;
--- /dev/null
+++ b/crates/node/src/units.rs
@@ -0,0 +1,86 @@
+//! Durations and sizes with units, as settings write them.
+
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::time::Duration;
+
+const DURATION_UNITS: [(&str, f64); 6] =
+    [("ms", 1e-3), ("us", 1e-6), ("s", 1.0), ("m", 60.0), ("h", 3600.0), ("d", 86400.0)];
+const SIZE_UNITS: [(&str, u64); 4] =
+    [("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("B", 1)];
+/// Longest accepted duration: ten years.
+const DURATION_LIMIT_SECONDS: f64 = 315_360_000.0;
+
+/// A duration written with its unit: `250ms`, `1.5s`, `10m`, `2h`, `30d`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TimeSpan(pub Duration);
+
+/// A size in bytes written with its unit: `512B`, `64KiB`, `1MiB`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteSize(pub u64);
+
+/// Parses a duration with a unit.
+///
+/// ```
+/// use baobabfall_node::units::parse_duration;
+/// use std::time::Duration;
+/// assert_eq!(parse_duration("1.5s"), Ok(Duration::from_millis(1500)));
+/// assert!(parse_duration("15").is_err());
+/// ```
+pub fn parse_duration(text: &str) -> Result<Duration, String> {
+    let refuse = || {
+        format!(
+            "{text:?} is not a duration such as \"250ms\", \"1.5s\", \"10m\", \"2h\" or \"30d\""
+        )
+    };
+    let split = text.find(|c: char| c.is_ascii_alphabetic()).ok_or_else(refuse)?;
+    let (number, unit) = text.split_at(split);
+    let factor = DURATION_UNITS.iter().find(|(name, _)| *name == unit).ok_or_else(refuse)?.1;
+    let number: f64 = number.trim().parse().map_err(|_| refuse())?;
+    let seconds = number * factor;
+    if !(0.0..=DURATION_LIMIT_SECONDS).contains(&seconds) {
+        return Err(refuse());
+    }
+    Ok(Duration::from_secs_f64(seconds))
+}
+
+/// Parses a size with a unit.
+///
+/// ```
+/// use baobabfall_node::units::parse_size;
+/// assert_eq!(parse_size("64KiB"), Ok(65536));
+/// ```
+pub fn parse_size(text: &str) -> Result<u64, String> {
+    let refuse = || format!("{text:?} is not a size such as \"512B\", \"64KiB\" or \"1MiB\"");
+    let split = text.find(|c: char| c.is_ascii_alphabetic()).ok_or_else(refuse)?;
+    let (number, unit) = text.split_at(split);
+    let factor = SIZE_UNITS.iter().find(|(name, _)| *name == unit).ok_or_else(refuse)?.1;
+    let number: u64 = number.trim().parse().map_err(|_| refuse())?;
+    number.checked_mul(factor).ok_or_else(refuse)
+}
+
+impl<'de> Deserialize<'de> for TimeSpan {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_duration(&text).map(Self).map_err(D::Error::custom)
+    }
+}
+
+impl Serialize for TimeSpan {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&format!("{}ms", self.0.as_millis()))
+    }
+}
+
+impl<'de> Deserialize<'de> for ByteSize {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_size(&text).map(Self).map_err(D::Error::custom)
+    }
+}
+
+impl Serialize for ByteSize {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&format!("{}B", self.0))
+    }
+}
