Add baobabctl and the operators' messages

Cause: operators need one tool for the table, planned stops, protected actions and status. Change: crate baobabctl with a command per job, JSON output, documented exit codes; operator messages; table tests. Conclusion: the controller's operator interface can be written against these messages.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,1 +1,2 @@
 //! See `docs/design.md`.
+pub mod cli;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,53 @@
+//! Operators' command line of baobabfall.
+
+pub mod change_commands;
+pub mod cli;
+pub mod control_client;
+pub mod error;
+pub mod options;
+pub mod output;
+pub mod progress;
+pub mod table_commands;
+pub mod view_commands;
+
+use crate::cli::{Baobabctl, BaobabctlCmd};
+use crate::error::CtlError;
+use crate::options::CtlOptions;
+use std::io::Read;
+
+/// Longest key read from standard input, in bytes.
+const KEY_LIMIT: u64 = 4096;
+
+/// Runs the command that the arguments name.
+pub async fn run(args: Baobabctl) -> Result<(), CtlError> {
+    let options = CtlOptions::build(&args)?;
+    match &args.subcommand {
+        BaobabctlCmd::Table(table) => table_commands::run(&options, table).await,
+        BaobabctlCmd::Key(_) => print_key_hash(),
+        BaobabctlCmd::Status(_) => view_commands::status(&options).await,
+        BaobabctlCmd::Workspaces(_) => view_commands::workspaces(&options).await,
+        BaobabctlCmd::Upstreams(_) => view_commands::upstreams(&options).await,
+        BaobabctlCmd::Fairness(_) => view_commands::fairness(&options).await,
+        BaobabctlCmd::Stop(stop) => change_commands::stop(&options, stop).await,
+        BaobabctlCmd::Actions(actions) => change_commands::actions(&options, actions).await,
+        BaobabctlCmd::Controllers(_) => change_commands::controllers(&options).await,
+        BaobabctlCmd::RemoveController(remove) => {
+            change_commands::remove_controller(&options, remove).await
+        }
+        BaobabctlCmd::RemoveNode(remove) => change_commands::remove_node(&options, remove).await,
+    }
+}
+
+fn print_key_hash() -> Result<(), CtlError> {
+    let mut key = String::new();
+    let mut input = std::io::stdin().take(KEY_LIMIT);
+    input
+        .read_to_string(&mut key)
+        .map_err(|error| CtlError::Usage(format!("Standard input cannot be read: {error}.")))?;
+    let key = key.trim_end_matches(['\r', '\n']);
+    if key.is_empty() {
+        return Err(CtlError::Usage("Write the key to standard input.".to_owned()));
+    }
+    println!("{}", baobabfall_core::workspace_table::hash_key(key));
+    Ok(())
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,16 @@
-//! Command-line program; see `docs/design.md`.
-fn main() {}
+//! Entry point of `baobabctl`.
+
+use baobabctl::cli::Baobabctl;
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match baobabctl::run(Baobabctl::from_env_or_exit()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let code = error.exit_code();
+            eprintln!("{:?}", miette::Report::new(error));
+            ExitCode::from(code)
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod json_log;
 pub mod messages;
 pub mod node_metrics;
+pub mod operator_messages;
 pub mod settings;
 pub mod stop_signal;
 pub mod units;
