--- a/crates/controller/src/cli.rs
+++ b/crates/controller/src/cli.rs
@@ -1,5 +1,7 @@
 //! Command line of `baobabfall-controller`.
 
+#![allow(missing_docs)]
+
 use std::path::PathBuf;
 
 xflags::xflags! {
--- /dev/null
+++ b/crates/controller/src/dispatch_service.rs
@@ -0,0 +1,181 @@
+//! The dispatcher on the leader: reports in, grants out.
+
+use crate::replica_driver::ReplicaHandle;
+use baobabfall_core::dispatch_messages::{DispatchAnswer, DispatchReport, NodeIdentity};
+use baobabfall_core::dispatch_settings::DispatchSettings;
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::slot_dispatcher::SlotDispatcher;
+use baobabfall_core::sorted_map::SortedMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Longest time for which an answer is held.
+pub const WAIT_LIMIT: Duration = Duration::from_millis(200);
+/// Routers that may report; more are refused.
+pub const ROUTER_LIMIT: usize = 4096;
+
+/// Shared dispatcher; present only while this controller leads.
+#[derive(Clone, Debug)]
+pub struct DispatchService {
+    start: Instant,
+    replica: ReplicaHandle,
+    inner: Arc<Mutex<DispatchInner>>,
+}
+
+#[derive(Debug, Default)]
+struct DispatchInner {
+    dispatcher: Option<SlotDispatcher>,
+    wakers: SortedMap<String, Arc<Notify>>,
+    seen: SortedMap<String, u64>,
+    news: Vec<NodeIdentity>,
+}
+
+impl DispatchService {
+    /// A service without a dispatcher.
+    pub fn new(start: Instant, replica: ReplicaHandle) -> Self {
+        Self { start, replica, inner: Arc::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DispatchInner> {
+        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// The clock of the dispatcher.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Starts a dispatcher for a term in which this controller leads.
+    ///
+    /// `expected` names the routers whose full reports end the recovery.
+    pub fn lead(&self, term: u64, expected: &[String]) {
+        let mut inner = self.lock();
+        if inner.dispatcher.as_ref().is_some_and(|dispatcher| dispatcher.term() == term) {
+            return;
+        }
+        let mut dispatcher = SlotDispatcher::new(self.now(), term, DispatchSettings::default());
+        if !expected.is_empty() {
+            dispatcher.expect_routers(expected.iter().map(String::as_str));
+        }
+        inner.dispatcher = Some(dispatcher);
+        inner.seen.clear();
+        log::info!(term = term, routers = expected.len(); "dispatcher started");
+    }
+
+    /// Ends the dispatcher; its grants die with its term.
+    pub fn resign(&self) {
+        let mut inner = self.lock();
+        if let Some(dispatcher) = inner.dispatcher.take() {
+            log::info!(term = dispatcher.term(); "dispatcher ended");
+        }
+        for waker in inner.wakers.values() {
+            waker.notify_waiters();
+        }
+    }
+
+    /// Runs `change` on the dispatcher, then grants what became possible.
+    pub fn update(&self, change: impl FnOnce(&mut SlotDispatcher, Duration)) {
+        let now = self.now();
+        let mut inner = self.lock();
+        if let Some(dispatcher) = &mut inner.dispatcher {
+            change(dispatcher, now);
+        }
+        inner.grant(now);
+    }
+
+    /// Reads from the dispatcher, when there is one.
+    pub fn read<T>(&self, view: impl FnOnce(&SlotDispatcher, Duration) -> T) -> Option<T> {
+        let now = self.now();
+        self.lock().dispatcher.as_ref().map(|dispatcher| view(dispatcher, now))
+    }
+
+    /// Applies what comes with time: silent routers, limits, slow starts.
+    pub fn tick(&self) {
+        self.update(|dispatcher, now| {
+            for router in dispatcher.expire(now) {
+                log::warn!(router = router; "router silent: its slots are reclaimed");
+            }
+        });
+    }
+
+    /// Routers whose incarnation was first seen since the last call.
+    pub fn take_news(&self) -> Vec<NodeIdentity> {
+        std::mem::take(&mut self.lock().news)
+    }
+
+    /// Applies a report and answers with grants, after waiting for some if asked.
+    pub async fn report(&self, report: &DispatchReport) -> Result<DispatchAnswer, ErrorKind> {
+        let waker = self.apply(report)?;
+        let wait = Duration::from_millis(report.wait_ms.into()).min(WAIT_LIMIT);
+        let end = Instant::now() + wait;
+        loop {
+            let woken = waker.notified();
+            tokio::pin!(woken);
+            woken.as_mut().enable();
+            if !self.replica.view().leads {
+                return Err(ErrorKind::NotLeader);
+            }
+            let answer = {
+                let now = self.now();
+                let mut inner = self.lock();
+                let dispatcher = inner.dispatcher.as_mut().ok_or(ErrorKind::NotLeader)?;
+                dispatcher.take_answer(now, &report.router.name)
+            };
+            let news = answer.resync || !answer.grants.is_empty() || !answer.refusals.is_empty();
+            if news || Instant::now() >= end {
+                return Ok(answer);
+            }
+            // The lease is checked again after the wait, so that a leader that was cut off
+            // meanwhile hands out nothing.
+            let _ = tokio::time::timeout_at(end, woken).await;
+        }
+    }
+
+    fn apply(&self, report: &DispatchReport) -> Result<Arc<Notify>, ErrorKind> {
+        if !self.replica.view().leads {
+            return Err(ErrorKind::NotLeader);
+        }
+        if self.replica.state().is_removed(&report.router) {
+            return Err(ErrorKind::StaleIncarnation);
+        }
+        let now = self.now();
+        let mut inner = self.lock();
+        if inner.dispatcher.is_none() {
+            return Err(ErrorKind::NotLeader);
+        }
+        let known = inner.wakers.contains_key(&report.router.name);
+        if !known && inner.wakers.len() >= ROUTER_LIMIT {
+            return Err(ErrorKind::LimitReached);
+        }
+        inner.note_incarnation(&report.router);
+        if let Some(dispatcher) = &mut inner.dispatcher {
+            dispatcher.apply_report(now, report);
+        }
+        let waker = inner.wakers.get_or_insert_with(report.router.name.clone(), Arc::default);
+        let waker = Arc::clone(waker);
+        inner.grant(now);
+        Ok(waker)
+    }
+}
+
+impl DispatchInner {
+    fn note_incarnation(&mut self, router: &NodeIdentity) {
+        let seen = self.seen.get(&router.name).copied();
+        if seen.is_none_or(|incarnation| incarnation < router.incarnation) {
+            self.seen.insert(router.name.clone(), router.incarnation);
+            self.news.push(router.clone());
+        }
+    }
+
+    fn grant(&mut self, now: Duration) {
+        let Some(dispatcher) = &mut self.dispatcher else { return };
+        dispatcher.dispatch(now);
+        for router in dispatcher.routers_to_wake() {
+            if let Some(waker) = self.wakers.get(router) {
+                waker.notify_waiters();
+            }
+        }
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -1,2 +1,55 @@
-//! See `docs/design.md`.
+//! Controller of baobabfall: replicated table, registry and dispatcher.
+
+pub mod action_service;
 pub mod cli;
+pub mod control_api;
+pub mod controller;
+pub mod disk_folder;
+pub mod dispatch_service;
+pub mod error;
+pub mod log_store;
+pub mod membership;
+pub mod node_tracker;
+pub mod operator_api;
+pub mod operator_views;
+pub mod options;
+pub mod peer_links;
+pub mod record_codec;
+pub mod registry_service;
+pub mod replica_driver;
+pub mod storage_worker;
+pub mod store_error;
+pub mod sync_service;
+
+use crate::cli::BaobabfallController;
+use crate::error::ControllerError;
+use crate::options::{ControllerOptions, ControllerSettings};
+use baobabfall_node::settings::load_settings;
+use baobabfall_node::stop_signal::terminate_requested;
+use std::path::Path;
+
+/// Runs the controller until it is told to stop.
+pub async fn run(args: BaobabfallController) -> Result<(), ControllerError> {
+    let level = args.log_level.as_deref().unwrap_or("info");
+    baobabfall_node::json_log::install(level.parse().unwrap_or(log::LevelFilter::Info));
+    let settings: ControllerSettings = load_settings(&args.settings)?;
+    if args.check {
+        println!("{}: settings are valid", args.settings.display());
+        return Ok(());
+    }
+    let base = args.settings.parent().unwrap_or(Path::new("."));
+    let options = ControllerOptions::build(settings, base)?;
+    let handle = controller::start(options).await?;
+    let failure = tokio::select! {
+        _ = terminate_requested() => None,
+        message = handle.failed() => Some(message),
+    };
+    handle.stop().await;
+    match failure {
+        None => Ok(()),
+        Some(message) => Err(ControllerError::Storage {
+            kind: baobabfall_core::error_kind::ErrorKind::StorageFailed,
+            message,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/controller/src/membership.rs
@@ -0,0 +1,141 @@
+//! First start of a group of controllers, joining and replacement.
+
+use crate::options::ControllerOptions;
+use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
+use baobabfall_core::replica_members::{MemberChange, ReplicaIdentity, ReplicaMembers};
+use baobabfall_node::http_client::PeerClient;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Path of [`JoinRequest`].
+pub const JOIN_PATH: &str = "/control/v1/replica/join";
+/// Path that answers with a [`ReplicaPresence`].
+pub const PRESENCE_PATH: &str = "/control/v1/replica/presence";
+/// Pause between two attempts.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(250);
+/// Time for one attempt.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Attempts between two log lines.
+const ATTEMPTS_PER_LOG: u32 = 20;
+
+/// Asks the leader to add this replica.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JoinRequest {
+    /// Who joins.
+    pub identity: ReplicaIdentity,
+    /// Where peers connect to.
+    pub address: SocketAddr,
+}
+
+/// What a controller says about its data.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReplicaPresence {
+    /// True when it holds a membership, so a group exists.
+    pub in_group: bool,
+}
+
+/// True when the folder holds no state yet.
+pub fn is_empty_folder(folder: &Path) -> std::io::Result<bool> {
+    for entry in std::fs::read_dir(folder)? {
+        if entry?.metadata()?.len() > 0 {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+/// The membership with which an empty replica starts.
+///
+/// Only the first controller of the settings may found a group, and only after
+/// every other one answered that it holds no group: a first controller whose
+/// disk was lost must join the existing group and never found a second one.
+pub async fn founding_members(
+    options: &ControllerOptions,
+    identity: &ReplicaIdentity,
+    address: SocketAddr,
+) -> ReplicaMembers {
+    let peers = &options.settings.peers;
+    let is_first = peers.first().is_some_and(|peer| peer.name == identity.name);
+    if !is_first || options.settings.storage.join {
+        return ReplicaMembers::default();
+    }
+    let others: Vec<PeerClient> = peers
+        .iter()
+        .filter(|peer| peer.name != identity.name)
+        .map(|peer| PeerClient::new(peer.address))
+        .collect();
+    let mut attempts = 0;
+    loop {
+        match ask_presence(&others, &options.process.token()).await {
+            Some(true) => return ReplicaMembers::default(),
+            Some(false) => return ReplicaMembers::single(identity.clone(), &address.to_string()),
+            None => {}
+        }
+        if attempts % ATTEMPTS_PER_LOG == 0 {
+            log::info!("waiting for the other controllers before founding a group");
+        }
+        attempts += 1;
+        tokio::time::sleep(ATTEMPT_PAUSE).await;
+    }
+}
+
+/// Whether a group exists; `None` while some controller did not answer.
+async fn ask_presence(others: &[PeerClient], token: &str) -> Option<bool> {
+    let mut complete = true;
+    for peer in others {
+        let answer: Result<ReplicaPresence, _> =
+            peer.call(PRESENCE_PATH, token, &(), ATTEMPT_TIMEOUT).await;
+        match answer {
+            Ok(presence) if presence.in_group => return Some(true),
+            Ok(_) => {}
+            Err(_) => complete = false,
+        }
+    }
+    complete.then_some(false)
+}
+
+/// Asks the other controllers to add this replica until it is a member.
+pub async fn join_group(
+    options: ControllerOptions,
+    replica: ReplicaHandle,
+    identity: ReplicaIdentity,
+    address: SocketAddr,
+) {
+    let others: Vec<PeerClient> = options
+        .settings
+        .peers
+        .iter()
+        .filter(|peer| peer.name != identity.name)
+        .map(|peer| PeerClient::new(peer.address))
+        .collect();
+    let request = JoinRequest { identity: identity.clone(), address };
+    while replica.view().members.get(identity.id).is_none() {
+        for peer in &others {
+            let token = options.process.token();
+            let joined: Result<(), _> =
+                peer.call(JOIN_PATH, &token, &request, ATTEMPT_TIMEOUT).await;
+            if joined.is_ok() {
+                log::info!("added to the group of controllers");
+                break;
+            }
+        }
+        tokio::time::sleep(ATTEMPT_PAUSE).await;
+    }
+}
+
+/// Adds a replica on the leader; repeated requests have no further effect.
+pub async fn accept_join(
+    replica: &ReplicaHandle,
+    request: JoinRequest,
+) -> Result<(), ReplicaRefusal> {
+    replica.confirm_read().await?;
+    if replica.view().members.get(request.identity.id).is_some() {
+        return Ok(());
+    }
+    log::info!(controller = request.identity.name.as_str(); "adding a controller to the log");
+    let change =
+        MemberChange::Add { identity: request.identity, address: request.address.to_string() };
+    replica.change_members(change).await.map(|_| ())
+}
--- /dev/null
+++ b/crates/controller/src/operator_views.rs
@@ -0,0 +1,248 @@
+//! Views that operators read.
+
+use crate::operator_api::{OperatorApi, wall_clock_ms};
+use baobabfall_core::action_ledger::ActionKey;
+use baobabfall_core::control_command::{PlannedStop, StopKind as StoredKind, StopTarget};
+use baobabfall_core::table_history::RowEdit;
+use baobabfall_core::workspace_table::RowChange;
+use baobabfall_node::messages::{FencingToken, StopKind};
+use baobabfall_node::operator_messages::{
+    ActionView, FairnessView, HistoryEntry, MembersView, NodeView, StatusView, StopView, TableView,
+    UpstreamView, WorkspaceView,
+};
+
+/// State of the control plane as this controller sees it.
+pub fn status(api: &OperatorApi) -> StatusView {
+    let view = api.replica.view();
+    let members = members(api);
+    let state = api.replica.state();
+    StatusView {
+        controller: api.name.clone(),
+        leader: view.leader.as_ref().map(|leader| leader.name.clone()),
+        term: view.term,
+        quorum: view.leads,
+        revision: state.history().revision(),
+        committed: view.committed,
+        voters: members.voters,
+        learners: members.learners,
+        nodes: api.tracker.views(),
+        unresolved_actions: u64::try_from(state.ledger().unresolved().count()).unwrap_or(u64::MAX),
+    }
+}
+
+/// The table in force.
+pub fn table(api: &OperatorApi) -> TableView {
+    let state = api.replica.state();
+    let history = state.history();
+    TableView {
+        revision: history.revision(),
+        digest: history.digest().to_owned(),
+        csv: history.table().to_csv(),
+    }
+}
+
+/// Accepted revisions, oldest first.
+pub fn history(api: &OperatorApi) -> Vec<HistoryEntry> {
+    let state = api.replica.state();
+    let revisions = state.history().revisions();
+    revisions
+        .map(|entry| HistoryEntry {
+            revision: entry.revision,
+            operator: entry.operator.clone(),
+            edit_id: entry.edit_id.clone(),
+            time_ms: entry.time_ms,
+            changes: entry.rows.iter().map(row_change).collect(),
+        })
+        .collect()
+}
+
+fn row_change(edit: &RowEdit) -> RowChange {
+    match &edit.after {
+        Some(row) => RowChange::Put { row: row.clone() },
+        None => RowChange::Remove { name: edit.name.clone() },
+    }
+}
+
+/// Backlog and service by workspace and pool.
+pub fn workspaces(api: &OperatorApi) -> Vec<WorkspaceView> {
+    let table = api.replica.state().history().table().clone();
+    let views = api.dispatch.read(|dispatcher, _| {
+        let accounts = dispatcher.accounts();
+        accounts
+            .map(|account| WorkspaceView {
+                name: account.workspace.to_owned(),
+                weight: table.get(account.workspace).map_or(0, |row| row.weight),
+                pool: account.pool.to_owned(),
+                queued: account.backlog.into(),
+                running: account.running.into(),
+                service: account.service,
+            })
+            .collect::<Vec<_>>()
+    });
+    let mut views = views.unwrap_or_default();
+    for row in table.rows().values() {
+        if !views.iter().any(|view| view.name == row.name) {
+            views.push(WorkspaceView {
+                name: row.name.clone(),
+                weight: row.weight,
+                pool: "-".to_owned(),
+                queued: 0,
+                running: 0,
+                service: 0,
+            });
+        }
+    }
+    views.sort_by(|a, b| (&a.name, &a.pool).cmp(&(&b.name, &b.pool)));
+    views
+}
+
+/// Announced upstreams, including those that left or lapsed lately.
+pub fn upstreams(api: &OperatorApi) -> Vec<UpstreamView> {
+    let slots = api.dispatch.read(|dispatcher, now| {
+        dispatcher
+            .upstreams(now)
+            .map(|view| (view.name.to_owned(), view.slots, view.running, view.ejected, view.stopping))
+            .collect::<Vec<_>>()
+    });
+    let slots = slots.unwrap_or_default();
+    let registry = api.registry.lock();
+    let entries = registry.entries().values();
+    entries
+        .map(|entry| {
+            let announcement = &entry.announcement;
+            let held = slots.iter().find(|(name, ..)| *name == announcement.name);
+            let state = match held {
+                _ if announcement.leaving => "leaving",
+                _ if !entry.live => "lapsed",
+                Some((_, _, _, _, true)) => "stopping",
+                Some((_, _, _, true, _)) => "ejected",
+                _ => "live",
+            };
+            UpstreamView {
+                name: announcement.name.clone(),
+                incarnation: announcement.incarnation,
+                pool: announcement.pool_name().to_owned(),
+                serves: announcement.serves.clone(),
+                zone: announcement.zone.clone(),
+                address: announcement.address.to_string(),
+                state: state.to_owned(),
+                slots: held.map_or(0, |held| held.1),
+                running: held.map_or(0, |held| held.2),
+                honours_fencing: announcement.honours_fencing,
+            }
+        })
+        .collect()
+}
+
+/// Gap and bound by pool.
+pub fn fairness(api: &OperatorApi) -> Vec<FairnessView> {
+    let views = api.dispatch.read(|dispatcher, _| {
+        dispatcher
+            .fairness()
+            .into_iter()
+            .map(|view| FairnessView {
+                pool: view.pool,
+                backlogged: view.backlogged,
+                gap: view.gap,
+                bound: view.bound,
+            })
+            .collect()
+    });
+    views.unwrap_or_default()
+}
+
+/// Announced stops with their progress.
+pub fn stops(api: &OperatorApi) -> Vec<StopView> {
+    let stops: Vec<(StopTarget, PlannedStop)> = {
+        let state = api.replica.state();
+        state.stops().iter().map(|(target, stop)| (target.clone(), stop.clone())).collect()
+    };
+    let nodes = api.tracker.views();
+    stops.into_iter().map(|(target, stop)| stop_view(api, &nodes, &target, &stop)).collect()
+}
+
+fn stop_view(
+    api: &OperatorApi,
+    nodes: &[NodeView],
+    target: &StopTarget,
+    stop: &PlannedStop,
+) -> StopView {
+    let in_progress = match target.kind {
+        StoredKind::Upstream | StoredKind::Host => running_at(api, &target.name),
+        StoredKind::Router => {
+            nodes.iter().find(|node| node.name == target.name).map_or(0, |node| node.in_progress)
+        }
+        StoredKind::Controller => 0,
+    };
+    let passed = stop
+        .limit_ms
+        .is_some_and(|limit| stop.announced_ms.saturating_add(limit) <= wall_clock_ms());
+    let state = match (in_progress, passed) {
+        (0, _) => "drained",
+        (_, true) => "limit_passed",
+        (_, false) => "draining",
+    };
+    StopView {
+        kind: match target.kind {
+            StoredKind::Host => StopKind::Host,
+            StoredKind::Upstream => StopKind::Upstream,
+            StoredKind::Router => StopKind::Router,
+            StoredKind::Controller => StopKind::Controller,
+        },
+        name: target.name.clone(),
+        operator: stop.operator.clone(),
+        time_ms: stop.announced_ms,
+        in_progress,
+        state: state.to_owned(),
+    }
+}
+
+/// Requests that run on an upstream, or on all upstreams of a host address.
+fn running_at(api: &OperatorApi, name: &str) -> u32 {
+    let names = upstreams_of(api, name);
+    let running = api.dispatch.read(|dispatcher, now| {
+        let views = dispatcher.upstreams(now);
+        views.filter(|view| names.iter().any(|held| held == view.name)).map(|view| view.running).sum()
+    });
+    running.unwrap_or(0)
+}
+
+/// Names of the upstreams that a stop of `name` concerns: the one of that
+/// name, or all at that host address.
+pub fn upstreams_of(api: &OperatorApi, name: &str) -> Vec<String> {
+    let registry = api.registry.lock();
+    let entries = registry.entries().values();
+    entries
+        .map(|entry| &entry.announcement)
+        .filter(|held| held.name == name || held.address.ip().to_string() == name)
+        .map(|held| held.name.clone())
+        .collect()
+}
+
+/// Actions whose outcome is unknown.
+pub fn actions(api: &OperatorApi) -> Vec<ActionView> {
+    let state = api.replica.state();
+    let unresolved = state.ledger().unresolved();
+    unresolved
+        .map(|(key, record): (&ActionKey, _)| ActionView {
+            workspace: key.workspace.to_string(),
+            service: key.service.to_string(),
+            path: record.holder.path.to_string(),
+            key: key.key.to_string(),
+            token: FencingToken { term: record.token.term, number: record.token.number },
+            router: record.holder.router.name.clone(),
+            time_ms: record.holder.claimed_ms,
+        })
+        .collect()
+}
+
+/// Controllers of the log.
+pub fn members(api: &OperatorApi) -> MembersView {
+    let members = api.replica.view().members;
+    let names = |voting: bool| -> Vec<String> {
+        let matching = members.iter().filter(|member| member.voting == voting);
+        matching.map(|member| member.identity.name.clone()).collect()
+    };
+    MembersView { voters: names(true), learners: names(false) }
+}
+
--- /dev/null
+++ b/crates/controller/src/sync_service.rs
@@ -0,0 +1,111 @@
+//! Brings nodes forward to the latest table, planned stops and registry.
+
+use crate::node_tracker::NodeTracker;
+use crate::registry_service::RegistryService;
+use crate::replica_driver::ReplicaHandle;
+use baobabfall_core::table_history::DifferenceContent;
+use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
+use baobabfall_node::messages::{
+    PlannedStop, StopList, SyncAnswer, SyncRequest, TableUpdate,
+};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Longest time for which an answer is held.
+pub const SYNC_WAIT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Answers sync requests of routers and controllers.
+#[derive(Clone, Debug)]
+pub struct SyncService {
+    replica: ReplicaHandle,
+    registry: RegistryService,
+    tracker: NodeTracker,
+}
+
+impl SyncService {
+    /// A service over the applied state and the registry.
+    pub fn new(replica: ReplicaHandle, registry: RegistryService, tracker: NodeTracker) -> Self {
+        Self { replica, registry, tracker }
+    }
+
+    /// Answers at once when there is news, else when some comes or the wait ends.
+    pub async fn sync(&self, request: &SyncRequest) -> SyncAnswer {
+        self.tracker.note_sync(request);
+        let end = Instant::now()
+            + Duration::from_millis(request.wait_ms.into()).min(SYNC_WAIT_LIMIT);
+        let mut replica = self.replica.news();
+        let mut registry = self.registry.watch();
+        loop {
+            replica.borrow_and_update();
+            registry.borrow_and_update();
+            let answer = self.answer(request);
+            let news = answer.table.is_some() || answer.stops.is_some() || answer.registry.is_some();
+            if news || Instant::now() >= end {
+                return self.confirmed(answer).await;
+            }
+            tokio::select! {
+                changed = replica.changed() => if changed.is_err() { return answer },
+                changed = registry.changed() => if changed.is_err() { return answer },
+                () = tokio::time::sleep_until(end) => {}
+            }
+        }
+    }
+
+    async fn confirmed(&self, mut answer: SyncAnswer) -> SyncAnswer {
+        // Read confirmation is asked for after the answer was built from the applied state,
+        // so it holds only if nothing newer was applied in between.
+        answer.confirmed = self.replica.confirm_read().await.is_ok()
+            && self.replica.state().history().revision() == answer.revision;
+        answer
+    }
+
+    fn answer(&self, request: &SyncRequest) -> SyncAnswer {
+        let view = self.replica.view();
+        let leader = view.leader.as_ref().and_then(|leader| {
+            view.members.get(leader.id)?.address.parse::<SocketAddr>().ok()
+        });
+        let state = self.replica.state();
+        let revision = state.history().revision();
+        let table = (request.revision < revision).then(|| self.table_update(&state, request.revision));
+        let stops = (request.stops_version != state.stops_version()).then(|| StopList {
+            version: state.stops_version(),
+            stops: state
+                .stops()
+                .keys()
+                .map(|target| PlannedStop { kind: target.kind, name: target.name.clone() })
+                .collect(),
+        });
+        drop(state);
+        let held = self.registry.version(view.term);
+        let registry = (view.leads && request.registry_version != held)
+            .then(|| self.registry.view(view.term));
+        SyncAnswer { confirmed: false, term: view.term, leader, revision, table, stops, registry }
+    }
+
+    fn table_update(
+        &self,
+        state: &baobabfall_core::control_state::ControlState,
+        held: u64,
+    ) -> TableUpdate {
+        let difference = state.changes_since(held);
+        let (from, changes) = match difference.content {
+            DifferenceContent::Changes(changes) => (held, changes),
+            DifferenceContent::Whole(table) => (0, whole(&table)),
+        };
+        let accepted = state.history().revisions().next_back().map_or(0, |entry| entry.time_ms);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        TableUpdate {
+            from,
+            to: difference.revision,
+            changes,
+            digest: difference.digest,
+            age_ms: now.saturating_sub(accepted),
+        }
+    }
+}
+
+fn whole(table: &WorkspaceTable) -> Vec<RowChange> {
+    table.rows().values().map(|row| RowChange::Put { row: row.clone() }).collect()
+}
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -226,6 +226,39 @@
         true
     }
 
+    /// Lets live entries lapse no earlier than `lapses_at`, for a controller
+    /// that takes over and has heard no renewals yet.
+    pub fn extend(&mut self, lapses_at: Duration) {
+        for entry in self.entries.values_mut().filter(|entry| entry.live) {
+            entry.lapses_at = entry.lapses_at.max(lapses_at);
+        }
+    }
+
+    /// Takes over the live upstreams of another registry: entries that it does
+    /// not list lapse, and may be renewed later.
+    pub fn copy_live(&mut self, lapses_at: Duration, upstreams: Vec<UpstreamAnnouncement>) {
+        let mut changed = false;
+        for (name, entry) in self.entries.iter_mut() {
+            let listed = upstreams.iter().any(|upstream| upstream.name == *name);
+            changed |= entry.live && !listed;
+            entry.live &= listed;
+        }
+        for announcement in upstreams {
+            let newer = self.entries.get(&announcement.name).is_none_or(|held| {
+                let held = &held.announcement;
+                (held.incarnation, held.sequence)
+                    <= (announcement.incarnation, announcement.sequence)
+            });
+            if newer {
+                let live = !announcement.leaving;
+                let name = announcement.name.clone();
+                self.entries.insert(name, UpstreamEntry { announcement, lapses_at, live });
+                changed = true;
+            }
+        }
+        self.version += u64::from(changed);
+    }
+
     /// Lapses entries that were not renewed and forgets old ones.
     pub fn expire(&mut self, now: Duration) -> Vec<String> {
         let mut lapsed = Vec::new();
