--- /dev/null
+++ b/crates/core/src/dispatch_intake.rs
@@ -0,0 +1,360 @@
+//! Reports of routers: backlog, lease usage, restarts and silence.
+
+use crate::dispatch_messages::{BacklogEntry, DispatchReport, LeaseId, LeaseUsage, NodeIdentity};
+use crate::dispatch_state::{LeaseRecord, RouterState, TargetState};
+use crate::fair_order::weighted_cost;
+use crate::slot_dispatcher::SlotDispatcher;
+use crate::upstream_registry::WorkTarget;
+use std::time::Duration;
+
+/// Most targets that are told apart. Models and services of the whole fleet
+/// are far fewer; backlog for further ones is ignored.
+const TARGET_LIMIT: usize = 8192;
+
+impl SlotDispatcher {
+    /// Takes a router's report and returns true when it was applied.
+    ///
+    /// Reports of an older incarnation and repeated or late ones have no
+    /// effect. A new incarnation frees the leases of the older one. Until a
+    /// router has sent a full report in this term its other reports do not
+    /// count, and the answer asks for a full one.
+    pub fn apply_report(&mut self, now: Duration, report: &DispatchReport) -> bool {
+        let id = self.router_id(now, report);
+        let known = self.routers[id].identity.incarnation;
+        if report.router.incarnation < known {
+            return false;
+        }
+        if report.router.incarnation > known {
+            self.drop_router(now, id);
+            self.routers[id] = RouterState::new(&report.router, now);
+        }
+        let router = &mut self.routers[id];
+        if report.sequence <= router.sequence {
+            return false;
+        }
+        router.heard = now;
+        if !report.full && !router.synced {
+            return false;
+        }
+        router.synced = true;
+        router.sequence = report.sequence;
+        let zone = self.zone_id(&report.zone);
+        self.routers[id].zone = zone;
+        self.stamp += 1;
+        let mut touched = Vec::new();
+        self.take_received(id, report.received_grant, &mut touched);
+        self.take_backlog(id, report, &mut touched);
+        self.take_usage(now, id, report, &mut touched);
+        touched.sort_unstable();
+        touched.dedup();
+        for workspace in touched {
+            self.refresh_workspace(now, workspace);
+            self.check_queue_length(id, workspace);
+        }
+        true
+    }
+
+    /// True when `identity` is the latest known incarnation of its router.
+    pub fn is_current(&self, identity: &NodeIdentity) -> bool {
+        let id = self.router_names.get(&identity.name);
+        id.is_none_or(|id| self.routers[*id].identity.incarnation <= identity.incarnation)
+    }
+
+    fn router_id(&mut self, now: Duration, report: &DispatchReport) -> usize {
+        if let Some(id) = self.router_names.get(&report.router.name) {
+            return *id;
+        }
+        let state = RouterState::new(&report.router, now);
+        let id = match self.free_routers.pop() {
+            Some(id) => {
+                self.routers[id] = state;
+                id
+            }
+            None => {
+                self.routers.push(state);
+                self.routers.len() - 1
+            }
+        };
+        self.router_names.insert(report.router.name.clone(), id);
+        id
+    }
+
+    pub(crate) fn zone_id(&mut self, zone: &str) -> usize {
+        match self.zones.iter().position(|held| held == zone) {
+            Some(id) => id,
+            None => {
+                self.zones.push(zone.to_owned());
+                self.zones.len() - 1
+            }
+        }
+    }
+
+    /// Index of a target, added when it is new.
+    pub(crate) fn target_id(&mut self, target: &WorkTarget) -> Option<usize> {
+        if let Some(id) = self.target_names.get(target) {
+            return Some(*id);
+        }
+        if self.targets.len() >= TARGET_LIMIT {
+            return None;
+        }
+        let id = self.targets.len();
+        let places = Vec::new();
+        self.targets.push(TargetState { target: target.clone(), places });
+        self.target_names.insert(target.clone(), id);
+        Some(id)
+    }
+
+    fn take_received(&mut self, router: usize, received: u64, touched: &mut Vec<usize>) {
+        let state = &mut self.routers[router];
+        state.received_grant = state.received_grant.max(received);
+        let received = state.received_grant;
+        while self.routers[router].pending.front().is_some_and(|g| g.lease.number <= received) {
+            let Some(grant) = self.routers[router].pending.pop_front() else { break };
+            let Some(record) = self.routers[router].leases.get(&grant.lease).copied() else {
+                continue;
+            };
+            self.acknowledge_grant(router, record.workspace, record.target);
+            touched.push(record.workspace);
+        }
+    }
+
+    fn take_backlog(&mut self, id: usize, report: &DispatchReport, touched: &mut Vec<usize>) {
+        let mut listed = Vec::with_capacity(report.backlog.len());
+        for entry in &report.backlog {
+            let workspace = self.workspace_id(&entry.workspace);
+            let Some(target) = self.target_id(&entry.target) else { continue };
+            self.set_queued(id, workspace, target, entry.queued, Some(entry));
+            self.routers[id].entries.insert((workspace, target), ());
+            touched.push(workspace);
+            listed.push((workspace, target));
+        }
+        if report.full {
+            listed.sort_unstable();
+            self.clear_unlisted(id, &listed, touched);
+        }
+    }
+
+    /// Empties the queue entries that a full report does not list.
+    fn clear_unlisted(&mut self, id: usize, listed: &[(usize, usize)], touched: &mut Vec<usize>) {
+        let mut entries = std::mem::take(&mut self.routers[id].entries);
+        entries.retain(|&(workspace, target), ()| {
+            if listed.binary_search(&(workspace, target)).is_err() {
+                self.set_queued(id, workspace, target, 0, None);
+                touched.push(workspace);
+            }
+            let queue = self.workspaces[workspace].queues.get(&target);
+            queue.is_some_and(|queue| queue.holds(id))
+        });
+        self.routers[id].entries = entries;
+    }
+
+    fn set_queued(
+        &mut self,
+        router: usize,
+        workspace: usize,
+        target: usize,
+        queued: u32,
+        entry: Option<&BacklogEntry>,
+    ) {
+        let stamp = self.stamp;
+        let queues = &mut self.workspaces[workspace].queues;
+        let queue = queues.get_or_insert_with(target, Default::default);
+        queue.report(router, queued, entry, stamp);
+    }
+
+    fn take_usage(
+        &mut self,
+        now: Duration,
+        id: usize,
+        report: &DispatchReport,
+        touched: &mut Vec<usize>,
+    ) {
+        let mut ended: Vec<LeaseId> = Vec::new();
+        for usage in &report.usage {
+            let repeated = ended.contains(&usage.lease);
+            if usage.end.is_some() {
+                ended.push(usage.lease);
+            }
+            let known = self.routers[id].leases.contains_key(&usage.lease);
+            if !known && (repeated || !self.adopt_lease(now, id, usage)) {
+                continue;
+            }
+            self.take_charge(now, id, usage, touched);
+            if !known {
+                self.cap_adopted(now, id, usage.lease);
+            }
+            if usage.end.is_some() {
+                self.end_lease(now, id, usage.lease, usage.end);
+            }
+        }
+        if report.full {
+            self.end_unlisted(now, id, report, touched);
+            self.routers[id].reclaimed.clear();
+        }
+        self.routers[id].ended = ended;
+    }
+
+    fn take_charge(
+        &mut self,
+        now: Duration,
+        id: usize,
+        usage: &LeaseUsage,
+        touched: &mut Vec<usize>,
+    ) {
+        self.charge_lease(now, id, usage.lease, usage.charged);
+        let Some(record) = self.routers[id].leases.get_mut(&usage.lease) else { return };
+        touched.push(record.workspace);
+        let Some(millis) = usage.first_token_ms.filter(|_| !record.first_token) else { return };
+        record.first_token = true;
+        let upstream = record.upstream;
+        if self.upstreams[upstream].incarnation == record.incarnation {
+            let placement = self.settings.placement;
+            self.upstreams[upstream].capacity.record_first_token(now, &placement, millis);
+            self.refresh_upstream(now, upstream);
+        }
+    }
+
+    /// Adds a lease of an earlier term, of local mode or reclaimed before.
+    /// False when it has ended already.
+    fn adopt_lease(&mut self, now: Duration, id: usize, usage: &LeaseUsage) -> bool {
+        if self.routers[id].ended.contains(&usage.lease) {
+            return false;
+        }
+        let Some(target) = self.target_id(&usage.target) else { return false };
+        let workspace = self.workspace_id(&usage.workspace);
+        let upstream = self.upstream_id(&usage.upstream, usage.incarnation);
+        let pool = self.lease_pool(upstream, target);
+        let already_charged = self.routers[id].reclaimed.remove(&usage.lease).unwrap_or(0);
+        let estimate = match usage.end {
+            Some(_) => 0,
+            None => self.costs.estimate((workspace, target), 0),
+        };
+        let weight = self.workspaces[workspace].weight();
+        let counted = estimate.saturating_sub(already_charged);
+        let record = LeaseRecord {
+            workspace,
+            target,
+            pool,
+            upstream,
+            incarnation: usage.incarnation,
+            weight,
+            hint: 0,
+            estimate,
+            reported: already_charged,
+            already_charged,
+            charge: weighted_cost(counted, weight),
+            first_token: usage.first_token_ms.is_some(),
+        };
+        self.add_lease(now, id, usage.lease, record);
+        true
+    }
+
+    fn cap_adopted(&mut self, now: Duration, id: usize, lease: LeaseId) {
+        if let Some(record) = self.routers[id].leases.get(&lease).copied() {
+            self.cap_debt(now, record.workspace, record.pool, record.target);
+        }
+    }
+
+    /// Frees leases that a full report no longer lists. Grants that the
+    /// router has not received are kept.
+    fn end_unlisted(
+        &mut self,
+        now: Duration,
+        id: usize,
+        report: &DispatchReport,
+        touched: &mut Vec<usize>,
+    ) {
+        let mut listed: Vec<LeaseId> = report.usage.iter().map(|usage| usage.lease).collect();
+        listed.sort_unstable();
+        let router = &self.routers[id];
+        let first_pending = router.pending.front().map(|grant| grant.lease);
+        let held = router.leases.keys().copied();
+        let gone: Vec<LeaseId> = held
+            .filter(|lease| first_pending.is_none_or(|first| *lease < first))
+            .filter(|lease| listed.binary_search(lease).is_err())
+            .collect();
+        for lease in gone {
+            touched.extend(self.routers[id].leases.get(&lease).map(|record| record.workspace));
+            self.end_lease(now, id, lease, None);
+        }
+    }
+
+    /// Marks the router's part of a queue that is longer than its limit.
+    fn check_queue_length(&mut self, id: usize, workspace: usize) {
+        let state = &self.workspaces[workspace];
+        let Some(policy) = &state.policy else { return };
+        if policy.limit.queue_excess(state.waiting()) == 0 {
+            return;
+        }
+        let router = &mut self.routers[id];
+        for (target, queue) in state.queues.iter() {
+            if queue.waiting_at(id) > 0 {
+                router.refused.insert((workspace, *target), ());
+                router.wake = true;
+            }
+        }
+    }
+
+    /// Takes the leases of routers that were silent too long and forgets
+    /// routers that stay silent. Returns the names of the former.
+    pub fn expire(&mut self, now: Duration) -> Vec<String> {
+        let mut lost = Vec::new();
+        let mut forgotten = Vec::new();
+        let names: Vec<(String, usize)> =
+            self.router_names.iter().map(|(name, id)| (name.clone(), *id)).collect();
+        for (name, id) in names {
+            let router = &self.routers[id];
+            let silence = now.saturating_sub(router.heard);
+            if silence >= self.settings.router_retention {
+                forgotten.push((name, id));
+            } else if router.synced && silence >= self.settings.router_silence {
+                self.reclaim_leases(now, id);
+                lost.push(name);
+            }
+        }
+        for (name, id) in forgotten {
+            self.drop_router(now, id);
+            self.router_names.remove(&name);
+            self.free_routers.push(id);
+        }
+        lost
+    }
+
+    /// Frees the leases of a silent router and keeps what was charged, so
+    /// that a later report of the same lease is not charged twice.
+    fn reclaim_leases(&mut self, now: Duration, id: usize) {
+        let leases = self.routers[id].leases.iter();
+        let charged: Vec<_> = leases.map(|(lease, record)| (*lease, record.reported)).collect();
+        self.drop_router(now, id);
+        let router = &mut self.routers[id];
+        router.synced = false;
+        router.reclaimed = charged.into_iter().collect();
+    }
+
+    /// Removes everything that the dispatcher holds for a router.
+    fn drop_router(&mut self, now: Duration, id: usize) {
+        let leases: Vec<LeaseId> = self.routers[id].leases.keys().copied().collect();
+        let mut touched = Vec::new();
+        for lease in leases {
+            touched.extend(self.routers[id].leases.get(&lease).map(|record| record.workspace));
+            self.end_lease(now, id, lease, None);
+        }
+        for (workspace, target) in
+            std::mem::take(&mut self.routers[id].entries).into_iter().map(|e| e.0)
+        {
+            if let Some(queue) = self.workspaces[workspace].queues.get_mut(&target) {
+                queue.remove_router(id);
+            }
+            touched.push(workspace);
+        }
+        let router = &mut self.routers[id];
+        router.pending.clear();
+        router.refused.clear();
+        router.wake = false;
+        touched.sort_unstable();
+        touched.dedup();
+        for workspace in touched {
+            self.refresh_workspace(now, workspace);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch_ledger.rs
@@ -0,0 +1,306 @@
+//! Accounts, leases and the orders that the dispatcher keeps over them.
+
+use crate::dispatch_messages::{CostUnits, LeaseEnd, LeaseId};
+use crate::dispatch_state::{LeaseRecord, TargetPlace, WorkspaceState};
+use crate::fair_order::{AccountValue, FairAccount, SERVICE_WINDOW_SECONDS, weighted_cost};
+use crate::placement::ejection_limit;
+use crate::slot_dispatcher::SlotDispatcher;
+use std::time::Duration;
+
+impl SlotDispatcher {
+    /// Index of a workspace, added when it is new.
+    pub(crate) fn workspace_id(&mut self, name: &str) -> usize {
+        if let Some(id) = self.workspace_names.get(name) {
+            return *id;
+        }
+        let state = WorkspaceState::new(name);
+        let id = match self.free_workspaces.pop() {
+            Some(id) => {
+                self.workspaces[id] = state;
+                id
+            }
+            None => {
+                self.workspaces.push(state);
+                self.workspaces.len() - 1
+            }
+        };
+        self.workspace_names.insert(name.to_owned(), id);
+        id
+    }
+
+    /// Brings a workspace's place in every order in line with its queues,
+    /// accounts and limits.
+    pub(crate) fn refresh_workspace(&mut self, now: Duration, id: usize) {
+        let eligible = self.check_limits(now, id);
+        let was_blocked = std::mem::replace(&mut self.workspaces[id].blocked, !eligible);
+        self.update_backlogged(now, id, was_blocked && eligible);
+        let Self { workspaces, targets, pools, .. } = self;
+        let workspace = &workspaces[id];
+        for (target, queue) in workspace.queues.iter() {
+            for place in &targets[*target].places {
+                let order = &mut pools[place.pool].targets[place.index].order;
+                let account = workspace.accounts.get(&place.pool);
+                match account.filter(|_| eligible && queue.waiting() > 0) {
+                    Some(account) => order.set(id, account.value),
+                    None => {
+                        order.remove(id);
+                    }
+                }
+            }
+        }
+    }
+
+    /// True when the workspace may be granted a slot. If only its rates
+    /// forbid it, a later check is scheduled.
+    fn check_limits(&mut self, now: Duration, id: usize) -> bool {
+        let workspace = &mut self.workspaces[id];
+        let running = workspace.running;
+        let waiting = workspace.waiting() > 0;
+        let policy = workspace.policy.as_mut().filter(|_| waiting);
+        let Some(policy) = policy.filter(|policy| policy.limit.allows_running(running)) else {
+            self.blocked.remove(id);
+            return false;
+        };
+        let Some(wait) = policy.limit.rate_wait(now) else {
+            self.blocked.remove(id);
+            return true;
+        };
+        self.blocked.set(id, now + wait);
+        if wait > self.settings.longest_rate_wait {
+            self.refuse_queues(id);
+        }
+        false
+    }
+
+    fn refuse_queues(&mut self, id: usize) {
+        let Self { workspaces, routers, .. } = self;
+        for (target, queue) in workspaces[id].queues.iter() {
+            for router in queue.routers() {
+                let router = &mut routers[router];
+                router.wake |= router.refused.insert((id, *target), ()).is_none();
+            }
+        }
+    }
+
+    fn update_backlogged(&mut self, now: Duration, id: usize, unblocked: bool) {
+        for position in 0..self.workspaces[id].queues.len() {
+            let queue = self.workspaces[id].queues.iter().nth(position);
+            let waiting = queue.filter(|(_, queue)| queue.waiting() > 0);
+            let Some(target) = waiting.map(|(target, _)| *target) else { continue };
+            for position in 0..self.targets[target].places.len() {
+                let place = self.targets[target].places[position];
+                let account = self.workspaces[id].accounts.get(&place.pool);
+                let backlogged = account.is_some_and(|account| account.backlogged);
+                if !backlogged || unblocked {
+                    self.limit_account(now, id, place, !backlogged);
+                }
+            }
+        }
+        let Self { workspaces, targets, .. } = self;
+        let WorkspaceState { accounts, queues, .. } = &mut workspaces[id];
+        for (pool, account) in accounts.iter_mut().filter(|(_, account)| account.backlogged) {
+            account.backlogged = queues.iter().any(|(target, queue)| {
+                queue.waiting() > 0 && targets[*target].places.iter().any(|at| at.pool == *pool)
+            });
+        }
+    }
+
+    /// Bounds an account that enters the order: it starts at the minimum of
+    /// the pool when it was idle, and a deficit or debt from limits, lost
+    /// routers or partitions is at most the cap.
+    fn limit_account(&mut self, now: Duration, id: usize, place: TargetPlace, was_idle: bool) {
+        let minimum = self.pool_minimum(place);
+        let cap = self.debt_cap(now, place.pool, self.workspaces[id].weight());
+        let accounts = &mut self.workspaces[id].accounts;
+        let account = accounts.get_or_insert_with(place.pool, FairAccount::default);
+        account.backlogged = true;
+        account.raise_to(if was_idle { minimum } else { minimum.saturating_sub(cap) });
+        account.lower_to(minimum.saturating_add(cap));
+    }
+
+    /// Account at which a workspace starts that becomes backlogged.
+    fn pool_minimum(&self, place: TargetPlace) -> AccountValue {
+        let targets = &self.pools[place.pool].targets;
+        let target = &targets[place.index];
+        if let Some((lowest, _)) = target.order.peek() {
+            return lowest.max(target.virtual_time);
+        }
+        let related = target.related.iter().map(|index| targets[*index].virtual_time);
+        related.max().unwrap_or_default().max(target.virtual_time)
+    }
+
+    /// Ten seconds of the pool's service rate, divided by the weight.
+    fn debt_cap(&self, now: Duration, pool: usize, weight: u32) -> AccountValue {
+        let pool = &self.pools[pool];
+        let slots = pool.members.iter().map(|id| u64::from(self.upstreams[*id].capacity.learnt()));
+        let nominal = slots.sum::<u64>() * self.settings.nominal_slot_rate * SERVICE_WINDOW_SECONDS;
+        weighted_cost(pool.window.total(now).max(nominal), weight)
+    }
+
+    /// Caps a debt that a lease from an earlier term or partition caused.
+    pub(crate) fn cap_debt(&mut self, now: Duration, id: usize, pool: usize, target: usize) {
+        let places = self.targets[target].places.iter();
+        let Some(place) = places.copied().find(|place| place.pool == pool) else { return };
+        let cap = self.debt_cap(now, pool, self.workspaces[id].weight());
+        let maximum = self.pool_minimum(place).saturating_add(cap);
+        if let Some(account) = self.workspaces[id].accounts.get_mut(&pool) {
+            account.lower_to(maximum);
+        }
+    }
+
+    /// Adds a lease and its charge.
+    pub(crate) fn add_lease(
+        &mut self,
+        now: Duration,
+        router: usize,
+        lease: LeaseId,
+        record: LeaseRecord,
+    ) {
+        let workspace = &mut self.workspaces[record.workspace];
+        workspace.running += 1;
+        workspace.leases += 1;
+        let account = workspace.accounts.get_or_insert_with(record.pool, FairAccount::default);
+        account.running += 1;
+        account.replace_charge(0, record.charge);
+        let upstream = &mut self.upstreams[record.upstream];
+        upstream.leases += 1;
+        if upstream.incarnation == record.incarnation {
+            upstream.running += 1;
+            upstream.capacity.record_running(upstream.running);
+        }
+        self.routers[router].leases.insert(lease, record);
+        self.refresh_upstream(now, record.upstream);
+    }
+
+    /// Takes the cost that a router reports for a lease; it never falls.
+    pub(crate) fn charge_lease(
+        &mut self,
+        now: Duration,
+        router: usize,
+        lease: LeaseId,
+        charged: CostUnits,
+    ) {
+        let Some(record) = self.routers[router].leases.get_mut(&lease) else { return };
+        let Some(added) = charged.checked_sub(record.reported).filter(|added| *added > 0) else {
+            return;
+        };
+        record.reported = charged;
+        let counted = charged.max(record.estimate).saturating_sub(record.already_charged);
+        let charge = weighted_cost(counted, record.weight);
+        let old = std::mem::replace(&mut record.charge, charge);
+        let (id, pool) = (record.workspace, record.pool);
+        self.pools[pool].window.add(now, added);
+        let workspace = &mut self.workspaces[id];
+        if let Some(account) = workspace.accounts.get_mut(&pool) {
+            account.replace_charge(old, charge);
+            account.service = account.service.saturating_add(added);
+        }
+        if let Some(policy) = &mut workspace.policy {
+            policy.limit.charge_cost(now, added);
+        }
+    }
+
+    /// Ends a lease and settles its charge at the reported cost.
+    pub(crate) fn end_lease(
+        &mut self,
+        now: Duration,
+        router: usize,
+        lease: LeaseId,
+        end: Option<LeaseEnd>,
+    ) {
+        let Some(record) = self.routers[router].leases.remove(&lease) else { return };
+        self.withdraw_grant(router, lease, &record);
+        let settled = record.reported.saturating_sub(record.already_charged);
+        let settled = weighted_cost(settled, record.weight);
+        let workspace = &mut self.workspaces[record.workspace];
+        workspace.running -= 1;
+        workspace.leases -= 1;
+        if let Some(account) = workspace.accounts.get_mut(&record.pool) {
+            account.running -= 1;
+            account.replace_charge(record.charge, settled);
+        }
+        let unused = matches!(end, Some(LeaseEnd::Unused | LeaseEnd::Refused));
+        if let Some(policy) = workspace.policy.as_mut().filter(|_| unused) {
+            policy.limit.refund_request(now);
+        }
+        if end == Some(LeaseEnd::Finished) {
+            let pair = (record.workspace, record.target);
+            self.costs.learn(pair, record.hint, record.reported);
+        }
+        let upstream = &mut self.upstreams[record.upstream];
+        upstream.leases -= 1;
+        if upstream.incarnation == record.incarnation {
+            upstream.running -= 1;
+            if let Some(end) = end {
+                upstream.capacity.record_end(now, &self.settings.placement, end);
+            }
+        }
+        self.eject_if_failing(now, record.upstream);
+        self.refresh_upstream(now, record.upstream);
+    }
+
+    /// Stops resending the grant of an ended lease.
+    fn withdraw_grant(&mut self, router: usize, lease: LeaseId, record: &LeaseRecord) {
+        let state = &mut self.routers[router];
+        let Ok(position) = state.pending.binary_search_by(|grant| grant.lease.cmp(&lease)) else {
+            return;
+        };
+        state.pending.remove(position);
+        self.acknowledge_grant(router, record.workspace, record.target);
+    }
+
+    pub(crate) fn acknowledge_grant(&mut self, router: usize, workspace: usize, target: usize) {
+        let stamp = self.stamp;
+        if let Some(queue) = self.workspaces[workspace].queues.get_mut(&target) {
+            queue.acknowledge(router, stamp);
+        }
+    }
+
+    fn eject_if_failing(&mut self, now: Duration, id: usize) {
+        let placement = self.settings.placement;
+        let upstream = &self.upstreams[id];
+        if !upstream.live || !upstream.capacity.is_failing(&placement) {
+            return;
+        }
+        let Some(pool) = self.upstream_pool(id) else { return };
+        let members = &self.pools[pool].members;
+        let ejected = members.iter().filter(|id| self.upstreams[**id].capacity.is_ejected());
+        if ejected.count() < ejection_limit(members.len()) {
+            self.upstreams[id].capacity.eject(now, &placement);
+            self.watch_upstream(id);
+        }
+    }
+
+    /// Follows an upstream whose slots change with time.
+    pub(crate) fn watch_upstream(&mut self, id: usize) {
+        if !self.changing.contains(&id) {
+            self.changing.push(id);
+        }
+    }
+
+    /// Pool of an announced upstream.
+    pub(crate) fn upstream_pool(&self, id: usize) -> Option<usize> {
+        let announcement = self.upstreams[id].announcement.as_ref()?;
+        let key = (announcement.kind, announcement.pool_name().to_owned());
+        self.pool_names.get(&key).copied()
+    }
+
+    /// Slots that an upstream offers now.
+    pub(crate) fn usable_slots(&self, now: Duration, id: usize) -> u32 {
+        let upstream = &self.upstreams[id];
+        if !upstream.live || upstream.stopping {
+            return 0;
+        }
+        upstream.capacity.slots(now, &self.settings.placement)
+    }
+
+    /// Brings the free slots of an upstream in line with its state.
+    pub(crate) fn refresh_upstream(&mut self, now: Duration, id: usize) {
+        let slots = self.usable_slots(now, id);
+        let upstream = &self.upstreams[id];
+        for place in &upstream.places {
+            let free = &mut self.pools[place.pool].targets[place.index].free;
+            free.set(upstream.zone, id, upstream.running, slots);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch_state.rs
@@ -0,0 +1,260 @@
+//! Records of the dispatcher. Workspaces, targets, pools, upstreams, routers
+//! and zones are dense indices into its vectors.
+
+use crate::backlog_queue::BacklogQueue;
+use crate::dispatch_messages::{
+    BacklogRefusal, CostUnits, LeaseId, NodeIdentity, SlotGrant, UpstreamRoute,
+};
+use crate::fair_order::{AccountValue, FairAccount, IndexedHeap, ServiceWindow};
+use crate::placement::{FreeSlots, UpstreamCapacity};
+use crate::rate_limit::WorkspaceLimit;
+use crate::sorted_map::SortedMap;
+use crate::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// A target within a pool: the pool and the index into its targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct TargetPlace {
+    pub pool: usize,
+    pub index: usize,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct TargetState {
+    pub target: WorkTarget,
+    /// Pools with upstreams that serve it.
+    pub places: Vec<TargetPlace>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct PoolState {
+    pub kind: UpstreamKind,
+    pub name: String,
+    pub targets: Vec<PoolTarget>,
+    /// Live upstreams.
+    pub members: Vec<usize>,
+    pub window: ServiceWindow,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct PoolTarget {
+    pub target: usize,
+    /// Eligible workspaces with waiting requests, by account.
+    pub order: IndexedHeap<AccountValue>,
+    pub free: FreeSlots,
+    /// Highest account to which a request of this target was granted.
+    pub virtual_time: AccountValue,
+    /// Targets of the pool that share an upstream with this one.
+    pub related: Vec<usize>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct WorkspaceState {
+    pub name: String,
+    /// Weight and limits; none when the table has no such row.
+    pub policy: Option<WorkspacePolicy>,
+    pub running: u32,
+    /// Records of leases, including those of restarted upstreams.
+    pub leases: u32,
+    /// True while a limit keeps it out of the order.
+    pub blocked: bool,
+    pub accounts: SortedMap<usize, FairAccount>,
+    pub queues: SortedMap<usize, BacklogQueue>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct WorkspacePolicy {
+    pub weight: u32,
+    pub limit: WorkspaceLimit,
+}
+
+impl WorkspaceState {
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            policy: None,
+            running: 0,
+            leases: 0,
+            blocked: false,
+            accounts: SortedMap::new(),
+            queues: SortedMap::new(),
+        }
+    }
+
+    pub fn weight(&self) -> u32 {
+        self.policy.as_ref().map_or(1, |policy| policy.weight)
+    }
+
+    pub fn waiting(&self) -> u32 {
+        self.queues.values().map(BacklogQueue::waiting).sum()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamState {
+    pub name: String,
+    pub incarnation: u64,
+    pub announcement: Option<UpstreamAnnouncement>,
+    pub zone: usize,
+    pub live: bool,
+    pub stopping: bool,
+    pub capacity: UpstreamCapacity,
+    /// Leases of this incarnation.
+    pub running: u32,
+    /// Lease records that refer to it, of any incarnation.
+    pub leases: u32,
+    pub places: Vec<TargetPlace>,
+}
+
+impl UpstreamState {
+    pub fn new(name: &str, incarnation: u64) -> Self {
+        Self {
+            name: name.to_owned(),
+            incarnation,
+            announcement: None,
+            zone: 0,
+            live: false,
+            stopping: false,
+            capacity: UpstreamCapacity::new(1, None),
+            running: 0,
+            leases: 0,
+            places: Vec::new(),
+        }
+    }
+
+    pub fn route(&self) -> UpstreamRoute {
+        let address = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        let held = self.announcement.as_ref();
+        UpstreamRoute {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            address: held.map_or(address, |held| held.address),
+            honours_fencing: held.is_some_and(|held| held.honours_fencing),
+            resume: held.is_some_and(|held| held.resume),
+            cancel: held.is_some_and(|held| held.cancel),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct RouterState {
+    pub identity: NodeIdentity,
+    pub zone: usize,
+    /// True once a full report of this incarnation counts.
+    pub synced: bool,
+    pub sequence: u64,
+    pub heard: Duration,
+    pub received_grant: u64,
+    pub leases: SortedMap<LeaseId, LeaseRecord>,
+    /// Grants that the router has not acknowledged, by number.
+    pub pending: VecDeque<SlotGrant>,
+    /// Ended leases of the latest report; a repetition is not charged again.
+    pub ended: Vec<LeaseId>,
+    /// Reclaimed leases and what was charged for them.
+    pub reclaimed: SortedMap<LeaseId, CostUnits>,
+    /// Queue entries of this router, as (workspace, target).
+    pub entries: SortedMap<(usize, usize), ()>,
+    /// Queue entries with requests to refuse.
+    pub refused: SortedMap<(usize, usize), ()>,
+    /// True when it has grants or refusals that no answer carried yet.
+    pub wake: bool,
+}
+
+impl RouterState {
+    pub fn new(identity: &NodeIdentity, now: Duration) -> Self {
+        Self {
+            identity: identity.clone(),
+            zone: 0,
+            synced: false,
+            sequence: 0,
+            heard: now,
+            received_grant: 0,
+            leases: SortedMap::new(),
+            pending: VecDeque::new(),
+            ended: Vec::new(),
+            reclaimed: SortedMap::new(),
+            entries: SortedMap::new(),
+            refused: SortedMap::new(),
+            wake: false,
+        }
+    }
+}
+
+/// A running or granted lease.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaseRecord {
+    pub workspace: usize,
+    pub target: usize,
+    pub pool: usize,
+    pub upstream: usize,
+    pub incarnation: u64,
+    /// Weight at the time of the grant; corrections use it too, so that a
+    /// refund never differs from its charge.
+    pub weight: u32,
+    pub hint: CostUnits,
+    pub estimate: CostUnits,
+    /// Cost reported by the router.
+    pub reported: CostUnits,
+    /// Part of `reported` that an earlier record of this lease charged.
+    pub already_charged: CostUnits,
+    /// Weighted cost that the account holds for it.
+    pub charge: AccountValue,
+    pub first_token: bool,
+}
+
+/// Service, backlog and running requests of a workspace in a pool.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountView<'a> {
+    /// Workspace.
+    pub workspace: &'a str,
+    /// Kind of the pool's upstreams.
+    pub kind: UpstreamKind,
+    /// Name of the pool.
+    pub pool: &'a str,
+    /// Service reported so far.
+    pub service: CostUnits,
+    /// Weighted service that decides the order.
+    pub value: AccountValue,
+    /// Waiting requests that the pool could serve.
+    pub backlog: u32,
+    /// Running requests.
+    pub running: u32,
+}
+
+/// Slots of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamView<'a> {
+    /// Name of the upstream.
+    pub name: &'a str,
+    /// Incarnation.
+    pub incarnation: u64,
+    /// Announced concurrency; zero when it is not live.
+    pub announced: u32,
+    /// Learnt capacity.
+    pub learnt: u32,
+    /// Slots that may be used now.
+    pub slots: u32,
+    /// Running requests.
+    pub running: u32,
+    /// Ejected after failures.
+    pub ejected: bool,
+    /// Under a planned stop.
+    pub stopping: bool,
+}
+
+/// Bounds of a refusal before it is addressed to a router.
+pub(crate) fn refusal(
+    target: &WorkTarget,
+    workspace: &str,
+    keep: u32,
+    retry_after: Duration,
+) -> BacklogRefusal {
+    BacklogRefusal {
+        target: target.clone(),
+        workspace: workspace.to_owned(),
+        keep,
+        retry_after_ms: u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX),
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -0,0 +1,340 @@
+//! Upstreams and pools of the dispatcher, and its read-only views.
+
+use crate::dispatch_messages::CostUnits;
+use crate::dispatch_state::{
+    AccountView, PoolState, PoolTarget, TargetPlace, UpstreamState, UpstreamView,
+};
+use crate::fair_order::{IndexedHeap, ServiceWindow};
+use crate::placement::{FreeSlots, UpstreamCapacity, ejection_limit};
+use crate::slot_dispatcher::SlotDispatcher;
+use crate::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
+use std::time::Duration;
+
+impl SlotDispatcher {
+    /// Takes all live upstreams. One that is no longer listed gets no grants;
+    /// its running leases go on.
+    pub fn set_upstreams<'a>(
+        &mut self,
+        now: Duration,
+        live: impl IntoIterator<Item = &'a UpstreamAnnouncement>,
+    ) {
+        let mut listed = vec![false; self.upstreams.len()];
+        let mut changed = false;
+        for announcement in live.into_iter().filter(|announcement| !announcement.leaving) {
+            let id = self.upstream_id(&announcement.name, announcement.incarnation);
+            listed.resize(self.upstreams.len(), false);
+            listed[id] = true;
+            changed |= self.take_announcement(now, id, announcement);
+        }
+        for (upstream, listed) in self.upstreams.iter_mut().zip(listed) {
+            if upstream.live && !listed {
+                upstream.live = false;
+                changed = true;
+            }
+        }
+        if changed {
+            self.rebuild_pools(now);
+        }
+    }
+
+    /// Upstreams under a planned stop get no grants; running leases go on.
+    pub fn set_stopping_upstreams<'a>(
+        &mut self,
+        now: Duration,
+        names: impl IntoIterator<Item = &'a str>,
+    ) {
+        self.stopping = names.into_iter().map(str::to_owned).collect();
+        for id in 0..self.upstreams.len() {
+            let upstream = &mut self.upstreams[id];
+            upstream.stopping = self.stopping.contains(&upstream.name);
+            self.refresh_upstream(now, id);
+        }
+    }
+
+    /// Index of an upstream, added when it is new.
+    pub(crate) fn upstream_id(&mut self, name: &str, incarnation: u64) -> usize {
+        if let Some(id) = self.upstream_names.get(name) {
+            return *id;
+        }
+        let mut state = UpstreamState::new(name, incarnation);
+        state.stopping = self.stopping.iter().any(|held| held == name);
+        let id = match self.free_upstreams.pop() {
+            Some(id) => {
+                self.upstreams[id] = state;
+                id
+            }
+            None => {
+                self.upstreams.push(state);
+                self.upstreams.len() - 1
+            }
+        };
+        self.upstream_names.insert(name.to_owned(), id);
+        id
+    }
+
+    /// Takes one announcement; true when pools or slots change by it.
+    fn take_announcement(&mut self, now: Duration, id: usize, next: &UpstreamAnnouncement) -> bool {
+        let placement = self.settings.placement;
+        let zone = self.zone_id(&next.zone);
+        let upstream = &mut self.upstreams[id];
+        let held =
+            upstream.announcement.as_ref().filter(|held| held.incarnation == next.incarnation);
+        let Some(held) = held.filter(|_| upstream.live) else {
+            self.start_upstream(now, id, zone, next);
+            return true;
+        };
+        if held.sequence == next.sequence {
+            return false;
+        }
+        let same = held.serves == next.serves
+            && held.pool == next.pool
+            && held.zone == next.zone
+            && held.address == next.address
+            && held.concurrency == next.concurrency;
+        if let Some(load) = next.running {
+            upstream.capacity.record_load(now, &placement, load, upstream.running);
+        }
+        upstream.capacity.set_announced(next.concurrency);
+        upstream.zone = zone;
+        upstream.announcement = Some(next.clone());
+        if same {
+            self.refresh_upstream(now, id);
+        }
+        !same
+    }
+
+    /// Takes the first announcement of an incarnation, or of one that was
+    /// not live.
+    fn start_upstream(
+        &mut self,
+        now: Duration,
+        id: usize,
+        zone: usize,
+        next: &UpstreamAnnouncement,
+    ) {
+        let grace = self.started + self.settings.placement.known_upstreams_grace;
+        let slow_start = (now >= grace).then_some(now);
+        let restarted = self.upstreams[id].incarnation != next.incarnation;
+        if restarted {
+            self.upstreams[id].incarnation = next.incarnation;
+            self.upstreams[id].running = self.count_running(id, next.incarnation);
+        }
+        let upstream = &mut self.upstreams[id];
+        upstream.capacity = UpstreamCapacity::new(next.concurrency, slow_start);
+        upstream.capacity.record_running(upstream.running);
+        upstream.live = true;
+        upstream.zone = zone;
+        upstream.announcement = Some(next.clone());
+        if slow_start.is_some() {
+            self.watch_upstream(id);
+        }
+    }
+
+    fn count_running(&self, id: usize, incarnation: u64) -> u32 {
+        let leases = self.routers.iter().flat_map(|router| router.leases.values());
+        let running =
+            leases.filter(|lease| lease.upstream == id && lease.incarnation == incarnation);
+        u32::try_from(running.count()).unwrap_or(u32::MAX)
+    }
+
+    fn pool_id(&mut self, kind: UpstreamKind, name: &str) -> usize {
+        let key = (kind, name.to_owned());
+        if let Some(id) = self.pool_names.get(&key) {
+            return *id;
+        }
+        let id = self.pools.len();
+        self.pools.push(PoolState {
+            kind,
+            name: name.to_owned(),
+            targets: Vec::new(),
+            members: Vec::new(),
+            window: ServiceWindow::default(),
+        });
+        self.pool_names.insert(key, id);
+        id
+    }
+
+    /// Pool that a lease is charged in: that of its upstream, else one that
+    /// serves its target, else the default pool of the target.
+    pub(crate) fn lease_pool(&mut self, upstream: usize, target: usize) -> usize {
+        let places = &self.targets[target].places;
+        let known = self.upstream_pool(upstream).or_else(|| places.first().map(|place| place.pool));
+        if let Some(pool) = known {
+            return pool;
+        }
+        let WorkTarget { kind, name } = self.targets[target].target.clone();
+        match kind {
+            UpstreamKind::Model => self.pool_id(kind, "models"),
+            UpstreamKind::Service => self.pool_id(kind, &name),
+        }
+    }
+
+    /// Recomputes which pools serve which targets and every order.
+    fn rebuild_pools(&mut self, now: Duration) {
+        for pool in &mut self.pools {
+            pool.members.clear();
+            for target in &mut pool.targets {
+                target.order.clear();
+                target.free.clear();
+                target.related.clear();
+            }
+        }
+        self.targets.iter_mut().for_each(|target| target.places.clear());
+        self.drop_unused_upstreams();
+        for id in 0..self.upstreams.len() {
+            self.join_pool(id);
+        }
+        self.limit_ejections(now);
+        for id in 0..self.upstreams.len() {
+            self.refresh_upstream(now, id);
+        }
+        for id in 0..self.workspaces.len() {
+            self.refresh_workspace(now, id);
+        }
+    }
+
+    fn drop_unused_upstreams(&mut self) {
+        for id in 0..self.upstreams.len() {
+            let upstream = &mut self.upstreams[id];
+            upstream.places.clear();
+            if upstream.live || upstream.leases > 0 || upstream.name.is_empty() {
+                continue;
+            }
+            self.upstream_names.remove(&upstream.name);
+            *upstream = UpstreamState::new("", 0);
+            self.changing.retain(|held| *held != id);
+            self.free_upstreams.push(id);
+        }
+    }
+
+    fn join_pool(&mut self, id: usize) {
+        let upstream = &self.upstreams[id];
+        let Some(announcement) = upstream.announcement.clone().filter(|_| upstream.live) else {
+            return;
+        };
+        let pool = self.pool_id(announcement.kind, announcement.pool_name());
+        self.pools[pool].members.push(id);
+        let mut places: Vec<TargetPlace> = Vec::new();
+        for name in &announcement.serves {
+            let target = WorkTarget { kind: announcement.kind, name: name.clone() };
+            let place = self.target_id(&target).map(|target| self.target_place(pool, target));
+            places.extend(place.filter(|place| !places.contains(place)));
+        }
+        for place in &places {
+            let related = &mut self.pools[pool].targets[place.index].related;
+            for other in places.iter().filter(|other| other.index != place.index) {
+                if !related.contains(&other.index) {
+                    related.push(other.index);
+                }
+            }
+        }
+        self.upstreams[id].places = places;
+    }
+
+    fn target_place(&mut self, pool: usize, target: usize) -> TargetPlace {
+        let targets = &mut self.pools[pool].targets;
+        let index = targets.iter().position(|held| held.target == target).unwrap_or_else(|| {
+            targets.push(PoolTarget {
+                target,
+                order: IndexedHeap::new(),
+                free: FreeSlots::default(),
+                virtual_time: 0,
+                related: Vec::new(),
+            });
+            targets.len() - 1
+        });
+        let place = TargetPlace { pool, index };
+        let places = &mut self.targets[target].places;
+        if !places.contains(&place) {
+            places.push(place);
+        }
+        place
+    }
+
+    /// Readmits upstreams when a pool shrinks below twice its ejected ones.
+    fn limit_ejections(&mut self, now: Duration) {
+        for pool in 0..self.pools.len() {
+            let members = &self.pools[pool].members;
+            let limit = ejection_limit(members.len());
+            let ejected = members
+                .iter()
+                .filter_map(|id| Some((self.upstreams[*id].capacity.ejected_until()?, *id)));
+            let mut ejected: Vec<(Duration, usize)> = ejected.collect();
+            ejected.sort_unstable();
+            let excess = ejected.len().saturating_sub(limit);
+            for (_, id) in ejected.into_iter().take(excess) {
+                self.upstreams[id].capacity.readmit(now);
+            }
+        }
+    }
+
+    /// Service, backlog and running requests per workspace and pool.
+    pub fn accounts(&self) -> impl Iterator<Item = AccountView<'_>> {
+        let workspaces = self.workspace_names.values().map(|id| &self.workspaces[*id]);
+        workspaces.flat_map(move |workspace| {
+            workspace.accounts.iter().map(move |(pool, account)| {
+                let queues = workspace.queues.iter().filter(|(target, _)| {
+                    self.targets[**target].places.iter().any(|place| place.pool == *pool)
+                });
+                AccountView {
+                    workspace: &workspace.name,
+                    kind: self.pools[*pool].kind,
+                    pool: &self.pools[*pool].name,
+                    service: account.service,
+                    value: account.value,
+                    backlog: queues.map(|(_, queue)| queue.waiting()).sum(),
+                    running: account.running,
+                }
+            })
+        })
+    }
+
+    /// Slots per upstream at `now`.
+    pub fn upstreams(&self, now: Duration) -> impl Iterator<Item = UpstreamView<'_>> {
+        self.upstream_names.values().map(move |id| {
+            let upstream = &self.upstreams[*id];
+            let announced = upstream.announcement.as_ref().filter(|_| upstream.live);
+            UpstreamView {
+                name: &upstream.name,
+                incarnation: upstream.incarnation,
+                announced: announced.map_or(0, |announced| announced.concurrency),
+                learnt: upstream.capacity.learnt(),
+                slots: self.usable_slots(now, *id),
+                running: upstream.running,
+                ejected: upstream.capacity.is_ejected(),
+                stopping: upstream.stopping,
+            }
+        })
+    }
+
+    /// Service of a pool over the last ten seconds.
+    pub fn pool_service(&self, now: Duration, kind: UpstreamKind, pool: &str) -> CostUnits {
+        let pool = self.pool_names.get(&(kind, pool.to_owned()));
+        pool.map_or(0, |pool| self.pools[*pool].window.total(now))
+    }
+
+    /// Grants made in this term.
+    pub fn decisions(&self) -> u64 {
+        self.decisions
+    }
+
+    /// Term of this dispatcher.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// True until grants are made.
+    pub fn is_recovering(&self) -> bool {
+        self.recovering
+    }
+
+    /// Routers heard of within the retention, with the time of their last
+    /// report and whether their reports count.
+    pub fn routers(&self) -> impl Iterator<Item = (&str, Duration, bool)> {
+        let routers = self.router_names.iter();
+        routers.map(|(name, id)| {
+            let router = &self.routers[*id];
+            (name.as_str(), router.heard, router.synced)
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/fair_order.rs
@@ -0,0 +1,225 @@
+//! Fair-queueing arithmetic: weighted service accounts, the indexed binary
+//! heap that orders them, and the recent service rate of a pool.
+
+use crate::dispatch_messages::CostUnits;
+use std::time::Duration;
+
+/// Service divided by weight, in `1 / ACCOUNT_SCALE` cost units.
+pub type AccountValue = u128;
+
+/// Fixed-point scale of [`AccountValue`]. One division rounds by less than
+/// a millionth of a cost unit, and each lease is rounded once.
+pub const ACCOUNT_SCALE: AccountValue = 1 << 20;
+
+/// Cost divided by weight. A weight of zero counts as one.
+///
+/// ```
+/// use baobabfall_core::fair_order::{ACCOUNT_SCALE, weighted_cost};
+/// assert_eq!(weighted_cost(12, 4), 3 * ACCOUNT_SCALE);
+/// ```
+pub fn weighted_cost(cost: CostUnits, weight: u32) -> AccountValue {
+    AccountValue::from(cost) * ACCOUNT_SCALE / AccountValue::from(weight.max(1))
+}
+
+/// Account of one workspace in one pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FairAccount {
+    /// Weighted service, with estimates of running requests.
+    pub value: AccountValue,
+    /// Service reported so far, without weight or estimates.
+    pub service: CostUnits,
+    /// Running requests.
+    pub running: u32,
+    /// True while the workspace has waiting requests for the pool.
+    pub backlogged: bool,
+}
+
+impl FairAccount {
+    /// Replaces one charge by another; both are weighted costs.
+    pub fn replace_charge(&mut self, old: AccountValue, new: AccountValue) {
+        self.value = self.value.saturating_sub(old).saturating_add(new);
+    }
+
+    /// Raises the value to `minimum`, so that idle time earns no credit.
+    pub fn raise_to(&mut self, minimum: AccountValue) {
+        self.value = self.value.max(minimum);
+    }
+
+    /// Lowers the value to `maximum`, which bounds a carried debt.
+    pub fn lower_to(&mut self, maximum: AccountValue) {
+        self.value = self.value.min(maximum);
+    }
+}
+
+/// Binary min-heap in a vector whose entries are found by a dense index.
+///
+/// Entries with equal keys are ordered by index, so the order is total.
+///
+/// ```
+/// use baobabfall_core::fair_order::IndexedHeap;
+/// let mut heap = IndexedHeap::new();
+/// heap.set(3, 20);
+/// heap.set(5, 10);
+/// heap.set(3, 5);
+/// assert_eq!(heap.peek(), Some((5, 3)));
+/// assert!(heap.remove(3));
+/// assert_eq!(heap.peek(), Some((10, 5)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct IndexedHeap<K> {
+    nodes: Vec<(K, usize)>,
+    /// Position in `nodes` plus one per index; zero when absent.
+    positions: Vec<usize>,
+}
+
+impl<K> Default for IndexedHeap<K> {
+    fn default() -> Self {
+        Self { nodes: Vec::new(), positions: Vec::new() }
+    }
+}
+
+impl<K: Copy + Ord> IndexedHeap<K> {
+    /// Creates an empty heap.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// True when the heap holds no entry.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Removes every entry.
+    pub fn clear(&mut self) {
+        self.nodes.clear();
+        self.positions.clear();
+    }
+
+    /// The entry with the lowest key and its index.
+    pub fn peek(&self) -> Option<(K, usize)> {
+        self.nodes.first().copied()
+    }
+
+    /// The lowest entry other than `index`.
+    pub fn peek_other(&self, index: usize) -> Option<(K, usize)> {
+        match self.peek()? {
+            (_, held) if held == index => self.nodes.iter().skip(1).take(2).min().copied(),
+            first => Some(first),
+        }
+    }
+
+    /// True when `index` has an entry.
+    pub fn contains(&self, index: usize) -> bool {
+        self.positions.get(index).is_some_and(|position| *position > 0)
+    }
+
+    /// The key stored for `index`.
+    pub fn key(&self, index: usize) -> Option<K> {
+        let position = self.positions.get(index)?.checked_sub(1)?;
+        Some(self.nodes[position].0)
+    }
+
+    /// Inserts `index` or changes its key.
+    pub fn set(&mut self, index: usize, key: K) {
+        if self.positions.len() <= index {
+            self.positions.resize(index + 1, 0);
+        }
+        let position = match self.positions[index].checked_sub(1) {
+            Some(position) => {
+                self.nodes[position].0 = key;
+                position
+            }
+            None => {
+                self.nodes.push((key, index));
+                self.nodes.len() - 1
+            }
+        };
+        self.restore(position);
+    }
+
+    /// Removes the entry of `index`; false when there is none.
+    pub fn remove(&mut self, index: usize) -> bool {
+        let held = self.positions.get(index).and_then(|position| position.checked_sub(1));
+        let Some(position) = held else { return false };
+        self.nodes.swap_remove(position);
+        self.positions[index] = 0;
+        if position < self.nodes.len() {
+            self.restore(position);
+        }
+        true
+    }
+
+    fn restore(&mut self, position: usize) {
+        let position = self.sift_up(position);
+        self.sift_down(position);
+    }
+
+    fn sift_up(&mut self, mut position: usize) -> usize {
+        while position > 0 {
+            let parent = (position - 1) / 2;
+            if self.nodes[parent] <= self.nodes[position] {
+                break;
+            }
+            self.nodes.swap(parent, position);
+            self.place(position);
+            position = parent;
+        }
+        self.place(position);
+        position
+    }
+
+    fn sift_down(&mut self, mut position: usize) {
+        loop {
+            let left = 2 * position + 1;
+            let Some(mut child) = (left < self.nodes.len()).then_some(left) else { break };
+            if left + 1 < self.nodes.len() && self.nodes[left + 1] < self.nodes[left] {
+                child = left + 1;
+            }
+            if self.nodes[position] <= self.nodes[child] {
+                break;
+            }
+            self.nodes.swap(position, child);
+            self.place(position);
+            position = child;
+        }
+        self.place(position);
+    }
+
+    fn place(&mut self, position: usize) {
+        self.positions[self.nodes[position].1] = position + 1;
+    }
+}
+
+/// Seconds that a [`ServiceWindow`] covers.
+pub const SERVICE_WINDOW_SECONDS: u64 = 10;
+
+/// Service of a pool over the last [`SERVICE_WINDOW_SECONDS`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ServiceWindow {
+    seconds: [(u64, CostUnits); 10],
+}
+
+impl ServiceWindow {
+    /// Adds service at `now`.
+    pub fn add(&mut self, now: Duration, cost: CostUnits) {
+        let second = now.as_secs();
+        let slot = usize::try_from(second % SERVICE_WINDOW_SECONDS).unwrap_or_default();
+        let held = &mut self.seconds[slot];
+        if held.0 != second {
+            *held = (second, 0);
+        }
+        held.1 = held.1.saturating_add(cost);
+    }
+
+    /// Service within the window that ends at `now`.
+    pub fn total(&self, now: Duration) -> CostUnits {
+        let oldest = (now.as_secs() + 1).saturating_sub(SERVICE_WINDOW_SECONDS);
+        let recent = self.seconds.iter().filter(|(second, _)| *second >= oldest);
+        recent.fold(0, |sum: CostUnits, (_, cost)| sum.saturating_add(*cost))
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,20 @@
 //! [`std::time::Duration`] since an arbitrary start, so the same code runs in
 //! tests and in production.
 
+pub mod backlog_queue;
+pub mod cost_estimate;
+mod dispatch_intake;
+mod dispatch_ledger;
 pub mod dispatch_messages;
+pub mod dispatch_settings;
+pub mod dispatch_state;
+mod dispatch_upstreams;
 pub mod error_kind;
+pub mod fair_order;
+pub mod placement;
+pub mod rate_limit;
+pub mod retry_budget;
+pub mod slot_dispatcher;
 pub mod sorted_map;
 pub mod state_chart;
 pub mod upstream_registry;
--- /dev/null
+++ b/crates/core/src/slot_dispatcher.rs
@@ -0,0 +1,433 @@
+//! The dispatcher: grants free upstream slots to waiting requests in
+//! fair-queueing order.
+//!
+//! It is a synchronous state machine. The owner feeds it reports, tables and
+//! announcements, calls [`SlotDispatcher::dispatch`] after each change and
+//! delivers the answers of [`SlotDispatcher::routers_to_wake`].
+
+use crate::cost_estimate::CostEstimate;
+use crate::dispatch_messages::{BacklogRefusal, DispatchAnswer, LeaseId, SlotGrant};
+use crate::dispatch_settings::DispatchSettings;
+use crate::dispatch_state::{
+    LeaseRecord, PoolState, RouterState, TargetState, UpstreamState, WorkspacePolicy,
+    WorkspaceState, refusal,
+};
+use crate::fair_order::{AccountValue, IndexedHeap, weighted_cost};
+use crate::placement::{PrefixHints, SlotPreference};
+use crate::rate_limit::WorkspaceLimit;
+use crate::sorted_map::SortedMap;
+use crate::upstream_registry::{UpstreamKind, WorkTarget};
+use crate::workspace_table::WorkspaceTable;
+use std::time::Duration;
+
+/// Bits of a grant number below the term. Numbers of a later term are higher
+/// than all of an earlier one, so a router's `received_grant` of an earlier
+/// term never acknowledges a grant of this one.
+const GRANT_NUMBER_BITS: u32 = 40;
+
+/// Fair dispatcher of one term.
+///
+/// ```
+/// use baobabfall_core::dispatch_messages::*;
+/// use baobabfall_core::dispatch_settings::DispatchSettings;
+/// use baobabfall_core::slot_dispatcher::SlotDispatcher;
+/// use baobabfall_core::upstream_registry::*;
+/// use baobabfall_core::workspace_table::{WorkspaceTable, hash_key};
+/// use std::time::Duration;
+///
+/// let now = Duration::ZERO;
+/// let table = format!(
+///     "workspace,key_hash,weight,concurrency,requests_per_minute,tokens_per_minute,queue_length,request_kib\n\
+///      team-a,{},1,8,600,100000,50,1024\n",
+///     hash_key("secret")
+/// );
+/// let table = WorkspaceTable::parse_csv(table.as_bytes()).unwrap();
+/// let engine = UpstreamAnnouncement {
+///     name: "engine-1".to_owned(),
+///     incarnation: 1,
+///     sequence: 1,
+///     address: "127.0.0.1:9000".parse().unwrap(),
+///     kind: UpstreamKind::Model,
+///     serves: vec!["small".to_owned()],
+///     zone: "a".to_owned(),
+///     concurrency: 1,
+///     pool: None,
+///     honours_fencing: false,
+///     resume: false,
+///     cancel: false,
+///     leaving: false,
+///     running: None,
+/// };
+/// let mut dispatcher = SlotDispatcher::new(now, 1, DispatchSettings::default());
+/// dispatcher.expect_routers(["entry-1"]);
+/// dispatcher.set_table(now, &table);
+/// dispatcher.set_upstreams(now, [&engine]);
+/// dispatcher.apply_report(now, &DispatchReport {
+///     router: NodeIdentity { name: "entry-1".to_owned(), incarnation: 1 },
+///     zone: "a".to_owned(),
+///     sequence: 1,
+///     full: true,
+///     backlog: vec![BacklogEntry {
+///         target: WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() },
+///         workspace: "team-a".to_owned(),
+///         queued: 2,
+///         cost_hint: 0,
+///         prefix: None,
+///         avoid: None,
+///     }],
+///     usage: vec![],
+///     received_grant: 0,
+///     wait_ms: 0,
+/// });
+/// assert_eq!(dispatcher.dispatch(now), 1);
+/// assert_eq!(dispatcher.routers_to_wake(), ["entry-1"]);
+/// let answer = dispatcher.take_answer(now, "entry-1");
+/// assert_eq!(answer.grants[0].upstream.name, "engine-1");
+/// ```
+#[derive(Clone, Debug)]
+pub struct SlotDispatcher {
+    pub(crate) term: u64,
+    pub(crate) settings: DispatchSettings,
+    pub(crate) started: Duration,
+    pub(crate) recovering: bool,
+    /// Routers whose full reports end the recovery early.
+    pub(crate) expected: Option<Vec<String>>,
+    pub(crate) last_grant: u64,
+    pub(crate) decisions: u64,
+    pub(crate) stamp: u64,
+    pub(crate) workspace_names: SortedMap<String, usize>,
+    pub(crate) workspaces: Vec<WorkspaceState>,
+    pub(crate) free_workspaces: Vec<usize>,
+    pub(crate) target_names: SortedMap<WorkTarget, usize>,
+    pub(crate) targets: Vec<TargetState>,
+    pub(crate) pool_names: SortedMap<(UpstreamKind, String), usize>,
+    pub(crate) pools: Vec<PoolState>,
+    pub(crate) upstream_names: SortedMap<String, usize>,
+    pub(crate) upstreams: Vec<UpstreamState>,
+    pub(crate) free_upstreams: Vec<usize>,
+    pub(crate) stopping: Vec<String>,
+    pub(crate) zones: Vec<String>,
+    pub(crate) router_names: SortedMap<String, usize>,
+    pub(crate) routers: Vec<RouterState>,
+    pub(crate) free_routers: Vec<usize>,
+    pub(crate) costs: CostEstimate,
+    pub(crate) prefixes: PrefixHints,
+    /// Workspaces that wait for their rates, by the end of the wait.
+    pub(crate) blocked: IndexedHeap<Duration>,
+    /// Upstreams whose slots change with time.
+    pub(crate) changing: Vec<usize>,
+}
+
+impl SlotDispatcher {
+    /// Starts a dispatcher in recovery.
+    pub fn new(now: Duration, term: u64, settings: DispatchSettings) -> Self {
+        Self {
+            term,
+            settings,
+            started: now,
+            recovering: true,
+            expected: None,
+            last_grant: term << GRANT_NUMBER_BITS,
+            decisions: 0,
+            stamp: 0,
+            workspace_names: SortedMap::new(),
+            workspaces: Vec::new(),
+            free_workspaces: Vec::new(),
+            target_names: SortedMap::new(),
+            targets: Vec::new(),
+            pool_names: SortedMap::new(),
+            pools: Vec::new(),
+            upstream_names: SortedMap::new(),
+            upstreams: Vec::new(),
+            free_upstreams: Vec::new(),
+            stopping: Vec::new(),
+            zones: Vec::new(),
+            router_names: SortedMap::new(),
+            routers: Vec::new(),
+            free_routers: Vec::new(),
+            costs: CostEstimate::new(settings.estimate_limit),
+            prefixes: PrefixHints::new(settings.placement.prefix_slots),
+            blocked: IndexedHeap::new(),
+            changing: Vec::new(),
+        }
+    }
+
+    /// Ends the recovery once each of these routers has sent a full report.
+    pub fn expect_routers<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
+        self.expected = Some(names.into_iter().map(str::to_owned).collect());
+    }
+
+    /// Takes a table. Accounts keep their values; a changed weight applies to
+    /// later grants only.
+    pub fn set_table(&mut self, now: Duration, table: &WorkspaceTable) {
+        let burst = self.settings.rate_burst;
+        for row in table.rows().values() {
+            let id = self.workspace_id(&row.name);
+            match &mut self.workspaces[id].policy {
+                Some(policy) => {
+                    policy.weight = row.weight;
+                    policy.limit.set_row(now, row, burst);
+                }
+                policy => {
+                    let limit = WorkspaceLimit::new(now, row, burst);
+                    *policy = Some(WorkspacePolicy { weight: row.weight, limit });
+                }
+            }
+        }
+        for workspace in self.workspaces.iter_mut() {
+            if table.get(&workspace.name).is_none() {
+                workspace.policy = None;
+            }
+        }
+        for id in 0..self.workspaces.len() {
+            self.refresh_workspace(now, id);
+        }
+        self.drop_unused_workspaces();
+    }
+
+    fn drop_unused_workspaces(&mut self) {
+        for id in 0..self.workspaces.len() {
+            let workspace = &self.workspaces[id];
+            let unused = workspace.policy.is_none() && workspace.leases == 0;
+            if !unused
+                || workspace.waiting() > 0
+                || !self.workspace_names.contains_key(&workspace.name)
+            {
+                continue;
+            }
+            self.workspace_names.remove(&workspace.name);
+            self.costs.forget_workspace(id);
+            for router in &mut self.routers {
+                router.entries.retain(|(held, _), _| *held != id);
+                router.refused.retain(|(held, _), _| *held != id);
+            }
+            self.workspaces[id] = WorkspaceState::new("");
+            self.free_workspaces.push(id);
+        }
+    }
+
+    /// Makes every grant that is possible now and returns their number.
+    pub fn dispatch(&mut self, now: Duration) -> usize {
+        self.advance(now);
+        if self.recovering {
+            return 0;
+        }
+        let mut granted = 0;
+        for pool in 0..self.pools.len() {
+            while self.grant_next(now, pool) {
+                granted += 1;
+            }
+        }
+        granted
+    }
+
+    /// Makes at most one grant, for timing a single decision; true when one
+    /// was made.
+    pub fn dispatch_one(&mut self, now: Duration) -> bool {
+        !self.recovering && (0..self.pools.len()).any(|pool| self.grant_next(now, pool))
+    }
+
+    /// Applies the changes that come with time alone.
+    fn advance(&mut self, now: Duration) {
+        if self.recovering {
+            self.recovering = !self.is_recovered(now);
+        }
+        while let Some((due, id)) = self.blocked.peek()
+            && due <= now
+        {
+            self.blocked.remove(id);
+            self.refresh_workspace(now, id);
+        }
+        let placement = self.settings.placement;
+        for id in std::mem::take(&mut self.changing) {
+            if self.upstreams[id].capacity.advance(now, &placement) {
+                self.refresh_upstream(now, id);
+            }
+            if self.upstreams[id].capacity.next_change(now, &placement).is_some() {
+                self.changing.push(id);
+            }
+        }
+    }
+
+    fn is_recovered(&self, now: Duration) -> bool {
+        if now >= self.started + self.settings.recovery_wait {
+            return true;
+        }
+        self.expected.as_ref().is_some_and(|names| {
+            names.iter().all(|name| {
+                let id = self.router_names.get(name);
+                id.is_some_and(|id| self.routers[*id].synced)
+            })
+        })
+    }
+
+    /// Grants the slot that the lowest account of the pool can use.
+    fn grant_next(&mut self, now: Duration, pool: usize) -> bool {
+        let Some((workspace, index)) = self.next_workspace(pool) else { return false };
+        let target = self.pools[pool].targets[index].target;
+        let queue = self.workspaces[workspace].queues.get_mut(&target);
+        let Some(next) = queue.and_then(|queue| queue.take_next()) else { return false };
+        let affine = next.prefix.and_then(|prefix| {
+            self.prefixes.find(now, self.settings.placement.prefix_lifetime, prefix)
+        });
+        let avoid = next.avoid.as_ref().and_then(|name| self.upstream_names.get(name).copied());
+        let zone = self.routers[next.router].zone;
+        let free = &self.pools[pool].targets[index].free;
+        let chosen = free.choose(&SlotPreference { zone, affine, avoid });
+        let upstream = chosen.expect("the target has a free slot");
+        if let Some(prefix) = next.prefix {
+            self.prefixes.record(now, prefix, upstream);
+        }
+        let estimate = self.costs.estimate((workspace, target), next.hint);
+        let weight = self.workspaces[workspace].weight();
+        let lease = self.next_lease();
+        let record = LeaseRecord {
+            workspace,
+            target,
+            pool,
+            upstream,
+            incarnation: self.upstreams[upstream].incarnation,
+            weight,
+            hint: next.hint,
+            estimate,
+            reported: 0,
+            already_charged: 0,
+            charge: weighted_cost(estimate, weight),
+            first_token: false,
+        };
+        self.raise_virtual_time(pool, index, workspace);
+        if let Some(policy) = &mut self.workspaces[workspace].policy {
+            policy.limit.charge_request(now);
+        }
+        self.push_grant(next.router, lease, &record);
+        self.add_lease(now, next.router, lease, record);
+        self.refresh_workspace(now, workspace);
+        self.decisions += 1;
+        true
+    }
+
+    /// The lowest account that a free slot of the pool can serve, and the
+    /// index of its target. Among targets of the same workspace the one that
+    /// waited longest is served.
+    fn next_workspace(&self, pool: usize) -> Option<(usize, usize)> {
+        let targets = self.pools[pool].targets.iter().enumerate();
+        let heads =
+            targets.filter(|(_, target)| !target.free.is_empty()).filter_map(|(index, target)| {
+                let (value, workspace) = target.order.peek()?;
+                Some((value, workspace, target.target, index))
+            });
+        let stamp = |workspace: usize, target: usize| {
+            self.workspaces[workspace].queues.get(&target).and_then(|queue| queue.first_stamp())
+        };
+        let mut best: Option<(AccountValue, usize, usize, usize)> = None;
+        for head in heads {
+            let better = best.is_none_or(|held| match (head.0, head.1).cmp(&(held.0, held.1)) {
+                std::cmp::Ordering::Equal => stamp(head.1, head.2) < stamp(held.1, held.2),
+                order => order.is_lt(),
+            });
+            if better {
+                best = Some(head);
+            }
+        }
+        best.map(|(_, workspace, _, index)| (workspace, index))
+    }
+
+    fn raise_virtual_time(&mut self, pool: usize, index: usize, workspace: usize) {
+        let value = self.workspaces[workspace].accounts.get(&pool).map_or(0, |held| held.value);
+        let target = &mut self.pools[pool].targets[index];
+        target.virtual_time = target.virtual_time.max(value);
+    }
+
+    fn next_lease(&mut self) -> LeaseId {
+        self.last_grant += 1;
+        LeaseId { term: self.term, number: self.last_grant }
+    }
+
+    fn push_grant(&mut self, router: usize, lease: LeaseId, record: &LeaseRecord) {
+        let grant = SlotGrant {
+            lease,
+            target: self.targets[record.target].target.clone(),
+            workspace: self.workspaces[record.workspace].name.clone(),
+            upstream: self.upstreams[record.upstream].route(),
+        };
+        let router = &mut self.routers[router];
+        router.pending.push_back(grant);
+        router.wake = true;
+    }
+
+    /// The answer for a router: every grant that it has not acknowledged,
+    /// refusals, and whether it must send a full report.
+    ///
+    /// A refusal applies to the queue that is left after the grants of the
+    /// same answer were taken from it.
+    pub fn take_answer(&mut self, now: Duration, router_name: &str) -> DispatchAnswer {
+        let routers = u32::try_from(self.router_names.len()).unwrap_or(u32::MAX);
+        let mut answer = DispatchAnswer {
+            term: self.term,
+            acknowledged: 0,
+            resync: true,
+            grants: Vec::new(),
+            refusals: Vec::new(),
+            routers,
+        };
+        let Some(id) = self.router_names.get(router_name).copied() else { return answer };
+        let mut refused = std::mem::take(&mut self.routers[id].refused);
+        refused.retain(|&(workspace, target), ()| {
+            let refusal = self.refusal_for(now, id, workspace, target);
+            let holds = refusal.is_some();
+            answer.refusals.extend(refusal);
+            holds
+        });
+        let router = &mut self.routers[id];
+        router.refused = refused;
+        router.wake = false;
+        answer.resync = !router.synced;
+        answer.acknowledged = router.sequence;
+        answer.grants = router.pending.iter().cloned().collect();
+        answer
+    }
+
+    fn refusal_for(
+        &mut self,
+        now: Duration,
+        router: usize,
+        workspace: usize,
+        target: usize,
+    ) -> Option<BacklogRefusal> {
+        let settings = self.settings;
+        let state = &mut self.workspaces[workspace];
+        let total = state.waiting();
+        let waiting = state.queues.get(&target)?.waiting_at(router);
+        let limit = &mut state.policy.as_mut()?.limit;
+        let wait = limit.rate_wait(now).unwrap_or_default();
+        let keep = match wait > settings.longest_rate_wait {
+            true => 0,
+            false => waiting.saturating_sub(limit.queue_excess(total)),
+        };
+        let target = &self.targets[target].target;
+        (keep < waiting)
+            .then(|| refusal(target, &state.name, keep, wait.max(settings.queue_full_retry)))
+    }
+
+    /// Names of routers with grants or refusals that no answer carried yet.
+    pub fn routers_to_wake(&self) -> Vec<&str> {
+        let woken = self.router_names.iter().filter(|(_, id)| self.routers[**id].wake);
+        woken.map(|(name, _)| name.as_str()).collect()
+    }
+
+    /// When to call [`SlotDispatcher::expire`] and
+    /// [`SlotDispatcher::dispatch`] if nothing else happens.
+    pub fn next_wakeup(&self, now: Duration) -> Option<Duration> {
+        let recovery = self.recovering.then_some(self.started + self.settings.recovery_wait);
+        let blocked = self.blocked.peek().map(|(due, _)| due);
+        let placement = &self.settings.placement;
+        let slots = self.changing.iter();
+        let slots = slots.filter_map(|id| self.upstreams[*id].capacity.next_change(now, placement));
+        let silent = self.router_names.values().map(|id| &self.routers[*id]);
+        let silent = silent.map(|router| match router.synced {
+            true => router.heard + self.settings.router_silence,
+            false => router.heard + self.settings.router_retention,
+        });
+        recovery.into_iter().chain(blocked).chain(slots.min()).chain(silent.min()).min()
+    }
+}
