--- a/crates/controller/src/action_service.rs
+++ b/crates/controller/src/action_service.rs
@@ -1,9 +1,12 @@
 //! Claims and outcomes of protected actions, committed through the log.
 
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
-use baobabfall_core::action_ledger::{ActionClaim, ClaimAnswer, OutcomeAnswer, OutcomeReport};
+use baobabfall_core::action_ledger::{self as ledger, ActionKey};
 use baobabfall_core::control_command::{ControlAnswer, ControlCommand};
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_node::messages::{
+    ActionClaim, ActionOutcome, ActionReport, ClaimAnswer, FencingToken,
+};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// How often overdue claims are looked for.
@@ -26,19 +29,18 @@
         &self,
         claims: Vec<ActionClaim>,
     ) -> Result<Vec<ClaimAnswer>, ReplicaRefusal> {
+        let claims = claims.into_iter().map(stored_claim).collect();
         match self.replica.propose(ControlCommand::Claims { claims }).await? {
-            ControlAnswer::Claims(answers) => Ok(answers),
+            ControlAnswer::Claims(answers) => Ok(answers.into_iter().map(shown_answer).collect()),
             _ => Err(unexpected_answer()),
         }
     }
 
-    /// Records a batch of outcomes.
-    pub async fn record(
-        &self,
-        outcomes: Vec<OutcomeReport>,
-    ) -> Result<Vec<OutcomeAnswer>, ReplicaRefusal> {
+    /// Records a batch of outcomes; repeated ones have no further effect.
+    pub async fn record(&self, outcomes: Vec<ActionReport>) -> Result<(), ReplicaRefusal> {
+        let outcomes = outcomes.into_iter().filter_map(stored_outcome).collect();
         match self.replica.propose(ControlCommand::Outcomes { outcomes }).await? {
-            ControlAnswer::Outcomes(answers) => Ok(answers),
+            ControlAnswer::Outcomes(_) => Ok(()),
             _ => Err(unexpected_answer()),
         }
     }
@@ -59,3 +61,46 @@
     let message = "The log answered with another kind of answer.".to_owned();
     ReplicaRefusal { kind: ErrorKind::Internal, message }
 }
+
+fn stored_claim(claim: ActionClaim) -> ledger::ActionClaim {
+    ledger::ActionClaim {
+        key: ActionKey::new(&claim.workspace, &claim.service, &claim.key),
+        body_digest: claim.digest,
+        router: claim.router,
+        // A random number never equals that of another attempt, so a claim that is sent twice is
+        // answered as running and never granted twice.
+        attempt: rand::random(),
+        path: claim.path.into(),
+    }
+}
+
+fn shown_answer(answer: ledger::ClaimAnswer) -> ClaimAnswer {
+    match answer {
+        ledger::ClaimAnswer::Granted(token) => {
+            ClaimAnswer::Granted(FencingToken { term: token.term, number: token.number })
+        }
+        ledger::ClaimAnswer::Running => ClaimAnswer::Running,
+        ledger::ClaimAnswer::Known(outcome) => ClaimAnswer::Known(ActionOutcome::Answered {
+            status: outcome.status,
+            digest: outcome.digest,
+        }),
+        ledger::ClaimAnswer::Unknown { .. } => ClaimAnswer::OutcomeUnknown,
+        ledger::ClaimAnswer::Refused(ErrorKind::KeyReused) => ClaimAnswer::KeyReused,
+        ledger::ClaimAnswer::Refused(ErrorKind::KeyExpired) => ClaimAnswer::KeyExpired,
+        ledger::ClaimAnswer::Refused(_) => ClaimAnswer::KeyMalformed,
+    }
+}
+
+/// An unknown outcome is not recorded: the claim becomes "outcome unknown"
+/// when its lease ends, and a later answer may still settle it.
+fn stored_outcome(report: ActionReport) -> Option<ledger::OutcomeReport> {
+    let outcome = match report.outcome {
+        ActionOutcome::Answered { status, digest } => ledger::ActionOutcome { status, digest },
+        ActionOutcome::NotRun | ActionOutcome::Unknown => return None,
+    };
+    Some(ledger::OutcomeReport {
+        key: ActionKey::new(&report.workspace, &report.service, &report.key),
+        token: ledger::FencingToken { term: report.token.term, number: report.token.number },
+        outcome,
+    })
+}
--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -171,8 +171,8 @@
 
     async fn outcome(&self, request: Request<Incoming>) -> FullResponse {
         match read_message::<OutcomeRequest>(request).await {
-            Ok(message) => log_result(self.actions.record(message.outcomes).await, |answers| {
-                message_response(&answers)
+            Ok(message) => log_result(self.actions.record(message.outcomes).await, |()| {
+                message_response(&())
             }),
             Err(refusal) => refusal.response(),
         }
--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -1,11 +1,12 @@
 //! Views that operators read.
 
 use crate::operator_api::{OperatorApi, wall_clock_ms};
+use crate::sync_service::shown_kind;
 use baobabfall_core::action_ledger::ActionKey;
 use baobabfall_core::control_command::{PlannedStop, StopKind as StoredKind, StopTarget};
 use baobabfall_core::table_history::RowEdit;
 use baobabfall_core::workspace_table::RowChange;
-use baobabfall_node::messages::{FencingToken, StopKind};
+use baobabfall_node::messages::FencingToken;
 use baobabfall_node::operator_messages::{
     ActionView, FairnessView, HistoryEntry, MembersView, NodeView, StatusView, StopView, TableView,
     UpstreamView, WorkspaceView,
@@ -183,12 +184,7 @@
         (_, false) => "draining",
     };
     StopView {
-        kind: match target.kind {
-            StoredKind::Host => StopKind::Host,
-            StoredKind::Upstream => StopKind::Upstream,
-            StoredKind::Router => StopKind::Router,
-            StoredKind::Controller => StopKind::Controller,
-        },
+        kind: shown_kind(target.kind),
         name: target.name.clone(),
         operator: stop.operator.clone(),
         time_ms: stop.announced_ms,
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -3,10 +3,11 @@
 use crate::node_tracker::NodeTracker;
 use crate::registry_service::RegistryService;
 use crate::replica_driver::ReplicaHandle;
+use baobabfall_core::control_command;
 use baobabfall_core::table_history::DifferenceContent;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
 use baobabfall_node::messages::{
-    PlannedStop, StopList, SyncAnswer, SyncRequest, TableUpdate,
+    PlannedStop, StopKind, StopList, SyncAnswer, SyncRequest, TableUpdate,
 };
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -73,7 +74,7 @@
             stops: state
                 .stops()
                 .keys()
-                .map(|target| PlannedStop { kind: target.kind, name: target.name.clone() })
+                .map(|target| PlannedStop { kind: shown_kind(target.kind), name: target.name.clone() })
                 .collect(),
         });
         drop(state);
@@ -106,6 +107,16 @@
     }
 }
 
+/// Kind of a stop as messages carry it.
+pub fn shown_kind(kind: control_command::StopKind) -> StopKind {
+    match kind {
+        control_command::StopKind::Host => StopKind::Host,
+        control_command::StopKind::Upstream => StopKind::Upstream,
+        control_command::StopKind::Router => StopKind::Router,
+        control_command::StopKind::Controller => StopKind::Controller,
+    }
+}
+
 fn whole(table: &WorkspaceTable) -> Vec<RowChange> {
     table.rows().values().map(|row| RowChange::Put { row: row.clone() }).collect()
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backlog_queue;
 pub mod cost_estimate;
+pub mod dispatch_fairness;
 mod dispatch_intake;
 mod dispatch_ledger;
 pub mod dispatch_messages;
