Stand-ins: first version

Conclusion: other crates can start upstreams in tests; the announcer is not yet run against a controller.

--- /dev/null
+++ b/crates/standin/src/announcer.rs
@@ -0,0 +1,163 @@
+//! Announcements of a simulated upstream.
+
+use crate::upstream_state::UpstreamState;
+use baobabfall_core::upstream_registry::UpstreamAnnouncement;
+use baobabfall_node::http_client::{PeerClient, PeerError};
+use baobabfall_node::messages::{ANNOUNCE_PATH, AnnounceAnswer, UpstreamWithdrawal, WITHDRAW_PATH};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::Instant;
+
+/// Time in which an address must answer before the next one is tried.
+pub const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Where and how an upstream announces itself.
+#[derive(Clone, Debug)]
+pub struct AnnounceOptions {
+    /// Addresses of routers or controllers, tried in order.
+    pub addresses: Vec<SocketAddr>,
+    /// Credential of upstreams.
+    pub token: String,
+    /// Time between announcements.
+    pub interval: Duration,
+    /// Age of the load that is reported; zero reports the current load.
+    pub report_lag: Duration,
+}
+
+impl AnnounceOptions {
+    /// Announces every second, with the current load.
+    pub fn new(addresses: Vec<SocketAddr>, token: impl Into<String>) -> Self {
+        Self {
+            addresses,
+            token: token.into(),
+            interval: Duration::from_secs(1),
+            report_lag: Duration::ZERO,
+        }
+    }
+}
+
+/// Sends the announcements of one upstream.
+#[derive(Debug)]
+pub struct Announcer {
+    options: AnnounceOptions,
+    template: UpstreamAnnouncement,
+    state: Arc<UpstreamState>,
+    peers: Mutex<Vec<Arc<PeerClient>>>,
+    preferred: AsyncMutex<usize>,
+    sequence: AtomicU64,
+    accepted: AtomicU64,
+    samples: Mutex<VecDeque<(Instant, u32)>>,
+}
+
+impl Announcer {
+    /// An announcer that sends `template` with current load and sequence.
+    pub fn new(
+        options: AnnounceOptions,
+        template: UpstreamAnnouncement,
+        state: Arc<UpstreamState>,
+    ) -> Self {
+        let announcer = Self {
+            template,
+            state,
+            peers: Mutex::default(),
+            preferred: AsyncMutex::new(0),
+            sequence: AtomicU64::new(0),
+            accepted: AtomicU64::new(0),
+            samples: Mutex::default(),
+            options,
+        };
+        announcer.set_addresses(&announcer.options.addresses);
+        announcer
+    }
+
+    /// Replaces the addresses, as after a restart of the fleet on other ports.
+    pub fn set_addresses(&self, addresses: &[SocketAddr]) {
+        *self.peers.lock().unwrap_or_else(PoisonError::into_inner) =
+            addresses.iter().map(|address| Arc::new(PeerClient::new(*address))).collect();
+    }
+
+    /// Announcements that were accepted.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    /// Announces at the configured interval until the task is dropped.
+    pub async fn run(&self) {
+        let mut interval = tokio::time::interval(self.options.interval);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            if let Err(error) = self.announce().await {
+                log::debug!(upstream = self.template.name.as_str(); "not announced: {error}");
+            }
+        }
+    }
+
+    /// Sends one announcement.
+    pub async fn announce(&self) -> Result<(), PeerError> {
+        let message = UpstreamAnnouncement {
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            leaving: self.state.is_leaving(),
+            running: Some(self.lagged_load()),
+            ..self.template.clone()
+        };
+        let _: AnnounceAnswer = self.send(ANNOUNCE_PATH, &message).await?;
+        self.accepted.fetch_add(1, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Withdraws this incarnation.
+    pub async fn withdraw(&self) -> Result<(), PeerError> {
+        let message = UpstreamWithdrawal {
+            name: self.template.name.clone(),
+            incarnation: self.template.incarnation,
+        };
+        let _: serde_json::Value = self.send(WITHDRAW_PATH, &message).await?;
+        Ok(())
+    }
+
+    /// Sends to the address that answered last and, on failure, to the others in turn.
+    async fn send<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        message: &Q,
+    ) -> Result<A, PeerError> {
+        let mut preferred = self.preferred.lock().await;
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut failure = PeerError::Unreachable {
+            address: self.template.address,
+            reason: "no address to announce to is known".to_owned(),
+        };
+        for step in 0..peers.len() {
+            let index = (*preferred + step) % peers.len();
+            let call =
+                peers[index].call_json(path, &self.options.token, Some(message), ANNOUNCE_TIMEOUT);
+            match call.await {
+                Ok(answer) => {
+                    *preferred = index;
+                    return Ok(answer);
+                }
+                Err(error) => failure = error,
+            }
+        }
+        Err(failure)
+    }
+
+    fn lagged_load(&self) -> u32 {
+        let now = Instant::now();
+        let mut samples = self.samples.lock().unwrap_or_else(PoisonError::into_inner);
+        samples.push_back((now, self.state.running()));
+        let old_enough =
+            |sample: &(Instant, u32)| now.duration_since(sample.0) >= self.options.report_lag;
+        while samples.get(1).is_some_and(old_enough) {
+            samples.pop_front();
+        }
+        samples.front().filter(|sample| old_enough(sample)).map_or(0, |sample| sample.1)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/answer_body.rs
@@ -0,0 +1,329 @@
+//! Bodies of the simulated upstreams' answers, with their faults.
+
+use crate::answer_text::answer_token;
+use crate::faults::{FaultDraw, FaultKind};
+use crate::upstream_state::RunGuard;
+use bytes::{BufMut, Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use http::{HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use std::future::Future;
+use std::io;
+use std::io::Write as _;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::time::{Instant, Sleep};
+use tokio_util::sync::WaitForCancellationFutureOwned;
+
+/// A stream that falls further behind its schedule starts a new schedule.
+const SCHEDULE_SLACK: Duration = Duration::from_millis(100);
+
+/// Lets the content before a cut reach the connection, which discards unsent bytes when it breaks.
+const FLUSH_PAUSE: Duration = Duration::from_millis(2);
+
+/// How an answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEnding {
+    /// With all of its content.
+    Complete,
+    /// Silently, with the connection open.
+    Stall,
+    /// With a broken connection.
+    Broken,
+    /// As if complete, although content is missing.
+    Short,
+}
+
+impl AnswerEnding {
+    /// The ending that the drawn faults ask for.
+    pub fn of(draw: &FaultDraw) -> Self {
+        if draw.has(FaultKind::Stall) {
+            return Self::Stall;
+        }
+        if draw.has(FaultKind::CloseMidAnswer) {
+            return Self::Broken;
+        }
+        if draw.has(FaultKind::WrongLength) { Self::Short } else { Self::Complete }
+    }
+}
+
+/// The end of an answer, with its fault.
+#[derive(Debug)]
+struct AnswerCut {
+    ending: AnswerEnding,
+    pause: Option<Pin<Box<Sleep>>>,
+    cancelled: Option<Pin<Box<WaitForCancellationFutureOwned>>>,
+}
+
+impl AnswerCut {
+    fn new(ending: AnswerEnding, run: Option<&RunGuard>) -> Self {
+        let cancelled = run.map(|run| Box::pin(run.cancel.clone().cancelled_owned()));
+        Self { ending, pause: None, cancelled }
+    }
+
+    /// Ends the answer once the content before the cut is flushed.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if self.ending == AnswerEnding::Complete {
+            return Poll::Ready(None);
+        }
+        if self.ending == AnswerEnding::Stall {
+            return self.poll_cancelled(context);
+        }
+        let pause = self.pause.get_or_insert_with(|| Box::pin(tokio::time::sleep(FLUSH_PAUSE)));
+        ready!(pause.as_mut().poll(context));
+        let broken = self.ending == AnswerEnding::Broken;
+        Poll::Ready(broken.then(|| Err(broken_answer())))
+    }
+
+    /// Breaks the answer when the request is cancelled.
+    fn poll_cancelled(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        match &mut self.cancelled {
+            None => Poll::Pending,
+            Some(cancelled) => {
+                cancelled.as_mut().poll(context).map(|()| Some(Err(broken_answer())))
+            }
+        }
+    }
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// Bytes that are sent at once.
+    Whole(WholeBody),
+    /// Tokens that are sent one by one.
+    Tokens(Box<TokenStream>),
+}
+
+/// Bytes that are sent at once.
+#[derive(Debug)]
+pub struct WholeBody {
+    bytes: Option<Bytes>,
+    cut: AnswerCut,
+    run: Option<RunGuard>,
+}
+
+/// Builds a response that is sent at once; faults cut the body in half.
+pub fn whole_answer(
+    status: u16,
+    content_type: &'static str,
+    bytes: Vec<u8>,
+    ending: AnswerEnding,
+    run: Option<RunGuard>,
+) -> Response<AnswerBody> {
+    let length = bytes.len();
+    let mut bytes = Bytes::from(bytes);
+    if ending != AnswerEnding::Complete {
+        bytes.truncate(length / 2);
+    }
+    if let Some(run) = &run {
+        run.state.count_bytes(bytes.len());
+    }
+    let cut = AnswerCut::new(ending, run.as_ref());
+    let body = WholeBody { bytes: Some(bytes), cut, run };
+    let mut response = Response::new(AnswerBody::Whole(body));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    response
+}
+
+impl WholeBody {
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        let Some(bytes) = self.bytes.take() else { return self.cut.poll_end(context) };
+        if self.cut.ending == AnswerEnding::Complete
+            && let Some(run) = &mut self.run
+        {
+            run.finish();
+        }
+        Poll::Ready(Some(Ok(bytes)))
+    }
+}
+
+fn broken_answer() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, "the answer was cut by a fault")
+}
+
+/// How events carry their content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventForm {
+    /// `choices[0].delta.content`.
+    Chat,
+    /// `choices[0].text`.
+    Completion,
+}
+
+/// Times of a token stream.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenPace {
+    /// Time until the first token.
+    pub first: Duration,
+    /// Time between tokens below the knee.
+    pub interval: Duration,
+    /// Running requests above which tokens take longer.
+    pub knee: u32,
+    /// Events per body frame.
+    pub events_per_frame: u32,
+}
+
+impl TokenPace {
+    /// Time of one token while `running` requests run.
+    pub fn interval_at(&self, running: u32) -> Duration {
+        let knee = self.knee.max(1);
+        if running <= knee { self.interval } else { self.interval * running / knee }
+    }
+}
+
+/// Content of a token stream.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenPlan {
+    /// Seed of the content.
+    pub seed: u64,
+    /// First position that is sent.
+    pub from: u64,
+    /// Position after the last one.
+    pub to: u64,
+    /// Tokens of the prompt, for the usage.
+    pub prompt_tokens: u64,
+    /// Form of the events.
+    pub form: EventForm,
+    /// How the stream ends.
+    pub ending: AnswerEnding,
+    /// Position at which a faulty stream ends.
+    pub cut_at: u64,
+}
+
+/// Tokens that are sent one by one as server-sent events.
+#[derive(Debug)]
+pub struct TokenStream {
+    plan: TokenPlan,
+    pace: TokenPace,
+    position: u64,
+    due: Instant,
+    sleep: Option<Pin<Box<Sleep>>>,
+    cut: AnswerCut,
+    run: RunGuard,
+    ended: bool,
+}
+
+impl TokenStream {
+    /// A stream that starts now.
+    pub fn new(plan: TokenPlan, pace: TokenPace, run: RunGuard) -> Self {
+        let due = Instant::now() + pace.first;
+        let sleep = (!pace.first.is_zero() || !pace.interval.is_zero())
+            .then(|| Box::pin(tokio::time::sleep_until(due)));
+        let cut = AnswerCut::new(plan.ending, Some(&run));
+        Self { plan, pace, position: plan.from, due, sleep, cut, run, ended: false }
+    }
+
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        if self.run.cancel.is_cancelled() {
+            self.ended = true;
+            return Poll::Ready(Some(Err(broken_answer())));
+        }
+        if self.plan.ending != AnswerEnding::Complete && self.position >= self.plan.cut_at {
+            return self.cut.poll_end(context);
+        }
+        if let Some(sleep) = &mut self.sleep
+            && sleep.as_mut().poll(context).is_pending()
+        {
+            return self.cut.poll_cancelled(context);
+        }
+        let frame = self.next_frame();
+        self.run.state.count_bytes(frame.len());
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn next_frame(&mut self) -> Bytes {
+        let mut frame = BytesMut::with_capacity(96);
+        let limit = match self.plan.ending {
+            AnswerEnding::Complete => self.plan.to,
+            _ => self.plan.to.min(self.plan.cut_at),
+        };
+        let mut events = 0;
+        while events < self.pace.events_per_frame.max(1) && self.position < limit {
+            write_event(&mut frame, &self.plan, self.position);
+            self.position += 1;
+            events += 1;
+        }
+        if self.plan.ending == AnswerEnding::Complete && self.position >= self.plan.to {
+            write_tail(&mut frame, &self.plan);
+            self.ended = true;
+            self.run.finish();
+        } else {
+            self.schedule_next(events);
+        }
+        frame.freeze()
+    }
+
+    fn schedule_next(&mut self, events: u32) {
+        let Some(sleep) = &mut self.sleep else { return };
+        let now = Instant::now();
+        let interval = self.pace.interval_at(self.run.state.running()) * events;
+        let base = if self.due + SCHEDULE_SLACK < now { now } else { self.due };
+        self.due = base + interval;
+        sleep.as_mut().reset(self.due);
+    }
+}
+
+fn write_event(frame: &mut BytesMut, plan: &TokenPlan, position: u64) {
+    let token = answer_token(plan.seed, position);
+    let (before, after): (&[u8], &[u8]) = match plan.form {
+        EventForm::Chat => (b",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"", b"\"}}]}\n\n"),
+        EventForm::Completion => (b",\"choices\":[{\"index\":0,\"text\":\"", b"\"}]}\n\n"),
+    };
+    frame.put_slice(b"data: {\"position\":");
+    // Writing to a growing buffer cannot fail.
+    let _ = write!(frame.writer(), "{position}");
+    frame.put_slice(before);
+    frame.put_slice(&token);
+    frame.put_slice(after);
+}
+
+fn write_tail(frame: &mut BytesMut, plan: &TokenPlan) {
+    let usage = usage_json(plan.prompt_tokens, plan.to);
+    let _ =
+        write!(frame.writer(), "data: {{\"choices\":[],\"usage\":{usage}}}\n\ndata: [DONE]\n\n");
+}
+
+/// The usage object of an answer.
+pub fn usage_json(prompt_tokens: u64, completion_tokens: u64) -> serde_json::Value {
+    serde_json::json!({
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": completion_tokens,
+        "total_tokens": prompt_tokens + completion_tokens,
+    })
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let next = match self.get_mut() {
+            Self::Whole(whole) => whole.poll_next(context),
+            Self::Tokens(tokens) => tokens.poll_next(context),
+        };
+        next.map(|frame| frame.map(|result| result.map(Frame::data)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(WholeBody { bytes: Some(bytes), cut, .. })
+                if cut.ending == AnswerEnding::Complete =>
+            {
+                SizeHint::with_exact(u64::try_from(bytes.len()).unwrap_or(u64::MAX))
+            }
+            _ => SizeHint::default(),
+        }
+    }
+}
