--- a/crates/standin/src/announcer.rs
+++ b/crates/standin/src/announcer.rs
@@ -3,9 +3,10 @@
 use crate::upstream_state::UpstreamState;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_node::http_client::{PeerClient, PeerError};
-use baobabfall_node::messages::{ANNOUNCE_PATH, AnnounceAnswer, UpstreamWithdrawal, WITHDRAW_PATH};
+use baobabfall_node::messages::{ANNOUNCE_PATH, UpstreamWithdrawal, WITHDRAW_PATH};
+use bytes::Bytes;
+use http::Method;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -107,7 +108,7 @@
             running: Some(self.lagged_load()),
             ..self.template.clone()
         };
-        let _: AnnounceAnswer = self.send(ANNOUNCE_PATH, &message).await?;
+        self.send(ANNOUNCE_PATH, &message).await?;
         self.accepted.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
@@ -118,16 +119,12 @@
             name: self.template.name.clone(),
             incarnation: self.template.incarnation,
         };
-        let _: serde_json::Value = self.send(WITHDRAW_PATH, &message).await?;
-        Ok(())
+        self.send(WITHDRAW_PATH, &message).await
     }
 
     /// Sends to the address that answered last and, on failure, to the others in turn.
-    async fn send<Q: Serialize, A: DeserializeOwned>(
-        &self,
-        path: &str,
-        message: &Q,
-    ) -> Result<A, PeerError> {
+    async fn send<Q: Serialize>(&self, path: &str, message: &Q) -> Result<(), PeerError> {
+        let body = Bytes::from(serde_json::to_vec(message).unwrap_or_default());
         let mut preferred = self.preferred.lock().await;
         let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let mut failure = PeerError::Unreachable {
@@ -136,12 +133,18 @@
         };
         for step in 0..peers.len() {
             let index = (*preferred + step) % peers.len();
-            let call =
-                peers[index].call_json(path, &self.options.token, Some(message), ANNOUNCE_TIMEOUT);
+            let call = peers[index].send(
+                Method::POST,
+                path,
+                &self.options.token,
+                "application/json",
+                body.clone(),
+                ANNOUNCE_TIMEOUT,
+            );
             match call.await {
-                Ok(answer) => {
+                Ok(_) => {
                     *preferred = index;
-                    return Ok(answer);
+                    return Ok(());
                 }
                 Err(error) => failure = error,
             }
--- a/crates/standin/src/answer_body.rs
+++ b/crates/standin/src/answer_body.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::io::Write as _;
 use std::pin::Pin;
+use std::sync::OnceLock;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
@@ -167,6 +168,8 @@
     pub knee: u32,
     /// Events per body frame.
     pub events_per_frame: u32,
+    /// Events carry the time at which they were made, as `at`.
+    pub stamp_events: bool,
 }
 
 impl TokenPace {
@@ -248,7 +251,7 @@
         };
         let mut events = 0;
         while events < self.pace.events_per_frame.max(1) && self.position < limit {
-            write_event(&mut frame, &self.plan, self.position);
+            write_event(&mut frame, &self.plan, self.position, self.pace.stamp_events);
             self.position += 1;
             events += 1;
         }
@@ -272,7 +275,14 @@
     }
 }
 
-fn write_event(frame: &mut BytesMut, plan: &TokenPlan, position: u64) {
+/// Microseconds of the process's monotonic clock, as events carry them in `at`.
+pub fn event_time() -> u64 {
+    static START: OnceLock<std::time::Instant> = OnceLock::new();
+    let start = START.get_or_init(std::time::Instant::now);
+    u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX)
+}
+
+fn write_event(frame: &mut BytesMut, plan: &TokenPlan, position: u64, stamp: bool) {
     let token = answer_token(plan.seed, position);
     let (before, after): (&[u8], &[u8]) = match plan.form {
         EventForm::Chat => (b",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"", b"\"}}]}\n\n"),
@@ -281,6 +291,9 @@
     frame.put_slice(b"data: {\"position\":");
     // Writing to a growing buffer cannot fail.
     let _ = write!(frame.writer(), "{position}");
+    if stamp {
+        let _ = write!(frame.writer(), ",\"at\":{}", event_time());
+    }
     frame.put_slice(before);
     frame.put_slice(&token);
     frame.put_slice(after);
--- a/crates/standin/src/model_engine.rs
+++ b/crates/standin/src/model_engine.rs
@@ -48,6 +48,8 @@
     pub cache_prefix: usize,
     /// Events per body frame.
     pub events_per_frame: u32,
+    /// Events carry the time at which they were made, to measure delays within one process.
+    pub stamp_events: bool,
     /// Tokens of an answer whose request names no `max_tokens`.
     pub default_tokens: u64,
     /// Announces that streams can be resumed.
@@ -69,6 +71,7 @@
             cache_entries: 16,
             cache_prefix: 512,
             events_per_frame: 1,
+            stamp_events: false,
             default_tokens: 16,
             resume: true,
             cancel: true,
@@ -261,6 +264,7 @@
             interval: self.options.token_interval,
             knee: self.options.knee,
             events_per_frame: self.options.events_per_frame,
+            stamp_events: self.options.stamp_events,
         }
     }
 
