--- /dev/null
+++ b/crates/burn/src/samples.rs
@@ -0,0 +1,286 @@
+//! Recorded samples: JSON lines, one scrape of one node each.
+//!
+//! | field | meaning |
+//! |---|---|
+//! | `t` | time in unix milliseconds |
+//! | `node` | name of the node |
+//! | `inc` | incarnation, different after each restart |
+//! | `text` | the scraped Prometheus text; or instead |
+//! | `series` | the compact form |
+//! | `start_ms`, `revision` | with `series`: process start and table revision, when exposed |
+//!
+//! The compact form holds entries separated by `;`. `le FAMILY B...` gives the
+//! finite bucket bounds of a histogram family in seconds and precedes its
+//! series. `FAMILY WORKSPACE MODEL N...` gives one series; an absent label is
+//! `-`. Histograms list the events per bucket (not cumulative), the infinite
+//! bucket last; counters list their values in the order of
+//! [`OUTCOMES`](crate::node_scrape::OUTCOMES) or
+//! [`COMPLETENESS`](crate::node_scrape::COMPLETENESS); the fairness gap is in
+//! millionths.
+
+use crate::label_table::LabelTable;
+use crate::metric_text::BUCKET_LIMIT;
+use crate::node_scrape::{FAMILIES, MetricFamily, NodeScrape, SeriesKey};
+use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Read, Seek, SeekFrom};
+use std::path::{Path, PathBuf};
+
+/// Longest line of a sample file in bytes.
+pub const SAMPLE_LIMIT: usize = 64 << 20;
+/// Most series of one compact sample.
+const SERIES_LIMIT: usize = 200_000;
+/// Bytes read at once from the end of a file when looking for its last line.
+const TAIL_STEP: u64 = 64 << 10;
+
+/// One line of a sample file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SampleLine<'a> {
+    /// Unix time in milliseconds.
+    pub t: u64,
+    /// Name of the node.
+    #[serde(borrow)]
+    pub node: Cow<'a, str>,
+    /// Incarnation of the node.
+    pub inc: u64,
+    /// Scraped text.
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<Cow<'a, str>>,
+    /// Compact series.
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    pub series: Option<Cow<'a, str>>,
+    /// Start of the process in unix ms.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start_ms: Option<u64>,
+    /// Table revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct TimeOnly {
+    t: u64,
+}
+
+/// Writes the compact form, or `None` when a label contains a separator and
+/// the sample must be stored as text.
+pub fn encode_series(scrape: &NodeScrape, labels: &LabelTable) -> Option<String> {
+    let mut out = String::with_capacity(scrape.len() * 64);
+    for family in FAMILIES {
+        if let Some(layout) = scrape.layouts[family.index()] {
+            out.push_str("le ");
+            out.push_str(family.code());
+            for bound in labels.layout(layout) {
+                out.push_str(&format!(" {bound}"));
+            }
+            out.push(';');
+        }
+    }
+    for index in 0..scrape.len() {
+        let key = scrape.key(index)?;
+        let (workspace, model) = labels.pair(key.pair);
+        out.push_str(key.family.code());
+        for label in [workspace, model] {
+            if label == "-" || label.contains([' ', ';']) {
+                return None;
+            }
+            out.push(' ');
+            out.push_str(if label.is_empty() { "-" } else { label });
+        }
+        let cumulative = key.family.fixed_values().is_none();
+        let mut last = 0;
+        for value in scrape.values(index) {
+            out.push(' ');
+            push_number(&mut out, value.saturating_sub(last));
+            last = if cumulative { *value } else { 0 };
+        }
+        out.push(';');
+    }
+    Some(out)
+}
+
+fn push_number(out: &mut String, mut value: u64) {
+    let mut digits = [b'0'; 20];
+    let mut start = digits.len();
+    loop {
+        start -= 1;
+        digits[start] = b'0' + u8::try_from(value % 10).unwrap_or(0);
+        value /= 10;
+        if value == 0 || start == 0 {
+            break;
+        }
+    }
+    out.extend(digits[start..].iter().map(|digit| char::from(*digit)));
+}
+
+/// Reads the compact form. `hint` is the node's previous scrape: series mostly
+/// come in the same order, so its keys save the label lookups.
+pub fn decode_series(
+    text: &str,
+    labels: &mut LabelTable,
+    hint: &NodeScrape,
+) -> Result<NodeScrape, String> {
+    let mut scrape = NodeScrape::default();
+    for entry in text.split_terminator(';') {
+        if let Some(rest) = entry.strip_prefix("le ") {
+            decode_bounds(rest, labels, &mut scrape)?;
+            continue;
+        }
+        if scrape.len() >= SERIES_LIMIT {
+            return Err(format!("The sample has over {SERIES_LIMIT} series."));
+        }
+        let guess = hint.key(scrape.len());
+        decode_entry(entry, labels, guess, &mut scrape)?;
+    }
+    let aligned = scrape.len() <= hint.len()
+        && (0..scrape.len()).all(|index| scrape.key(index) == hint.key(index));
+    match scrape.repeated_key().filter(|_| !aligned) {
+        Some(key) => Err(format!("A series of {} stands twice.", key.family.code())),
+        None => Ok(scrape),
+    }
+}
+
+fn family_of(code: &str) -> Result<MetricFamily, String> {
+    let family = FAMILIES.iter().find(|family| family.code() == code);
+    family.copied().ok_or_else(|| "A series has an unknown family.".to_owned())
+}
+
+fn decode_bounds(
+    rest: &str,
+    labels: &mut LabelTable,
+    scrape: &mut NodeScrape,
+) -> Result<(), String> {
+    let mut words = rest.split(' ');
+    let family = family_of(words.next().unwrap_or_default())?;
+    let bounds: Vec<f64> = words.map_while(|word| word.parse().ok()).collect();
+    let count = rest.split(' ').count() - 1;
+    let grows = bounds.windows(2).all(|pair| pair[0] < pair[1]);
+    if family.fixed_values().is_some() || bounds.len() != count || !grows || count >= BUCKET_LIMIT {
+        return Err("The bucket bounds are malformed.".to_owned());
+    }
+    scrape.layouts[family.index()] = labels.layout_id(&bounds);
+    Ok(())
+}
+
+fn decode_entry(
+    entry: &str,
+    labels: &mut LabelTable,
+    guess: Option<SeriesKey>,
+    scrape: &mut NodeScrape,
+) -> Result<(), String> {
+    let malformed = || "A series is malformed.".to_owned();
+    let (code, rest) = entry.split_once(' ').ok_or_else(malformed)?;
+    let (workspace, rest) = rest.split_once(' ').ok_or_else(malformed)?;
+    let (model, numbers) = rest.split_once(' ').ok_or_else(malformed)?;
+    let workspace = if workspace == "-" { "" } else { workspace };
+    let model = if model == "-" { "" } else { model };
+    let fits =
+        |key: &SeriesKey| key.family.code() == code && labels.pair(key.pair) == (workspace, model);
+    let key = match guess.filter(fits) {
+        Some(key) => key,
+        None => SeriesKey { family: family_of(code)?, pair: labels.pair_id(workspace, model) },
+    };
+    let fixed = key.family.fixed_values();
+    let expected = match (fixed, scrape.layouts[key.family.index()]) {
+        (Some(count), _) => count,
+        (None, Some(layout)) => labels.layout(layout).len() + 1,
+        (None, None) => return Err("A histogram precedes its bounds.".to_owned()),
+    };
+    push_numbers(numbers.as_bytes(), fixed.is_none(), scrape).ok_or_else(malformed)?;
+    if scrape.open_values() != expected {
+        return Err("A series has the wrong number of values.".to_owned());
+    }
+    scrape.finish_series(key);
+    Ok(())
+}
+
+fn push_numbers(text: &[u8], cumulative: bool, scrape: &mut NodeScrape) -> Option<()> {
+    let mut total = 0_u64;
+    let mut value = 0_u64;
+    let mut digits = 0;
+    for byte in text.iter().chain(b" ") {
+        if byte.is_ascii_digit() && digits < 16 {
+            value = value * 10 + u64::from(byte - b'0');
+            digits += 1;
+            continue;
+        }
+        if *byte != b' ' || digits == 0 {
+            return None;
+        }
+        total = if cumulative { total.checked_add(value)? } else { value };
+        scrape.push_value(total);
+        value = 0;
+        digits = 0;
+    }
+    Some(())
+}
+
+/// The files that `path` names: itself, or the `.jsonl` files of a folder by name.
+pub fn sample_files(path: &Path) -> std::io::Result<Vec<PathBuf>> {
+    if !path.is_dir() {
+        return Ok(vec![path.to_path_buf()]);
+    }
+    let mut files = Vec::new();
+    for entry in std::fs::read_dir(path)? {
+        let file = entry?.path();
+        if file.extension().is_some_and(|extension| extension == "jsonl") {
+            files.push(file);
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+/// Time of the last readable line of a file.
+pub fn last_time(path: &Path) -> std::io::Result<Option<u64>> {
+    let mut file = File::open(path)?;
+    let length = file.metadata()?.len();
+    let mut tail = Vec::new();
+    let mut start = length;
+    while start > 0 && tail.len() < 2 * SAMPLE_LIMIT {
+        let step = start.min(TAIL_STEP.max(u64::try_from(tail.len()).unwrap_or(TAIL_STEP)));
+        start -= step;
+        file.seek(SeekFrom::Start(start))?;
+        let mut chunk = Vec::new();
+        file.by_ref().take(step).read_to_end(&mut chunk)?;
+        chunk.append(&mut tail);
+        tail = chunk;
+        let time = tail.rsplit(|byte| *byte == b'\n').find_map(line_time);
+        if time.is_some() {
+            return Ok(time);
+        }
+    }
+    Ok(None)
+}
+
+fn line_time(line: &[u8]) -> Option<u64> {
+    serde_json::from_slice::<TimeOnly>(line).ok().map(|line| line.t)
+}
+
+/// Time that a line written by the recorder begins with, without reading the rest.
+pub fn leading_time(line: &[u8]) -> Option<u64> {
+    let digits = line.strip_prefix(b"{\"t\":")?;
+    let end = digits.iter().position(|byte| !byte.is_ascii_digit())?;
+    std::str::from_utf8(&digits[..end]).ok()?.parse().ok()
+}
+
+/// Calls `take` for each line of a file, without its newline; a line over
+/// [`SAMPLE_LIMIT`] is passed on empty.
+pub fn for_each_line(path: &Path, mut take: impl FnMut(&[u8])) -> std::io::Result<()> {
+    let mut reader = BufReader::with_capacity(1 << 20, File::open(path)?);
+    let mut line = Vec::new();
+    let limit = u64::try_from(SAMPLE_LIMIT).unwrap_or(u64::MAX);
+    loop {
+        line.clear();
+        if reader.by_ref().take(limit).read_until(b'\n', &mut line)? == 0 {
+            return Ok(());
+        }
+        if line.pop_if(|byte| *byte == b'\n').is_none() && line.len() >= SAMPLE_LIMIT {
+            line.clear();
+            reader.skip_until(b'\n')?;
+        }
+        take(&line);
+    }
+}
