--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -5,9 +5,8 @@
 use baobabfall_core::control_command::{ControlAnswer, ControlCommand};
 use baobabfall_core::control_state::ControlState;
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_core::replica_core::{
-    RejectReason, ReplicaCore, ReplicaEffect, ReplicaEvent, ReplicaRole,
-};
+use baobabfall_core::replica_core::{ReplicaCore, ReplicaRole};
+use baobabfall_core::replica_events::{RejectReason, ReplicaEffect, ReplicaEvent};
 use baobabfall_core::replica_members::{MemberChange, ReplicaIdentity, ReplicaMembers};
 use baobabfall_core::replica_messages::{ReplicaMessage, SnapshotData};
 use baobabfall_core::sorted_map::SortedMap;
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -74,14 +74,13 @@
         let end = Instant::now() + READY_LIMIT;
         let clients: Vec<PeerClient> =
             options.controllers().into_iter().map(PeerClient::new).collect();
-        let mut revision = 0;
         while Instant::now() < end {
             for client in &clients {
-                match self.apply_first_table(options, client).await {
-                    Ok(applied) => revision = applied,
+                let revision = match self.apply_first_table(options, client).await {
+                    Ok(revision) => revision,
                     Err(error) if is_passing(error.kind()) => continue,
                     Err(error) => return Err(LocalError::NotAccepted(error)),
-                }
+                };
                 if self.is_ready(client, revision).await {
                     return Ok(revision);
                 }
