--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,7 +4,10 @@
 //! [`std::time::Duration`] since an arbitrary start, so the same code runs in
 //! tests and in production.
 
+pub mod action_ledger;
 pub mod backlog_queue;
+pub mod control_command;
+pub mod control_state;
 pub mod cost_estimate;
 pub mod dispatch_fairness;
 mod dispatch_intake;
@@ -15,11 +18,22 @@
 mod dispatch_upstreams;
 pub mod error_kind;
 pub mod fair_order;
+pub mod phase_chart;
 pub mod placement;
 pub mod rate_limit;
+pub mod replica_append;
+pub mod replica_core;
+pub mod replica_election;
+pub mod replica_events;
+pub mod replica_log;
+pub mod replica_members;
+pub mod replica_messages;
+pub mod replica_proposal;
+pub mod replica_snapshot;
 pub mod retry_budget;
 pub mod slot_dispatcher;
 pub mod sorted_map;
 pub mod state_chart;
+pub mod table_history;
 pub mod upstream_registry;
 pub mod workspace_table;
