--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod dispatch_messages;
 pub mod error_kind;
+pub mod request_life;
 pub mod sorted_map;
 pub mod state_chart;
 pub mod upstream_registry;
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -180,18 +180,7 @@
     request_id: Option<&str>,
 ) -> FullResponse {
     let answer = kind.answer();
-    let retry_after_ms =
-        retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
-    let body = ErrorBody {
-        error: ErrorDetail {
-            code: answer.code.to_owned(),
-            message: message.to_owned(),
-            not_run: answer.not_run,
-            retry: answer.retry,
-            retry_after_ms,
-            request_id: request_id.map(str::to_owned),
-        },
-    };
+    let body = error_body(kind, message, retry_after, request_id);
     let mut response = json_response(answer.status, &body);
     let headers = response.headers_mut();
     let not_run = if answer.not_run { "true" } else { "false" };
@@ -208,6 +197,28 @@
     response
 }
 
+/// Builds the body of the refusal of `kind`.
+pub fn error_body(
+    kind: ErrorKind,
+    message: &str,
+    retry_after: Option<Duration>,
+    request_id: Option<&str>,
+) -> ErrorBody {
+    let answer = kind.answer();
+    let retry_after_ms =
+        retry_after.map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX));
+    ErrorBody {
+        error: ErrorDetail {
+            code: answer.code.to_owned(),
+            message: message.to_owned(),
+            not_run: answer.not_run,
+            retry: answer.retry,
+            retry_after_ms,
+            request_id: request_id.map(str::to_owned),
+        },
+    }
+}
+
 /// Builds a JSON response.
 pub fn json_response<T: Serialize>(status: u16, body: &T) -> FullResponse {
     let bytes = serde_json::to_vec(body).unwrap_or_default();
--- /dev/null
+++ b/crates/router/src/action_client.rs
@@ -0,0 +1,305 @@
+//! Claims and outcomes of protected actions.
+//!
+//! Claims of concurrent requests travel in one call. An outcome is repeated
+//! until the leader acknowledges it.
+
+use crate::leader_link::LeaderLink;
+use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_node::messages::{
+    ActionClaim, ActionOutcome, ActionReport, CLAIM_PATH, ClaimAnswer, ClaimRequest, FencingToken,
+    OUTCOME_PATH, OutcomeRequest,
+};
+use serde::de::IgnoredAny;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+/// Lease of a claim on the router's own clock, from before it was sent.
+pub const CLAIM_LEASE: Duration = Duration::from_secs(10);
+/// Most claims or outcomes of one call.
+const BATCH_LIMIT: usize = 256;
+/// Claim calls outstanding at once: while one waits for its quorum round, the
+/// next batch collects.
+const CLAIM_LANES: usize = 2;
+/// Time in which outcomes must be acknowledged.
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a claim got no answer; the action is never dispatched then.
+#[derive(Clone, Debug)]
+pub struct ClaimLost(pub String);
+
+type ClaimResult = Result<ClaimAnswer, ClaimLost>;
+
+#[derive(Debug)]
+struct PendingClaim {
+    claim: ActionClaim,
+    expires: Instant,
+    answer: oneshot::Sender<ClaimResult>,
+}
+
+/// Exchange of claims and outcomes with the leader.
+#[derive(Debug)]
+pub struct ActionClient {
+    link: Arc<LeaderLink>,
+    router: NodeIdentity,
+    claims: Mutex<Vec<PendingClaim>>,
+    claims_added: Notify,
+    outcomes: Mutex<Vec<ActionReport>>,
+    outcomes_added: Notify,
+    claim_time: Duration,
+}
+
+impl ActionClient {
+    /// A client whose claims must be answered within `claim_time`.
+    pub fn new(link: Arc<LeaderLink>, router: NodeIdentity, claim_time: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            link,
+            router,
+            claims: Mutex::default(),
+            claims_added: Notify::new(),
+            outcomes: Mutex::default(),
+            outcomes_added: Notify::new(),
+            claim_time,
+        })
+    }
+
+    fn claims(&self) -> MutexGuard<'_, Vec<PendingClaim>> {
+        self.claims.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn outcomes(&self) -> MutexGuard<'_, Vec<ActionReport>> {
+        self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Outcomes that are not acknowledged yet.
+    pub fn unacknowledged(&self) -> usize {
+        self.outcomes().len()
+    }
+
+    /// Claims an action and waits for the answer.
+    pub async fn claim(self: &Arc<Self>, mut claim: ActionClaim) -> ClaimResult {
+        claim.router = self.router.clone();
+        let (answer, receiver) = oneshot::channel();
+        let expires = Instant::now() + self.claim_time;
+        let lost = LostClaim { client: Arc::clone(self), claim: Some(claim.clone()) };
+        self.claims().push(PendingClaim { claim, expires, answer });
+        self.claims_added.notify_one();
+        let result = receiver.await;
+        // From here on the answer is known, or the lane reported the claim as lost.
+        lost.answered();
+        result.unwrap_or_else(|_| Err(ClaimLost("the router stops".to_owned())))
+    }
+
+    /// Sends claims until the task is dropped.
+    pub async fn run_claims(&self) {
+        let lanes = std::iter::repeat_with(|| self.run_claim_lane()).take(CLAIM_LANES);
+        futures_util::future::join_all(lanes).await;
+    }
+
+    async fn run_claim_lane(&self) {
+        loop {
+            self.claims_added.notified().await;
+            loop {
+                let batch = self.take_claims();
+                if batch.is_empty() {
+                    break;
+                }
+                self.send_claims(batch).await;
+            }
+        }
+    }
+
+    fn take_claims(&self) -> Vec<PendingClaim> {
+        let mut claims = self.claims();
+        let count = claims.len().min(BATCH_LIMIT);
+        claims.drain(..count).collect()
+    }
+
+    /// A refusal without quorum proves that the claims were not committed, so
+    /// they may be sent again; a lost answer proves nothing.
+    async fn send_claims(&self, batch: Vec<PendingClaim>) {
+        let request =
+            ClaimRequest { claims: batch.iter().map(|pending| pending.claim.clone()).collect() };
+        let expires = batch.iter().map(|pending| pending.expires).min();
+        let left = expires
+            .map_or(Duration::ZERO, |expires| expires.saturating_duration_since(Instant::now()));
+        let answers: Result<Vec<ClaimAnswer>, _> = if left.is_zero() {
+            return fail_claims(batch, "no controller answered in time");
+        } else {
+            self.link.call_leader(CLAIM_PATH, &request, left).await
+        };
+        match answers {
+            Ok(answers) if answers.len() == batch.len() => {
+                for (pending, answer) in batch.into_iter().zip(answers) {
+                    if let Err(Ok(ClaimAnswer::Granted(token))) = pending.answer.send(Ok(answer)) {
+                        self.report(&pending.claim, token, ActionOutcome::NotRun);
+                    }
+                }
+            }
+            Ok(answers) => {
+                let reason = format!("{} answers to {} claims", answers.len(), batch.len());
+                self.lose_claims(batch, &reason);
+            }
+            Err(error) if error.kind().answer().not_run && is_refusal(&error) => {
+                self.retry_claims(batch, &error.to_string()).await;
+            }
+            Err(error) => self.lose_claims(batch, &error.to_string()),
+        }
+    }
+
+    async fn retry_claims(&self, batch: Vec<PendingClaim>, reason: &str) {
+        tokio::time::sleep(FAILURE_PAUSE / 4).await;
+        let now = Instant::now();
+        let (kept, expired): (Vec<_>, Vec<_>) =
+            batch.into_iter().partition(|pending| pending.expires > now);
+        fail_claims(expired, reason);
+        self.claims().extend(kept);
+    }
+
+    /// The claims may have been committed: the leader is told that they were
+    /// never dispatched, and the callers that they did not run.
+    fn lose_claims(&self, batch: Vec<PendingClaim>, reason: &str) {
+        for pending in &batch {
+            self.report(&pending.claim, FencingToken::default(), ActionOutcome::NotRun);
+        }
+        fail_claims(batch, reason);
+    }
+
+    fn report(&self, claim: &ActionClaim, token: FencingToken, outcome: ActionOutcome) {
+        let report = ActionReport {
+            workspace: claim.workspace.clone(),
+            service: claim.service.clone(),
+            key: claim.key.clone(),
+            token,
+            outcome,
+        };
+        self.outcomes().push(report);
+        self.outcomes_added.notify_one();
+    }
+
+    /// Sends outcomes until the task is dropped.
+    pub async fn run_outcomes(&self) {
+        loop {
+            let batch: Vec<ActionReport> =
+                self.outcomes().iter().take(BATCH_LIMIT).cloned().collect();
+            if batch.is_empty() {
+                self.outcomes_added.notified().await;
+                continue;
+            }
+            let count = batch.len();
+            let request = OutcomeRequest { outcomes: batch };
+            let call =
+                self.link.call_leader::<_, IgnoredAny>(OUTCOME_PATH, &request, OUTCOME_TIMEOUT);
+            match call.await {
+                Ok(_) => {
+                    self.outcomes().drain(..count);
+                }
+                Err(error) => {
+                    log::debug!("outcomes not acknowledged: {error}");
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+fn is_refusal(error: &baobabfall_node::http_client::PeerError) -> bool {
+    matches!(error, baobabfall_node::http_client::PeerError::Refused { .. })
+}
+
+fn fail_claims(batch: Vec<PendingClaim>, reason: &str) {
+    for pending in batch {
+        let _ = pending.answer.send(Err(ClaimLost(reason.to_owned())));
+    }
+}
+
+/// Withdraws a claim whose caller left before its answer.
+struct LostClaim {
+    client: Arc<ActionClient>,
+    claim: Option<ActionClaim>,
+}
+
+impl LostClaim {
+    fn answered(mut self) {
+        self.claim = None;
+    }
+}
+
+impl Drop for LostClaim {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            // A claim that was not sent yet needs no outcome.
+            self.client.claims().retain(|pending| {
+                pending.claim.key != claim.key || pending.claim.workspace != claim.workspace
+            });
+        }
+    }
+}
+
+/// A claimed action whose outcome is still open; dropping it reports the
+/// outcome as unknown once the action is dispatched, and as not run before.
+#[derive(Debug)]
+pub struct ActionSettlement {
+    client: Arc<ActionClient>,
+    claim: ActionClaim,
+    token: FencingToken,
+    status: u16,
+    digest: blake3::Hasher,
+    outcome: Option<ActionOutcome>,
+}
+
+impl ActionSettlement {
+    /// A settlement of a granted claim.
+    pub fn new(client: &Arc<ActionClient>, claim: ActionClaim, token: FencingToken) -> Self {
+        Self {
+            client: Arc::clone(client),
+            claim,
+            token,
+            status: 0,
+            digest: blake3::Hasher::new(),
+            outcome: Some(ActionOutcome::NotRun),
+        }
+    }
+
+    /// The fencing token.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Notes that the action may reach the upstream from now on.
+    pub fn dispatched(&mut self) {
+        self.outcome = Some(ActionOutcome::Unknown);
+    }
+
+    /// Notes the proof that the action did not run.
+    pub fn not_run(mut self) {
+        self.outcome = Some(ActionOutcome::NotRun);
+    }
+
+    /// Notes the status of the answer.
+    pub fn set_status(&mut self, status: u16) {
+        self.status = status;
+    }
+
+    /// Adds a part of the answer's body.
+    pub fn update(&mut self, data: &[u8]) {
+        self.digest.update(data);
+    }
+
+    /// Notes that the answer is complete.
+    pub fn answered(mut self) {
+        let digest = *self.digest.finalize().as_bytes();
+        self.outcome = Some(ActionOutcome::Answered { status: self.status, digest });
+    }
+}
+
+impl Drop for ActionSettlement {
+    fn drop(&mut self) {
+        if let Some(outcome) = self.outcome.take() {
+            self.client.report(&self.claim, self.token, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/caller_api.rs
@@ -0,0 +1,369 @@
+//! Paths of the caller listener.
+
+use crate::relay::{RelayBody, service_bytes_cost};
+use crate::request_order::{
+    DEADLINE_HEADER, KEY_HEADER, RequestOrder, UpstreamCall, WorkClass, end_to_end_headers,
+    refuse_encodings,
+};
+use crate::request_record::RequestRecord;
+use crate::request_run::{RETRY_AFTER, Rejection, RequestRun};
+use crate::router_state::RouterState;
+use crate::table_view::TableView;
+use baobabfall_core::dispatch_messages::{CostUnits, UNITS_PER_TOKEN};
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::upstream_registry::{UpstreamKind, WorkTarget};
+use baobabfall_core::workspace_table::WorkspaceRow;
+use baobabfall_node::http_server::{REQUEST_ID_HEADER, json_response, presented_token, read_body};
+use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const SERVICES_PREFIX: &str = "/services/";
+const REQUEST_ID_LIMIT: usize = 64;
+/// Bytes of prompt that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+/// Cost units of one prompt token, a tenth of a generated one.
+const UNITS_PER_PROMPT_TOKEN: CostUnits = UNITS_PER_TOKEN / 10;
+/// Bytes of the prompt that make up its prefix for placement.
+const PREFIX_BYTES: usize = 512;
+
+#[derive(Deserialize)]
+struct ModelFields {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+}
+
+/// Answers one request of a caller.
+pub async fn handle(state: Arc<RouterState>, request: Request<Incoming>) -> Response<RelayBody> {
+    if request.uri().path() == "/healthz" {
+        return health(&state, request.method());
+    }
+    let id = request_id(request.headers());
+    let record = state.record(id);
+    let mut intake = Intake { state, record };
+    match intake.prepare(request).await {
+        Ok(Prepared::Run(order, call)) => {
+            let Intake { state, record } = intake;
+            RequestRun::new(state, *order, *call, record).run().await
+        }
+        Ok(Prepared::Models) => intake.models(),
+        Err(rejection) => rejection.respond(&mut intake.record),
+    }
+}
+
+fn health(state: &RouterState, method: &Method) -> Response<RelayBody> {
+    if method != Method::GET && method != Method::HEAD {
+        return json_response(405, &json!({ "status": "method not allowed" }))
+            .map(RelayBody::Whole);
+    }
+    let (status, text) = if state.is_healthy() { (200, "ready") } else { (503, "not ready") };
+    json_response(status, &json!({ "status": text })).map(RelayBody::Whole)
+}
+
+fn request_id(headers: &HeaderMap) -> String {
+    let given = headers.get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
+    let valid = |id: &&str| {
+        (1..=REQUEST_ID_LIMIT).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_graphic())
+    };
+    given.filter(valid).map_or_else(|| uuid::Uuid::new_v4().to_string(), str::to_owned)
+}
+
+enum Prepared {
+    Run(Box<RequestOrder>, Box<UpstreamCall>),
+    Models,
+}
+
+enum Route {
+    Models,
+    Completion,
+    Service { name: String, path: String },
+}
+
+struct Intake {
+    state: Arc<RouterState>,
+    record: RequestRecord,
+}
+
+impl Intake {
+    async fn prepare(&mut self, request: Request<Incoming>) -> Result<Prepared, Rejection> {
+        let route = route_of(&request)?;
+        if let Some(kind) = self.state.refusal() {
+            let message = match kind {
+                ErrorKind::Stopping => "The router is stopping; send the request to another one.",
+                _ => "The router has no confirmed workspace table yet.",
+            };
+            return Err(Rejection::after(kind, message, RETRY_AFTER));
+        }
+        let table = self.state.fleet.table();
+        let row = self.authenticate(table.as_deref(), request.headers())?;
+        check_framing(request.headers())?;
+        let deadline = self.deadline(request.headers())?;
+        match route {
+            Route::Models => Ok(Prepared::Models),
+            Route::Completion => self.prepare_completion(request, row, deadline).await,
+            Route::Service { name, path } => {
+                self.prepare_service(request, row, deadline, name, path).await
+            }
+        }
+    }
+
+    fn authenticate<'t>(
+        &mut self,
+        table: Option<&'t TableView>,
+        headers: &HeaderMap,
+    ) -> Result<&'t WorkspaceRow, Rejection> {
+        let row =
+            presented_token(headers).zip(table).and_then(|(key, table)| table.authenticate(key));
+        let Some(row) = row else {
+            let message = "Send the workspace's key as \"authorization: Bearer KEY\".";
+            return Err(Rejection::new(ErrorKind::Unauthenticated, message));
+        };
+        self.record.set_workspace(&row.name);
+        Ok(row)
+    }
+
+    fn deadline(&self, headers: &HeaderMap) -> Result<Instant, Rejection> {
+        let limits = &self.state.options.settings.limits;
+        let Some(value) = headers.get(DEADLINE_HEADER) else {
+            return Ok(self.record.arrived + limits.deadline.0);
+        };
+        let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+        let Some(millis) = millis.filter(|millis| *millis > 0) else {
+            let message = format!("{DEADLINE_HEADER} must be a whole number of milliseconds.");
+            return Err(Rejection::new(ErrorKind::MalformedRequest, message));
+        };
+        let wanted = Duration::from_millis(millis).min(limits.deadline_maximum.0);
+        Ok(self.record.arrived + wanted)
+    }
+
+    async fn read_body(
+        &self,
+        body: Incoming,
+        headers: &HeaderMap,
+        row: &WorkspaceRow,
+        deadline: Instant,
+    ) -> Result<Bytes, Rejection> {
+        let limits = &self.state.options.settings.limits;
+        let limit = limits.request_size.0.min(u64::from(row.request_kib) << 10);
+        let declared = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+        if declared.and_then(|text| text.parse::<u64>().ok()).is_some_and(|length| length > limit) {
+            let message = format!("The body exceeds {limit} bytes.");
+            return Err(Rejection::new(ErrorKind::OversizedRequest, message));
+        }
+        let timeout = limits.body_time.0.min(deadline.saturating_duration_since(Instant::now()));
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        read_body(body, limit, timeout)
+            .await
+            .map_err(|refusal| Rejection::new(refusal.kind, refusal.message))
+    }
+
+    fn find_target(&mut self, kind: UpstreamKind, name: String) -> Result<WorkTarget, Rejection> {
+        let target = WorkTarget { kind, name };
+        if self.state.fleet.is_served(&target) {
+            self.record.set_model(&target.name);
+            return Ok(target);
+        }
+        let (error, noun) = match kind {
+            UpstreamKind::Model => (ErrorKind::UnknownModel, "model"),
+            UpstreamKind::Service => (ErrorKind::UnknownService, "service"),
+        };
+        let message = format!("No upstream serves the {noun}; GET /v1/models lists the models.");
+        Err(Rejection::new(error, message))
+    }
+
+    async fn prepare_completion(
+        &mut self,
+        request: Request<Incoming>,
+        row: &WorkspaceRow,
+        deadline: Instant,
+    ) -> Result<Prepared, Rejection> {
+        let (parts, body) = request.into_parts();
+        let body = self.read_body(body, &parts.headers, row, deadline).await?;
+        let fields: ModelFields = serde_json::from_slice(&body).map_err(|error| {
+            let message = format!("The JSON body is not accepted: {error}.");
+            Rejection::new(ErrorKind::MalformedRequest, message)
+        })?;
+        let target = self.find_target(UpstreamKind::Model, fields.model)?;
+        let prompt_tokens = byte_count(&body) / BYTES_PER_TOKEN;
+        let base_cost = prompt_tokens * UNITS_PER_PROMPT_TOKEN;
+        let generated = fields.max_tokens.unwrap_or(0).saturating_mul(UNITS_PER_TOKEN);
+        let mut headers = end_to_end_headers(&parts.headers);
+        refuse_encodings(&mut headers);
+        let order = RequestOrder {
+            key: (target, row.name.clone()),
+            class: WorkClass::Model { stream: fields.stream },
+            base_cost,
+            cost_hint: base_cost.saturating_add(generated),
+            prefix: prompt_prefix(&body),
+            queue_deadline: self.queue_deadline(),
+        };
+        let path = parts.uri.path().to_owned();
+        Ok(self.prepared(order, Method::POST, path, headers, body, deadline))
+    }
+
+    async fn prepare_service(
+        &mut self,
+        request: Request<Incoming>,
+        row: &WorkspaceRow,
+        deadline: Instant,
+        name: String,
+        path: String,
+    ) -> Result<Prepared, Rejection> {
+        let (parts, body) = request.into_parts();
+        let target = self.find_target(UpstreamKind::Service, name)?;
+        let class = self.service_class(&target.name, &parts.method, &path, &parts.headers, row)?;
+        let body = self.read_body(body, &parts.headers, row, deadline).await?;
+        let cost = UNITS_PER_TOKEN + service_bytes_cost(byte_count(&body));
+        let order = RequestOrder {
+            key: (target, row.name.clone()),
+            class,
+            base_cost: cost,
+            cost_hint: cost,
+            prefix: None,
+            queue_deadline: self.queue_deadline(),
+        };
+        let path = match parts.uri.query() {
+            Some(query) => format!("{path}?{query}"),
+            None => path,
+        };
+        let headers = end_to_end_headers(&parts.headers);
+        Ok(self.prepared(order, parts.method, path, headers, body, deadline))
+    }
+
+    fn service_class(
+        &self,
+        service: &str,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        row: &WorkspaceRow,
+    ) -> Result<WorkClass, Rejection> {
+        let Some(rules) = self.state.options.settings.service(service) else {
+            return Ok(WorkClass::Once);
+        };
+        if rules.is_idempotent(method.as_str(), path) {
+            return Ok(WorkClass::Idempotent);
+        }
+        if !rules.is_protected(method.as_str(), path) {
+            return Ok(WorkClass::Once);
+        }
+        if !row.protected {
+            let message = "The workspace may not call protected actions.";
+            return Err(Rejection::new(ErrorKind::Forbidden, message));
+        }
+        let mut keys = headers.get_all(KEY_HEADER).iter();
+        let key = keys.next().and_then(|value| value.to_str().ok());
+        match (key, keys.next()) {
+            (Some(key), None) => Ok(WorkClass::Protected { key: key.to_owned() }),
+            _ => {
+                let message = format!("A protected action needs one {KEY_HEADER} header.");
+                Err(Rejection::new(ErrorKind::KeyRequired, message))
+            }
+        }
+    }
+
+    fn queue_deadline(&self) -> Instant {
+        Instant::now() + self.state.options.settings.limits.queue_wait.0
+    }
+
+    fn prepared(
+        &self,
+        order: RequestOrder,
+        method: Method,
+        path: String,
+        headers: HeaderMap,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Prepared {
+        self.state.retries.record_request(&order.key.1);
+        let request_id = self.record.id.clone();
+        let call = UpstreamCall { method, path, headers, body, request_id, deadline };
+        Prepared::Run(Box::new(order), Box::new(call))
+    }
+
+    fn models(mut self) -> Response<RelayBody> {
+        let models = self.state.fleet.models();
+        let data: Vec<_> = models
+            .iter()
+            .map(|model| json!({ "id": model, "object": "model", "owned_by": "baobabfall" }))
+            .collect();
+        let mut response = json_response(200, &json!({ "object": "list", "data": data }));
+        if let Ok(value) = HeaderValue::from_str(&self.record.id) {
+            response.headers_mut().insert(REQUEST_ID_HEADER, value);
+        }
+        self.record.finish_local();
+        response.map(RelayBody::Whole)
+    }
+}
+
+fn route_of(request: &Request<Incoming>) -> Result<Route, Rejection> {
+    let path = request.uri().path();
+    let (route, method) = match path {
+        "/v1/models" => (Route::Models, Some(Method::GET)),
+        "/v1/chat/completions" | "/v1/completions" => (Route::Completion, Some(Method::POST)),
+        _ => (service_route(path)?, None),
+    };
+    match method {
+        Some(method) if method != *request.method() => {
+            let message = format!("Only {method} is accepted at {path}.");
+            Err(Rejection::new(ErrorKind::MethodNotAllowed, message))
+        }
+        _ => Ok(route),
+    }
+}
+
+fn service_route(path: &str) -> Result<Route, Rejection> {
+    let rest = path.strip_prefix(SERVICES_PREFIX).filter(|rest| !rest.is_empty());
+    let Some(rest) = rest else {
+        return Err(Rejection::new(ErrorKind::NotFound, "No such path."));
+    };
+    let (name, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+    // Normalization at the upstream would evade the patterns of protected actions.
+    let evasive = path.contains('%') && !is_plain_escape(path);
+    let dotted = path.split('/').any(|part| matches!(part, "." | ".."));
+    if evasive || dotted || path.contains("//") {
+        let message = "The path of a service must not contain dot segments, empty segments or escaped separators.";
+        return Err(Rejection::new(ErrorKind::MalformedRequest, message));
+    }
+    let path = if path.is_empty() { "/" } else { path };
+    Ok(Route::Service { name: name.to_owned(), path: path.to_owned() })
+}
+
+/// True when no escape stands for a character that may be written plainly.
+fn is_plain_escape(path: &str) -> bool {
+    path.split('%').skip(1).all(|rest| {
+        let byte = rest.get(..2).and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        byte.is_some_and(|byte| !byte.is_ascii_alphanumeric() && !b"-._~/\\%".contains(&byte))
+    })
+}
+
+/// Requests whose length is stated twice could be read differently upstream.
+fn check_framing(headers: &HeaderMap) -> Result<(), Rejection> {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    if lengths > 1 || (lengths == 1 && chunked) {
+        let message = "The request states its length twice.";
+        return Err(Rejection::new(ErrorKind::MalformedRequest, message));
+    }
+    Ok(())
+}
+
+fn byte_count(bytes: &Bytes) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
+
+fn prompt_prefix(body: &Bytes) -> Option<u64> {
+    let prefix = body.get(..PREFIX_BYTES)?;
+    let hash = blake3::hash(prefix);
+    let bytes = hash.as_bytes().first_chunk::<8>()?;
+    Some(u64::from_le_bytes(*bytes))
+}
--- /dev/null
+++ b/crates/router/src/cancel_guard.rs
@@ -0,0 +1,34 @@
+//! Cancels a request at its upstream unless it ended well.
+
+use crate::upstream_pool::UpstreamPool;
+use baobabfall_core::dispatch_messages::UpstreamRoute;
+use std::sync::Arc;
+
+/// Sends `POST /cancel/{request_id}` when dropped armed.
+#[derive(Debug)]
+pub struct CancelGuard {
+    target: Option<(Arc<UpstreamPool>, UpstreamRoute, String)>,
+}
+
+impl CancelGuard {
+    /// Arms the cancellation where the upstream understands it.
+    pub fn new(pool: &Arc<UpstreamPool>, route: &UpstreamRoute, request_id: &str) -> Self {
+        let target = route.cancel.then(|| (Arc::clone(pool), route.clone(), request_id.to_owned()));
+        Self { target }
+    }
+
+    /// Gives the cancellation up: nothing runs at the upstream.
+    pub fn disarm(&mut self) {
+        self.target = None;
+    }
+}
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        let Some((pool, route, request_id)) = self.target.take() else { return };
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        if !pool.is_stopped() {
+            runtime.spawn(async move { pool.cancel(&route, &request_id).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/dispatch_client.rs
@@ -0,0 +1,109 @@
+//! Reports to the dispatcher and grants from it.
+//!
+//! One report is outstanding as a long poll; changes are reported beside it
+//! and answered at once.
+
+use crate::leader_link::LeaderLink;
+use crate::request_queue::SharedQueue;
+use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity};
+use baobabfall_node::messages::REPORT_PATH;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How long changes are collected before a report.
+const COALESCE_TIME: Duration = Duration::from_millis(2);
+/// How often charges of running streams are reported.
+const CHARGE_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the dispatcher may hold a long poll, in milliseconds.
+const POLL_WAIT_MS: u32 = 200;
+/// Time in which a report must be answered, beyond the time it may be held.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a failed report.
+const FAILURE_PAUSE: Duration = Duration::from_millis(25);
+
+/// Exchange of reports and grants with the dispatcher.
+#[derive(Debug)]
+pub struct DispatchClient {
+    queue: Arc<SharedQueue>,
+    link: Arc<LeaderLink>,
+    identity: NodeIdentity,
+    zone: String,
+    started: Instant,
+    answered_ms: AtomicU64,
+}
+
+impl DispatchClient {
+    /// A client that reports the content of `queue`.
+    pub fn new(
+        queue: Arc<SharedQueue>,
+        link: Arc<LeaderLink>,
+        identity: NodeIdentity,
+        zone: String,
+    ) -> Self {
+        let started = Instant::now();
+        Self { queue, link, identity, zone, started, answered_ms: AtomicU64::new(0) }
+    }
+
+    /// Time since the dispatcher answered last, or since the start.
+    pub fn silence(&self) -> Duration {
+        let answered = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
+        self.started.elapsed().saturating_sub(answered)
+    }
+
+    /// Keeps one long poll outstanding.
+    pub async fn run_poll(&self) {
+        loop {
+            if !self.report(POLL_WAIT_MS).await {
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+
+    /// Reports changes soon after they happen.
+    pub async fn run_changes(&self) {
+        loop {
+            let changed = tokio::time::timeout(CHARGE_INTERVAL, self.queue.changed()).await;
+            if changed.is_ok() {
+                tokio::time::sleep(COALESCE_TIME).await;
+            }
+            let needed = {
+                let book = self.queue.book();
+                book.is_changed() || book.has_new_charges()
+            };
+            if needed && !self.report(0).await {
+                tokio::time::sleep(FAILURE_PAUSE).await;
+            }
+        }
+    }
+
+    async fn report(&self, wait_ms: u32) -> bool {
+        let report = self.queue.book().build_report(&self.identity, &self.zone, wait_ms);
+        let full = report.full;
+        let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms.into());
+        match self.link.call_leader(REPORT_PATH, &report, timeout).await {
+            Ok(answer) => self.apply(answer),
+            Err(error) => {
+                log::debug!("dispatch report not answered: {error}");
+                self.queue.book().report_lost(full);
+                false
+            }
+        }
+    }
+
+    fn apply(&self, answer: DispatchAnswer) -> bool {
+        let (term, resync) = (answer.term, answer.resync);
+        let Some(verdicts) = self.queue.book().apply_answer(answer) else {
+            log::warn!(term = term; "dispatch answer of an older term rejected");
+            return false;
+        };
+        let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.answered_ms.fetch_max(elapsed, Ordering::Relaxed);
+        self.queue.deliver(verdicts);
+        if resync {
+            self.queue.notify();
+        }
+        true
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,38 @@
+//! The router of baobabfall: accepts callers' requests, queues them until the
+//! dispatcher grants a slot, and relays them to upstreams.
+//!
 //! See `docs/design.md`.
+
+pub mod action_client;
+pub mod caller_api;
+pub mod cancel_guard;
+#[allow(missing_docs)]
+pub mod cli;
+pub mod dispatch_client;
+pub mod drain;
+pub mod error;
+pub mod event_scanner;
+pub mod fleet_api;
+pub mod leader_link;
+pub mod lease_book;
+pub mod options;
+pub mod process;
+pub mod relay;
+pub mod request_order;
+pub mod request_queue;
+pub mod request_record;
+pub mod request_run;
+pub mod resume;
+pub mod retry;
+pub mod router;
+pub mod router_state;
+pub mod settings;
+pub mod table_sync;
+pub mod table_view;
+pub mod upstream_pool;
+
+pub use error::RouterError;
+pub use options::{RouterListeners, RouterOptions};
+pub use process::run_process;
+pub use router::{Router, RouterHandle};
+pub use settings::RouterSettings;
--- /dev/null
+++ b/crates/router/src/relay.rs
@@ -0,0 +1,402 @@
+//! Relay of an upstream's answer to the caller, frame by frame.
+//!
+//! A frame is read from the upstream only when the caller's connection asks
+//! for one, so memory is bounded by one frame and one partial event.
+
+use crate::action_client::ActionSettlement;
+use crate::cancel_guard::CancelGuard;
+use crate::event_scanner::{EventScanner, completion_tokens_of};
+use crate::lease_book::LeaseMeter;
+use crate::request_queue::SlotLease;
+use crate::request_record::RequestRecord;
+use crate::resume::{ResumePlan, ResumedStream};
+use crate::upstream_pool::UpstreamConnection;
+use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, UNITS_PER_TOKEN};
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::request_life::LifeEvent;
+use baobabfall_node::http_server::error_body;
+use baobabfall_node::node_metrics::NodeMetrics;
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use opentelemetry::KeyValue;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, Sleep};
+
+/// Bytes at the end of a JSON answer in which its token count is looked for.
+const TAIL_WINDOW: usize = 2048;
+/// Bytes of a service call that cost one token.
+const SERVICE_BYTES_PER_TOKEN: u64 = 64 << 10;
+
+/// Breaks the caller's connection, so that a short answer is visibly short.
+#[derive(Debug, Error)]
+#[error("the answer broke off: {0}")]
+pub struct RelayError(String);
+
+/// Body of an answer to a caller.
+#[derive(Debug)]
+pub enum RelayBody {
+    /// A complete body of the router itself.
+    Whole(Full<Bytes>),
+    /// The answer of an upstream.
+    Stream(Box<RelayStream>),
+}
+
+/// How the content of an answer is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerForm {
+    /// Server-sent events of a model engine.
+    Events,
+    /// A whole JSON answer of a model engine.
+    Tokens,
+    /// Any answer of a plain service.
+    Opaque,
+}
+
+/// What a relay needs.
+#[derive(Debug)]
+pub struct RelayParts {
+    /// Accounting of the request.
+    pub record: RequestRecord,
+    /// The slot in use.
+    pub lease: SlotLease,
+    /// The connection that carries the answer.
+    pub connection: UpstreamConnection,
+    /// First frame, read ahead.
+    pub first: Option<Bytes>,
+    /// Body of the answer.
+    pub incoming: Incoming,
+    /// How the content is read.
+    pub form: AnswerForm,
+    /// Cost charged at dispatch.
+    pub base_cost: CostUnits,
+    /// When the answer must have ended.
+    pub deadline: Instant,
+    /// Longest silence of the upstream.
+    pub answer_gap: Duration,
+    /// How to resume the stream.
+    pub resume: Option<ResumePlan>,
+    /// Cancels the request at the upstream unless it ends well.
+    pub cancel: CancelGuard,
+    /// Outcome of a protected action, to be reported.
+    pub settlement: Option<ActionSettlement>,
+    /// Instruments.
+    pub metrics: NodeMetrics,
+}
+
+#[derive(Debug)]
+enum RelaySource {
+    Body(Incoming),
+    Resuming(JoinHandle<Result<ResumedStream, String>>),
+    Ended,
+}
+
+/// Relay of one answer.
+#[derive(Debug)]
+pub struct RelayStream {
+    record: RequestRecord,
+    lease: SlotLease,
+    connection: Option<UpstreamConnection>,
+    source: RelaySource,
+    first: Option<Bytes>,
+    form: AnswerForm,
+    scanner: EventScanner,
+    meter: Arc<LeaseMeter>,
+    base_cost: CostUnits,
+    bytes: u64,
+    tail: Vec<u8>,
+    deadline: Instant,
+    answer_gap: Duration,
+    waiting_since: Option<Instant>,
+    last_token: Option<Instant>,
+    timer: Option<Pin<Box<Sleep>>>,
+    resume: Option<ResumePlan>,
+    cancel: CancelGuard,
+    settlement: Option<ActionSettlement>,
+    metrics: NodeMetrics,
+    gap_labels: [KeyValue; 1],
+}
+
+type FramePoll = Poll<Option<Result<Frame<Bytes>, RelayError>>>;
+
+impl RelayStream {
+    /// Begins to relay an answer whose head is about to be sent.
+    pub fn new(parts: RelayParts) -> Self {
+        let meter = Arc::clone(&parts.lease.slot().meter);
+        let gap_labels = [parts.record.model_label()];
+        Self {
+            gap_labels,
+            record: parts.record,
+            lease: parts.lease,
+            connection: Some(parts.connection),
+            source: RelaySource::Body(parts.incoming),
+            first: parts.first,
+            form: parts.form,
+            scanner: EventScanner::new(),
+            meter,
+            base_cost: parts.base_cost,
+            bytes: 0,
+            tail: Vec::new(),
+            deadline: parts.deadline,
+            answer_gap: parts.answer_gap,
+            waiting_since: None,
+            last_token: None,
+            timer: None,
+            resume: parts.resume,
+            cancel: parts.cancel,
+            settlement: parts.settlement,
+            metrics: parts.metrics,
+        }
+    }
+
+    fn poll_next(&mut self, context: &mut Context<'_>) -> FramePoll {
+        loop {
+            let step = match &mut self.source {
+                RelaySource::Ended => return Poll::Ready(None),
+                RelaySource::Body(incoming) => match self.first.take() {
+                    Some(first) => self.on_data(first),
+                    None => match Pin::new(incoming).poll_frame(context) {
+                        Poll::Pending => self.poll_timer(context),
+                        Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                            Ok(data) => self.on_data(data),
+                            Err(_) => RelayStep::Again,
+                        },
+                        Poll::Ready(Some(Err(error))) => self.on_break(&error.to_string()),
+                        Poll::Ready(None) => self.on_end(),
+                    },
+                },
+                RelaySource::Resuming(task) => match Pin::new(task).poll(context) {
+                    Poll::Pending => self.poll_timer(context),
+                    Poll::Ready(Ok(Ok(resumed))) => self.on_resumed(resumed),
+                    Poll::Ready(Ok(Err(reason))) => self.on_break(&reason),
+                    Poll::Ready(Err(error)) => self.on_break(&error.to_string()),
+                },
+            };
+            match step {
+                RelayStep::Again => {}
+                RelayStep::Wait => return Poll::Pending,
+                RelayStep::Emit(bytes) => return Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                RelayStep::Abort(reason) => return Poll::Ready(Some(Err(RelayError(reason)))),
+            }
+        }
+    }
+
+    fn on_data(&mut self, data: Bytes) -> RelayStep {
+        self.waiting_since = None;
+        self.bytes += u64::try_from(data.len()).unwrap_or(u64::MAX);
+        if let Some(settlement) = &mut self.settlement {
+            settlement.update(&data);
+        }
+        if self.form != AnswerForm::Events {
+            self.count_whole(&data);
+            return RelayStep::Emit(data);
+        }
+        let result = match self.scanner.feed(data) {
+            Ok(result) => result,
+            Err(fault) => return self.on_break(&format!("{fault:?} event")),
+        };
+        if result.events > 0 {
+            let now = Instant::now();
+            if now >= self.deadline {
+                return self.fail(ErrorKind::DeadlineAfterDispatch, "the deadline passed");
+            }
+            self.count_events(result.events, now);
+        }
+        if result.ready.is_empty() {
+            return RelayStep::Again;
+        }
+        RelayStep::Emit(result.ready)
+    }
+
+    fn count_events(&mut self, events: u64, now: Instant) {
+        self.meter.charge(events.saturating_mul(UNITS_PER_TOKEN));
+        match self.last_token.replace(now) {
+            None => {
+                let elapsed = now.duration_since(self.record.arrived);
+                self.meter.set_first_token(elapsed);
+                self.record.record_first_token(elapsed.as_secs_f64());
+            }
+            Some(last) => {
+                let gap = now.duration_since(last).as_secs_f64();
+                self.metrics.token_gap.record(gap, &self.gap_labels);
+            }
+        }
+    }
+
+    fn count_whole(&mut self, data: &Bytes) {
+        match self.form {
+            AnswerForm::Tokens => {
+                let start = data.len().saturating_sub(TAIL_WINDOW);
+                self.tail.extend_from_slice(&data[start..]);
+                let excess = self.tail.len().saturating_sub(TAIL_WINDOW);
+                self.tail.drain(..excess);
+            }
+            _ => self.meter.raise_to(self.base_cost + service_bytes_cost(self.bytes)),
+        }
+    }
+
+    fn on_resumed(&mut self, resumed: ResumedStream) -> RelayStep {
+        self.record.advance(LifeEvent::Head);
+        self.connection = Some(resumed.connection);
+        self.source = RelaySource::Body(resumed.incoming);
+        RelayStep::Again
+    }
+
+    /// The answer broke off: resumes it where that is possible.
+    fn on_break(&mut self, reason: &str) -> RelayStep {
+        self.connection = None;
+        self.waiting_since = None;
+        if self.form == AnswerForm::Events {
+            if self.scanner.is_done() {
+                return self.complete(false);
+            }
+            if let Some(plan) = &mut self.resume
+                && let Some(task) = plan.begin(self.scanner.position(), self.deadline)
+            {
+                log::info!(
+                    request_id = self.record.id.as_str(), upstream = plan.upstream();
+                    "stream resumed at event {}: {reason}", self.scanner.position()
+                );
+                self.scanner.begin_resume();
+                self.record.advance(LifeEvent::Resume);
+                self.source = RelaySource::Resuming(task);
+                return RelayStep::Again;
+            }
+        }
+        self.fail(ErrorKind::AnswerIncomplete, reason)
+    }
+
+    fn on_end(&mut self) -> RelayStep {
+        if self.form == AnswerForm::Events && !self.scanner.is_complete() {
+            return self.on_break("the stream ended without its end marker");
+        }
+        self.complete(true)
+    }
+
+    fn complete(&mut self, framed: bool) -> RelayStep {
+        self.source = RelaySource::Ended;
+        let tokens = match self.form {
+            AnswerForm::Events => self.scanner.completion_tokens(),
+            AnswerForm::Tokens => completion_tokens_of(&self.tail),
+            AnswerForm::Opaque => None,
+        };
+        if let Some(tokens) = tokens {
+            self.meter.raise_to(self.base_cost + tokens.saturating_mul(UNITS_PER_TOKEN));
+        }
+        self.cancel.disarm();
+        if let Some(connection) = self.connection.take().filter(|_| framed) {
+            connection.give_back();
+        }
+        if let Some(settlement) = self.settlement.take() {
+            settlement.answered();
+        }
+        self.lease.release(LeaseEnd::Finished);
+        self.record.count_answer("complete");
+        self.record.finish();
+        RelayStep::Again
+    }
+
+    fn fail(&mut self, kind: ErrorKind, reason: &str) -> RelayStep {
+        self.source = RelaySource::Ended;
+        self.connection = None;
+        self.settlement = None;
+        self.lease.release(LeaseEnd::Failed);
+        self.record.count_answer("incomplete");
+        let kind = self.record.reject(kind);
+        log::warn!(
+            request_id = self.record.id.as_str(), upstream = self.lease.route().name.as_str();
+            "answer not complete: {reason}"
+        );
+        if self.form == AnswerForm::Events {
+            return RelayStep::Emit(error_event(kind, reason, &self.record.id));
+        }
+        RelayStep::Abort(reason.to_owned())
+    }
+
+    /// Checks deadline and silence while the upstream sends nothing.
+    fn poll_timer(&mut self, context: &mut Context<'_>) -> RelayStep {
+        loop {
+            let since = *self.waiting_since.get_or_insert_with(Instant::now);
+            let due = (since + self.answer_gap).min(self.deadline);
+            let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(due)));
+            if timer.as_mut().poll(context).is_pending() {
+                return RelayStep::Wait;
+            }
+            let now = Instant::now();
+            if now >= self.deadline {
+                return self.fail(ErrorKind::DeadlineAfterDispatch, "the deadline passed");
+            }
+            if now >= due {
+                self.timer = None;
+                return self.on_break("the upstream is silent");
+            }
+            timer.as_mut().reset(due);
+        }
+    }
+}
+
+enum RelayStep {
+    Again,
+    Wait,
+    Emit(Bytes),
+    Abort(String),
+}
+
+impl Drop for RelayStream {
+    fn drop(&mut self) {
+        if let RelaySource::Resuming(task) = &self.source {
+            task.abort();
+        }
+        if !matches!(self.source, RelaySource::Ended) {
+            self.record.count_answer("cancelled");
+        }
+    }
+}
+
+/// Cost of the bytes that a service call moves.
+pub fn service_bytes_cost(bytes: u64) -> CostUnits {
+    bytes.saturating_mul(UNITS_PER_TOKEN) / SERVICE_BYTES_PER_TOKEN
+}
+
+/// The event that ends a stream which cannot be completed.
+pub fn error_event(kind: ErrorKind, reason: &str, request_id: &str) -> Bytes {
+    let message = format!("The answer is incomplete: {reason}.");
+    let body = error_body(kind, &message, None, Some(request_id));
+    let json = serde_json::to_string(&body).unwrap_or_default();
+    Bytes::from(format!("event: error\ndata: {json}\n\n"))
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = RelayError;
+
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> FramePoll {
+        match self.get_mut() {
+            Self::Whole(full) => Pin::new(full)
+                .poll_frame(context)
+                .map(|frame| frame.map(|result| result.map_err(|never| match never {}))),
+            Self::Stream(stream) => stream.poll_next(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(full) => full.is_end_stream(),
+            Self::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(full) => full.size_hint(),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,280 @@
+//! Start and stop of a router.
+
+use crate::action_client::ActionClient;
+use crate::caller_api;
+use crate::dispatch_client::DispatchClient;
+use crate::drain::{DrainPhase, DrainState};
+use crate::error::RouterError;
+use crate::fleet_api;
+use crate::leader_link::LeaderLink;
+use crate::options::{RouterListeners, RouterOptions};
+use crate::request_queue::SharedQueue;
+use crate::retry::RetryBooks;
+use crate::router_state::RouterState;
+use crate::table_sync::TableSync;
+use crate::table_view::FleetView;
+use crate::upstream_pool::UpstreamPool;
+use baobabfall_core::request_life::RequestLife;
+use baobabfall_node::http_server::serve;
+use baobabfall_node::messages::StopKind;
+use baobabfall_node::node_metrics::NodeMetrics;
+use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
+use http::Request;
+use hyper::body::Incoming;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+/// How often housekeeping runs and a stop looks at the work left.
+const TICK: Duration = Duration::from_millis(20);
+/// How often idle connections are looked at.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// How long the end of a graceful stop waits for the last reports.
+const LAST_REPORTS_TIME: Duration = Duration::from_secs(1);
+
+/// The router role.
+#[derive(Debug)]
+pub struct Router;
+
+/// A running router.
+#[derive(Debug)]
+pub struct RouterHandle {
+    caller: SocketAddr,
+    fleet: SocketAddr,
+    state: Arc<RouterState>,
+    servers: StopSender,
+    abort: CancellationToken,
+    done: CancellationToken,
+}
+
+impl Router {
+    /// Starts a router on bound listeners.
+    pub async fn start(
+        options: RouterOptions,
+        listeners: RouterListeners,
+    ) -> Result<RouterHandle, RouterError> {
+        let address = |listener: &tokio::net::TcpListener| {
+            listener.local_addr().map_err(|error| RouterError::Setup(error.to_string()))
+        };
+        let (caller, fleet) = (address(&listeners.caller)?, address(&listeners.fleet)?);
+        let abort = CancellationToken::new();
+        let state = build_state(options, &abort)?;
+        let (servers, signal) = stop_channel();
+        let mut tasks = JoinSet::new();
+        spawn_clients(&mut tasks, &state);
+        let limits = state.options.server_limits();
+        let caller_state = Arc::clone(&state);
+        let caller_service = tower::service_fn(move |request: Request<Incoming>| {
+            let state = Arc::clone(&caller_state);
+            async move { Ok::<_, Infallible>(caller_api::handle(state, request).await) }
+        });
+        let fleet_state = Arc::clone(&state);
+        let fleet_service = tower::service_fn(move |request: Request<Incoming>| {
+            let state = Arc::clone(&fleet_state);
+            async move { Ok::<_, Infallible>(fleet_api::handle(state, request).await) }
+        });
+        let mut serving = JoinSet::new();
+        serving.spawn(serve(listeners.caller, caller_service, limits, signal.clone()));
+        serving.spawn(serve(listeners.fleet, fleet_service, limits, signal));
+        let done = CancellationToken::new();
+        let supervisor = Supervisor {
+            state: Arc::clone(&state),
+            servers: servers.clone(),
+            abort: abort.clone(),
+            done: done.clone(),
+        };
+        tokio::spawn(supervisor.run(tasks, serving));
+        log::info!(caller = caller.to_string(), fleet = fleet.to_string(); "router started");
+        Ok(RouterHandle { caller, fleet, state, servers, abort, done })
+    }
+}
+
+impl RouterHandle {
+    /// Address of the caller listener.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller
+    }
+
+    /// Address of the fleet listener.
+    pub fn fleet_address(&self) -> SocketAddr {
+        self.fleet
+    }
+
+    /// Shared parts, for status and experiments.
+    pub fn state(&self) -> &Arc<RouterState> {
+        &self.state
+    }
+
+    /// Begins a graceful stop.
+    pub fn begin_stop(&self) {
+        self.state.drain.request();
+    }
+
+    /// Drops all tasks and connections without farewell.
+    pub fn abort(&self) {
+        self.abort.cancel();
+        self.servers.advance(StopPhase::Stopped);
+    }
+
+    /// Waits until the router ended after [`Self::begin_stop`] or [`Self::abort`].
+    pub async fn join(&self) {
+        self.done.cancelled().await;
+    }
+}
+
+impl Drop for RouterHandle {
+    fn drop(&mut self) {
+        self.abort();
+    }
+}
+
+fn build_state(
+    options: RouterOptions,
+    abort: &CancellationToken,
+) -> Result<Arc<RouterState>, RouterError> {
+    let metrics = NodeMetrics::new().map_err(RouterError::Setup)?;
+    let life = RequestLife::begin().map_err(|error| RouterError::Setup(error.to_string()))?;
+    let settings = &options.settings;
+    let addresses = settings.controllers.addresses.clone();
+    let link = Arc::new(LeaderLink::new(addresses, options.process.clone(), metrics.clone()));
+    let queue = SharedQueue::new();
+    let identity = options.identity.clone();
+    let zone = settings.node.zone.clone();
+    let dispatch =
+        DispatchClient::new(Arc::clone(&queue), Arc::clone(&link), identity.clone(), zone);
+    let claim_time = settings.limits.claim_time.0;
+    Ok(Arc::new(RouterState {
+        metrics,
+        life,
+        fleet: Arc::new(FleetView::new()),
+        dispatch: Arc::new(dispatch),
+        pool: UpstreamPool::new(settings.limits.connect_time.0, abort.clone()),
+        actions: ActionClient::new(Arc::clone(&link), identity, claim_time),
+        retries: RetryBooks::default(),
+        drain: DrainState::new(),
+        in_progress: Arc::new(AtomicU32::new(0)),
+        queue,
+        link,
+        options,
+    }))
+}
+
+fn spawn_clients(tasks: &mut JoinSet<()>, state: &Arc<RouterState>) {
+    let sync = TableSync {
+        fleet: Arc::clone(&state.fleet),
+        link: Arc::clone(&state.link),
+        identity: state.options.identity.clone(),
+        zone: state.options.settings.node.zone.clone(),
+        in_progress: Arc::clone(&state.in_progress),
+        metrics: state.metrics.clone(),
+    };
+    tasks.spawn(async move { sync.run().await });
+    let dispatch = Arc::clone(&state.dispatch);
+    tasks.spawn(async move { dispatch.run_poll().await });
+    let dispatch = Arc::clone(&state.dispatch);
+    tasks.spawn(async move { dispatch.run_changes().await });
+    let actions = Arc::clone(&state.actions);
+    tasks.spawn(async move { actions.run_claims().await });
+    let actions = Arc::clone(&state.actions);
+    tasks.spawn(async move { actions.run_outcomes().await });
+    let pool = Arc::clone(&state.pool);
+    tasks.spawn(async move {
+        loop {
+            tokio::time::sleep(EXPIRE_INTERVAL).await;
+            pool.expire();
+        }
+    });
+    for credential in [&state.options.process, &state.options.upstream, &state.options.metrics] {
+        tasks.spawn(credential.clone().watch());
+    }
+}
+
+/// Carries out planned stops and the end of the process.
+struct Supervisor {
+    state: Arc<RouterState>,
+    servers: StopSender,
+    abort: CancellationToken,
+    done: CancellationToken,
+}
+
+impl Supervisor {
+    async fn run(self, mut tasks: JoinSet<()>, mut serving: JoinSet<()>) {
+        tokio::select! {
+            () = self.abort.cancelled() => {}
+            () = self.stop_gracefully(&mut serving) => {}
+        }
+        self.servers.advance(StopPhase::Stopped);
+        tasks.shutdown().await;
+        serving.shutdown().await;
+        self.abort.cancel();
+        self.done.cancel();
+        log::info!("router ended");
+    }
+
+    async fn stop_gracefully(&self, serving: &mut JoinSet<()>) {
+        self.wait_for_announcement().await;
+        let drain = &self.state.drain;
+        drain.advance(DrainPhase::Refusing);
+        log::info!("new work is refused");
+        let limits = &self.state.options.settings.limits;
+        let queue_empty = self.wait_until(|state| state.queue.book().queued() == 0);
+        let _ = tokio::time::timeout(limits.stop_queue.0, queue_empty).await;
+        drain.advance(DrainPhase::Finishing);
+        let verdicts = self.state.queue.book().drain_queues();
+        self.state.queue.deliver(verdicts);
+        self.state.queue.notify();
+        let idle = self.wait_until(|state| state.in_progress() == 0);
+        match limits.stop_running {
+            Some(limit) => {
+                let _ = tokio::time::timeout(limit.0, idle).await;
+            }
+            None => idle.await,
+        }
+        drain.advance(DrainPhase::Drained);
+        let reported = self.wait_until(|state| {
+            state.actions.unacknowledged() == 0 && !state.queue.book().is_changed()
+        });
+        let _ = tokio::time::timeout(LAST_REPORTS_TIME, reported).await;
+        log::info!("no work is left");
+        // A planned stop leaves the process to its operator.
+        drain.requested().await;
+        self.servers.advance(StopPhase::Draining);
+        let ended = async { while serving.join_next().await.is_some() {} };
+        let _ = tokio::time::timeout(LAST_REPORTS_TIME, ended).await;
+    }
+
+    /// Announces a stop and returns once its notice is over. A planned stop
+    /// that is cancelled during the notice has no effect.
+    async fn wait_for_announcement(&self) {
+        let drain = &self.state.drain;
+        let notice = self.state.options.settings.limits.stop_notice.0;
+        loop {
+            self.wait_until(|state| state.drain.is_requested() || is_planned(state)).await;
+            drain.advance(DrainPhase::Announced);
+            log::info!("a stop is announced");
+            let cancelled =
+                self.wait_until(|state| !state.drain.is_requested() && !is_planned(state));
+            if tokio::time::timeout(notice, cancelled).await.is_err() {
+                return;
+            }
+            drain.revoke();
+            log::info!("the announced stop is cancelled");
+        }
+    }
+
+    async fn wait_until(&self, condition: impl Fn(&RouterState) -> bool) {
+        while !condition(&self.state) {
+            tokio::time::sleep(TICK).await;
+        }
+    }
+}
+
+fn is_planned(state: &RouterState) -> bool {
+    let node = &state.options.settings.node;
+    state.fleet.is_stopping(StopKind::Router, &node.name)
+        || state.fleet.is_stopping(StopKind::Host, &node.host)
+}
--- /dev/null
+++ b/crates/router/src/router_state.rs
@@ -0,0 +1,72 @@
+//! Parts of a running router that its tasks share.
+
+use crate::action_client::ActionClient;
+use crate::dispatch_client::DispatchClient;
+use crate::drain::{DrainPhase, DrainState};
+use crate::leader_link::LeaderLink;
+use crate::options::RouterOptions;
+use crate::request_queue::SharedQueue;
+use crate::request_record::RequestRecord;
+use crate::retry::RetryBooks;
+use crate::table_view::FleetView;
+use crate::upstream_pool::UpstreamPool;
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::request_life::RequestLife;
+use baobabfall_node::node_metrics::NodeMetrics;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Parts of a running router that its tasks share.
+#[derive(Debug)]
+pub struct RouterState {
+    /// Checked options.
+    pub options: RouterOptions,
+    /// Instruments.
+    pub metrics: NodeMetrics,
+    /// Table, upstreams and planned stops.
+    pub fleet: Arc<FleetView>,
+    /// Waiting requests and held slots.
+    pub queue: Arc<SharedQueue>,
+    /// Connections to the controllers.
+    pub link: Arc<LeaderLink>,
+    /// Exchange with the dispatcher.
+    pub dispatch: Arc<DispatchClient>,
+    /// Connections to upstreams.
+    pub pool: Arc<UpstreamPool>,
+    /// Claims and outcomes of protected actions.
+    pub actions: Arc<ActionClient>,
+    /// Retry budgets.
+    pub retries: RetryBooks,
+    /// State of a graceful stop.
+    pub drain: DrainState,
+    /// Requests in progress.
+    pub in_progress: Arc<AtomicU32>,
+    /// A life cycle in its first state; copied for each request.
+    pub life: RequestLife,
+}
+
+impl RouterState {
+    /// Begins the accounting of a request.
+    pub fn record(&self, id: String) -> RequestRecord {
+        let in_progress = Arc::clone(&self.in_progress);
+        RequestRecord::begin(id, self.life.clone(), self.metrics.clone(), in_progress)
+    }
+
+    /// Why new work is refused now, if it is.
+    pub fn refusal(&self) -> Option<ErrorKind> {
+        if !self.drain.takes_work() {
+            return Some(ErrorKind::Stopping);
+        }
+        self.fleet.table().is_none().then_some(ErrorKind::NotReady)
+    }
+
+    /// True when the balancer should send requests here.
+    pub fn is_healthy(&self) -> bool {
+        self.drain.phase() == DrainPhase::Serving && self.fleet.table().is_some()
+    }
+
+    /// Requests in progress.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+}
