--- a/crates/core/src/cost_estimate.rs
+++ b/crates/core/src/cost_estimate.rs
@@ -20,7 +20,8 @@
 /// Estimates per (workspace, target), both as dense indices.
 ///
 /// At most `limit` pairs are held; the least recently used half is dropped
-/// when the limit is reached.
+/// when the limit is reached. With a limit of zero nothing is learnt and the
+/// hints are used as they are.
 ///
 /// ```
 /// use baobabfall_core::cost_estimate::CostEstimate;
@@ -39,7 +40,7 @@
 impl CostEstimate {
     /// Creates an empty table of at most `limit` pairs.
     pub fn new(limit: usize) -> Self {
-        Self { learnt: SortedMap::new(), limit: limit.max(2), clock: 0 }
+        Self { learnt: SortedMap::new(), limit, clock: 0 }
     }
 
     /// Number of pairs held.
@@ -67,6 +68,9 @@
 
     /// Takes the settled cost of a request that was granted with `hint`.
     pub fn learn(&mut self, pair: (usize, usize), hint: CostUnits, cost: CostUnits) {
+        if self.limit == 0 {
+            return;
+        }
         self.clock += 1;
         if let Some(learnt) = self.learnt.get_mut(&pair) {
             learnt.mean_cost = shift_mean(learnt.mean_cost, cost);
--- /dev/null
+++ b/crates/core/src/decision_workload.rs
@@ -0,0 +1,151 @@
+//! Synthetic load for timing single dispatch decisions.
+//!
+//! This module reads no clock; the bench times [`DecisionWorkload::run`].
+
+use crate::dispatch_messages::{
+    BacklogEntry, DispatchReport, LeaseEnd, LeaseUsage, NodeIdentity, UNITS_PER_TOKEN,
+};
+use crate::dispatch_settings::DispatchSettings;
+use crate::slot_dispatcher::SlotDispatcher;
+use crate::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
+use crate::workspace_table::{RowChange, WorkspaceRow, WorkspaceTable};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// Upstreams of the workload.
+const UPSTREAMS: u16 = 18;
+/// Slots per upstream.
+const SLOTS: u32 = 4096;
+/// Requests that wait per backlogged workspace.
+const QUEUED: u32 = 1_000_000;
+/// Models of the workload, each served by every upstream.
+const MODELS: usize = 13;
+
+/// A dispatcher with backlog in some of its workspaces.
+///
+/// ```
+/// use baobabfall_core::decision_workload::DecisionWorkload;
+/// let mut workload = DecisionWorkload::new(850, 85);
+/// assert_eq!(workload.run(1_000), 1_000);
+/// assert_eq!(workload.release(), 1_000);
+/// ```
+#[derive(Clone, Debug)]
+pub struct DecisionWorkload {
+    dispatcher: SlotDispatcher,
+    sequence: u64,
+}
+
+impl DecisionWorkload {
+    /// Creates `workspaces` of which the first `backlogged` have waiting
+    /// requests.
+    pub fn new(workspaces: usize, backlogged: usize) -> Self {
+        let now = Duration::ZERO;
+        let mut dispatcher = SlotDispatcher::new(now, 1, DispatchSettings::default());
+        dispatcher.expect_routers(["entry-1"]);
+        let mut table = WorkspaceTable::default();
+        let rows = (0..workspaces).map(|index| RowChange::Put { row: workload_row(index) });
+        table.apply(&rows.collect::<Vec<_>>());
+        dispatcher.set_table(now, &table);
+        let upstreams: Vec<_> = (0..UPSTREAMS).map(workload_upstream).collect();
+        dispatcher.set_upstreams(now, &upstreams);
+        let backlog = (0..backlogged).map(|index| BacklogEntry {
+            target: WorkTarget { kind: UpstreamKind::Model, name: model_name(index % MODELS) },
+            workspace: workspace_name(index),
+            queued: QUEUED,
+            cost_hint: UNITS_PER_TOKEN * 100,
+            prefix: None,
+            avoid: None,
+        });
+        let backlog = backlog.collect();
+        let mut workload = Self { dispatcher, sequence: 0 };
+        workload.report(backlog, Vec::new(), 0);
+        workload
+    }
+
+    fn report(&mut self, backlog: Vec<BacklogEntry>, usage: Vec<LeaseUsage>, received: u64) {
+        self.sequence += 1;
+        let report = DispatchReport {
+            router: NodeIdentity { name: "entry-1".to_owned(), incarnation: 1 },
+            zone: "a".to_owned(),
+            term: self.dispatcher.term(),
+            sequence: self.sequence,
+            full: self.sequence == 1,
+            backlog,
+            usage,
+            received_grant: received,
+            wait_ms: 0,
+        };
+        self.dispatcher.apply_report(Duration::ZERO, &report);
+        self.dispatcher.finish_recovery(Duration::ZERO);
+    }
+
+    /// Makes up to `decisions` single grants and returns their number. At
+    /// most 73,728 slots are free after creation or a release.
+    pub fn run(&mut self, decisions: usize) -> usize {
+        (0..decisions).take_while(|_| self.dispatcher.dispatch_one(Duration::ZERO)).count()
+    }
+
+    /// Ends every running request and returns their number.
+    pub fn release(&mut self) -> usize {
+        let answer = self.dispatcher.take_answer(Duration::ZERO, "entry-1");
+        let received = answer.grants.last().map_or(0, |grant| grant.lease.number);
+        let usage: Vec<LeaseUsage> = answer
+            .grants
+            .into_iter()
+            .map(|grant| LeaseUsage {
+                lease: grant.lease,
+                upstream: grant.upstream.name,
+                incarnation: grant.upstream.incarnation,
+                target: grant.target,
+                workspace: grant.workspace,
+                charged: UNITS_PER_TOKEN * 100,
+                first_token_ms: None,
+                end: Some(LeaseEnd::Finished),
+            })
+            .collect();
+        let ended = usage.len();
+        self.report(Vec::new(), usage, received);
+        ended
+    }
+}
+
+fn workspace_name(index: usize) -> String {
+    format!("workspace-{index:05}")
+}
+
+fn model_name(index: usize) -> String {
+    format!("model-{index}")
+}
+
+fn workload_row(index: usize) -> WorkspaceRow {
+    WorkspaceRow {
+        name: workspace_name(index),
+        key_hashes: Vec::new(),
+        weight: 1 + u32::try_from(index % 7).unwrap_or_default(),
+        concurrency: 100_000,
+        requests_per_minute: 10_000_000,
+        tokens_per_minute: 1_000_000_000_000,
+        queue_length: 1_000_000,
+        request_kib: 1024,
+        protected: false,
+    }
+}
+
+fn workload_upstream(index: u16) -> UpstreamAnnouncement {
+    UpstreamAnnouncement {
+        name: format!("engine-{index}"),
+        incarnation: 1,
+        sequence: 1,
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 10_000 + index)),
+        kind: UpstreamKind::Model,
+        serves: (0..MODELS).map(model_name).collect(),
+        zone: format!("zone-{}", index % 3),
+        concurrency: SLOTS,
+        pool: None,
+        honours_fencing: false,
+        resume: false,
+        cancel: false,
+        leaving: false,
+        running: None,
+    }
+}
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -16,8 +16,10 @@
     ///
     /// Reports of an older incarnation and repeated or late ones have no
     /// effect. A new incarnation frees the leases of the older one. Until a
-    /// router has sent a full report in this term its other reports do not
-    /// count, and the answer asks for a full one.
+    /// router has sent a full report for this term its other reports do not
+    /// count, and the answer asks for a full one. A report for another term
+    /// only shows that the router is alive: a late one could hide leases that
+    /// the router started since.
     pub fn apply_report(&mut self, now: Duration, report: &DispatchReport) -> bool {
         let id = self.router_id(now, report);
         let known = self.routers[id].identity.incarnation;
@@ -33,7 +35,7 @@
             return false;
         }
         router.heard = now;
-        if !report.full && !router.synced {
+        if report.term != self.term || (!report.full && !router.synced) {
             return false;
         }
         router.synced = true;
@@ -171,11 +173,11 @@
     ) {
         let mut ended: Vec<LeaseId> = Vec::new();
         for usage in &report.usage {
-            let repeated = ended.contains(&usage.lease);
+            let known = self.routers[id].leases.contains_key(&usage.lease);
+            let repeated = !known && ended.contains(&usage.lease);
             if usage.end.is_some() {
                 ended.push(usage.lease);
             }
-            let known = self.routers[id].leases.contains_key(&usage.lease);
             if !known && (repeated || !self.adopt_lease(now, id, usage)) {
                 continue;
             }
@@ -191,6 +193,7 @@
             self.end_unlisted(now, id, report, touched);
             self.routers[id].reclaimed.clear();
         }
+        ended.sort_unstable();
         self.routers[id].ended = ended;
     }
 
@@ -217,7 +220,7 @@
     /// Adds a lease of an earlier term, of local mode or reclaimed before.
     /// False when it has ended already.
     fn adopt_lease(&mut self, now: Duration, id: usize, usage: &LeaseUsage) -> bool {
-        if self.routers[id].ended.contains(&usage.lease) {
+        if self.routers[id].ended.binary_search(&usage.lease).is_ok() {
             return false;
         }
         let Some(target) = self.target_id(&usage.target) else { return false };
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -91,7 +91,11 @@
     pub router: NodeIdentity,
     /// Availability zone of the router.
     pub zone: String,
-    /// Grows with each report of one incarnation.
+    /// Highest term of an answer that the router has seen, zero before the
+    /// first. A report only counts at the dispatcher of this term, because a
+    /// delta refers to what that dispatcher acknowledged.
+    pub term: u64,
+    /// Grows with each report of one incarnation, from 1.
     pub sequence: u64,
     /// True when the report lists the whole backlog and every held lease.
     pub full: bool,
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -289,6 +289,14 @@
         })
     }
 
+    /// Requests of a workspace for a target that wait without a grant.
+    pub fn backlog(&self, workspace: &str, target: &WorkTarget) -> u32 {
+        let workspace = self.workspace_names.get(workspace).map(|id| &self.workspaces[*id]);
+        let target = self.target_names.get(target);
+        let queue = workspace.zip(target).and_then(|(held, target)| held.queues.get(target));
+        queue.map_or(0, |queue| queue.waiting())
+    }
+
     /// Slots per upstream at `now`.
     pub fn upstreams(&self, now: Duration) -> impl Iterator<Item = UpstreamView<'_>> {
         self.upstream_names.values().map(move |id| {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backlog_queue;
 pub mod cost_estimate;
+pub mod decision_workload;
 mod dispatch_intake;
 mod dispatch_ledger;
 pub mod dispatch_messages;
@@ -14,6 +15,8 @@
 mod dispatch_upstreams;
 pub mod error_kind;
 pub mod fair_order;
+pub mod local_dispatcher;
+pub mod naive_dispatcher;
 pub mod placement;
 pub mod rate_limit;
 pub mod retry_budget;
--- /dev/null
+++ b/crates/core/src/local_dispatcher.rs
@@ -0,0 +1,439 @@
+//! Dispatch inside one router while no dispatcher answers.
+//!
+//! The router reuses the slots of the leases that it holds for its own
+//! backlog, in fair-queueing order over that backlog. After a longer loss it
+//! uses a fixed share of each upstream instead, because a dispatcher that it
+//! cannot reach reclaims the held slots at that time.
+
+use crate::cost_estimate::FIRST_ESTIMATE;
+use crate::dispatch_messages::{
+    BacklogEntry, CostUnits, LeaseEnd, LeaseId, LeaseUsage, SlotGrant, UpstreamRoute,
+};
+use crate::fair_order::{AccountValue, FairAccount, weighted_cost};
+use crate::sorted_map::SortedMap;
+use crate::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
+use crate::workspace_table::WorkspaceTable;
+use std::time::Duration;
+
+/// Term of leases that a router grants to itself; dispatchers start at 1.
+pub const LOCAL_TERM: u64 = 0;
+
+/// What a router knows when it enters local mode.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LocalSettings {
+    /// When the last answer of a dispatcher arrived.
+    pub lost_at: Duration,
+    /// Time from the last answer until the isolated share replaces the held
+    /// slots.
+    pub isolation_wait: Duration,
+    /// Number of routers in the last answer.
+    pub routers: u32,
+    /// Differs between routers; spreads the least share of one slot per pool
+    /// over the upstreams of the pool.
+    pub seed: u64,
+    /// Number of the first local lease, higher than every earlier one of
+    /// this router incarnation.
+    pub first_number: u64,
+}
+
+impl Default for LocalSettings {
+    fn default() -> Self {
+        Self {
+            lost_at: Duration::ZERO,
+            isolation_wait: Duration::from_secs(10),
+            routers: 1,
+            seed: 0,
+            first_number: 1,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct LocalUpstream {
+    announcement: UpstreamAnnouncement,
+    /// Slots of held leases when local mode began.
+    held: u32,
+    running: u32,
+}
+
+#[derive(Clone, Debug)]
+struct LocalLease {
+    usage: LeaseUsage,
+    weight: u32,
+    charge: AccountValue,
+    estimate: CostUnits,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LocalWorkspace {
+    weight: u32,
+    concurrency: u32,
+    running: u32,
+}
+
+/// Name of a pool with the kind of its upstreams.
+type PoolKey = (UpstreamKind, String);
+
+/// Dispatcher of one router's own backlog.
+///
+/// ```
+/// use baobabfall_core::dispatch_messages::*;
+/// use baobabfall_core::local_dispatcher::{LocalDispatcher, LocalSettings};
+/// use baobabfall_core::upstream_registry::*;
+/// use baobabfall_core::workspace_table::{WorkspaceTable, hash_key};
+/// use std::time::Duration;
+///
+/// let table = format!(
+///     "workspace,key_hash,weight,concurrency,requests_per_minute,tokens_per_minute,queue_length,request_kib\n\
+///      team-a,{},1,8,600,100000,50,1024\n",
+///     hash_key("secret")
+/// );
+/// let table = WorkspaceTable::parse_csv(table.as_bytes()).unwrap();
+/// let target = WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() };
+/// let mut held = LeaseUsage {
+///     lease: LeaseId { term: 3, number: 7 },
+///     upstream: "engine-1".to_owned(),
+///     incarnation: 1,
+///     target: target.clone(),
+///     workspace: "team-a".to_owned(),
+///     charged: 10,
+///     first_token_ms: None,
+///     end: None,
+/// };
+/// let engine = UpstreamAnnouncement {
+///     name: "engine-1".to_owned(),
+///     incarnation: 1,
+///     sequence: 1,
+///     address: "127.0.0.1:9000".parse().unwrap(),
+///     kind: UpstreamKind::Model,
+///     serves: vec!["small".to_owned()],
+///     zone: "a".to_owned(),
+///     concurrency: 8,
+///     pool: None,
+///     honours_fencing: false,
+///     resume: false,
+///     cancel: false,
+///     leaving: false,
+///     running: None,
+/// };
+/// let now = Duration::ZERO;
+/// let mut local = LocalDispatcher::new(LocalSettings::default(), &table, [&held]);
+/// local.set_upstreams([&engine]);
+/// local.set_backlog(&BacklogEntry {
+///     target,
+///     workspace: "team-a".to_owned(),
+///     queued: 1,
+///     cost_hint: 0,
+///     prefix: None,
+///     avoid: None,
+/// });
+/// assert!(local.dispatch(now).is_empty(), "the held slot is in use");
+/// held.end = Some(LeaseEnd::Finished);
+/// local.record_usage(&held);
+/// assert_eq!(local.dispatch(now).len(), 1);
+/// assert_eq!(local.usage().count(), 1);
+/// ```
+#[derive(Clone, Debug)]
+pub struct LocalDispatcher {
+    settings: LocalSettings,
+    workspaces: SortedMap<String, LocalWorkspace>,
+    upstreams: SortedMap<String, LocalUpstream>,
+    /// Held slots by upstream name and incarnation.
+    held: SortedMap<(String, u64), u32>,
+    accounts: SortedMap<(PoolKey, String), FairAccount>,
+    /// Highest account to which a request of a pool was granted.
+    virtual_times: SortedMap<PoolKey, AccountValue>,
+    backlog: SortedMap<(String, WorkTarget), BacklogEntry>,
+    leases: SortedMap<LeaseId, LocalLease>,
+    /// Ended local leases that no report carried yet.
+    ended: Vec<LeaseUsage>,
+    next_number: u64,
+}
+
+impl LocalDispatcher {
+    /// Starts local mode with the leases that the router holds.
+    pub fn new<'a>(
+        settings: LocalSettings,
+        table: &WorkspaceTable,
+        held: impl IntoIterator<Item = &'a LeaseUsage>,
+    ) -> Self {
+        let mut local = Self {
+            settings,
+            workspaces: SortedMap::new(),
+            upstreams: SortedMap::new(),
+            held: SortedMap::new(),
+            accounts: SortedMap::new(),
+            virtual_times: SortedMap::new(),
+            backlog: SortedMap::new(),
+            leases: SortedMap::new(),
+            ended: Vec::new(),
+            next_number: settings.first_number,
+        };
+        local.set_table(table);
+        for usage in held.into_iter().filter(|usage| usage.end.is_none()) {
+            let key = (usage.upstream.clone(), usage.incarnation);
+            *local.held.get_or_insert_with(key, || 0) += 1;
+            local.add_lease(usage.clone(), 0);
+        }
+        local
+    }
+
+    /// Takes weights and limits. Concurrency limits hold per router here.
+    pub fn set_table(&mut self, table: &WorkspaceTable) {
+        let rows = table.rows().values().map(|row| {
+            let running = self.workspaces.get(&row.name).map_or(0, |held| held.running);
+            let (weight, concurrency) = (row.weight, row.concurrency);
+            (row.name.clone(), LocalWorkspace { weight, concurrency, running })
+        });
+        self.workspaces = rows.collect();
+    }
+
+    /// Takes the upstreams that may get new work.
+    pub fn set_upstreams<'a>(&mut self, live: impl IntoIterator<Item = &'a UpstreamAnnouncement>) {
+        let live = live.into_iter().filter(|announcement| !announcement.leaving);
+        let upstreams = live.map(|announcement| {
+            let key = (announcement.name.clone(), announcement.incarnation);
+            let held = self.held.get(&key).copied().unwrap_or(0);
+            let running = self.count_running(&key);
+            let announcement = announcement.clone();
+            (key.0, LocalUpstream { announcement, held, running })
+        });
+        self.upstreams = upstreams.collect();
+    }
+
+    fn count_running(&self, key: &(String, u64)) -> u32 {
+        let leases = self.leases.values().map(|lease| &lease.usage);
+        let running = leases.filter(|usage| usage.upstream == key.0 && usage.incarnation == key.1);
+        u32::try_from(running.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Takes the length of one queue of the router; zero clears it.
+    pub fn set_backlog(&mut self, entry: &BacklogEntry) {
+        let key = (entry.workspace.clone(), entry.target.clone());
+        if entry.queued == 0 {
+            self.backlog.remove(&key);
+            self.update_backlogged(&key.0);
+            return;
+        }
+        self.backlog.insert(key, entry.clone());
+        self.start_accounts(&entry.workspace, &entry.target);
+    }
+
+    /// A newly backlogged workspace starts at the pool's minimum at least.
+    fn start_accounts(&mut self, workspace: &str, target: &WorkTarget) {
+        let serving = self.upstreams.values().filter(|held| held.announcement.can_serve(target));
+        let mut pools: Vec<PoolKey> = serving.map(|held| pool_key(&held.announcement)).collect();
+        pools.sort_unstable();
+        pools.dedup();
+        for pool in pools {
+            let minimum = self.virtual_times.get(&pool).copied().unwrap_or(0);
+            let key = (pool, workspace.to_owned());
+            let account = self.accounts.get_or_insert_with(key, FairAccount::default);
+            if !account.backlogged {
+                account.raise_to(minimum);
+            }
+            account.backlogged = true;
+        }
+    }
+
+    fn update_backlogged(&mut self, workspace: &str) {
+        if self.backlog.keys().any(|key| key.0 == workspace) {
+            return;
+        }
+        for (key, account) in self.accounts.iter_mut() {
+            account.backlogged &= key.1 != workspace;
+        }
+    }
+
+    /// Grants every slot that the router may use now.
+    pub fn dispatch(&mut self, now: Duration) -> Vec<SlotGrant> {
+        let slots = self.usable_slots(now);
+        let mut grants = Vec::new();
+        while let Some((key, upstream)) = self.next_request(&slots) {
+            grants.push(self.grant(&key, &upstream));
+        }
+        grants
+    }
+
+    /// Slots per upstream, in the order of the names.
+    fn usable_slots(&self, now: Duration) -> Vec<u32> {
+        let held = self.upstreams.values().map(|upstream| upstream.held);
+        if now < self.settings.lost_at + self.settings.isolation_wait {
+            return held.collect();
+        }
+        let routers = self.settings.routers.max(1);
+        let upstreams = self.upstreams.values();
+        let mut slots: Vec<u32> =
+            upstreams.map(|upstream| upstream.announcement.concurrency / routers).collect();
+        self.give_least_share(&mut slots);
+        slots
+    }
+
+    /// Raises the share of a pool without slots to one.
+    fn give_least_share(&self, slots: &mut [u32]) {
+        let mut pools: SortedMap<PoolKey, Vec<usize>> = SortedMap::new();
+        for (index, upstream) in self.upstreams.values().enumerate() {
+            pools.get_or_insert_with(pool_key(&upstream.announcement), Vec::new).push(index);
+        }
+        for members in pools.values() {
+            if members.iter().all(|index| slots[*index] == 0) {
+                let count = u64::try_from(members.len()).unwrap_or(u64::MAX);
+                let chosen = usize::try_from(self.settings.seed % count).unwrap_or_default();
+                slots[members[chosen]] = 1;
+            }
+        }
+    }
+
+    /// The queue with the lowest account that a free slot can serve, and the
+    /// upstream to use.
+    fn next_request(&self, slots: &[u32]) -> Option<((String, WorkTarget), String)> {
+        let candidates = self.backlog.iter().filter_map(|(key, entry)| {
+            let workspace = self.workspaces.get(&key.0)?;
+            if workspace.running >= workspace.concurrency {
+                return None;
+            }
+            let upstream = self.choose_upstream(entry, slots)?;
+            let account = (pool_key(&upstream.announcement), key.0.clone());
+            let value = self.accounts.get(&account).map_or(0, |account| account.value);
+            Some((value, key, upstream))
+        });
+        let (_, key, upstream) = candidates.min_by_key(|(value, key, _)| (*value, *key))?;
+        Some((key.clone(), upstream.announcement.name.clone()))
+    }
+
+    fn choose_upstream(&self, entry: &BacklogEntry, slots: &[u32]) -> Option<&LocalUpstream> {
+        let upstreams = self.upstreams.values().zip(slots);
+        let free = upstreams.filter(|(upstream, slots)| {
+            upstream.running < **slots && upstream.announcement.can_serve(&entry.target)
+        });
+        let chosen = free.min_by_key(|(upstream, slots)| {
+            let avoided = entry.avoid.as_ref() == Some(&upstream.announcement.name);
+            let load = u64::from(upstream.running) * 65_536 / u64::from(**slots);
+            (avoided, load)
+        });
+        chosen.map(|(upstream, _)| upstream)
+    }
+
+    fn grant(&mut self, key: &(String, WorkTarget), upstream: &str) -> SlotGrant {
+        let announcement =
+            &self.upstreams.get(upstream).expect("the chosen upstream is known").announcement;
+        let route = route_of(announcement);
+        let pool = pool_key(announcement);
+        let lease = LeaseId { term: LOCAL_TERM, number: self.next_number };
+        self.next_number += 1;
+        let entry = self.backlog.get_mut(key).expect("the chosen queue is known");
+        entry.queued -= 1;
+        let estimate = if entry.cost_hint == 0 { FIRST_ESTIMATE } else { entry.cost_hint };
+        entry.avoid = None;
+        let queued = entry.queued;
+        let account = (pool.clone(), key.0.clone());
+        let value = self.accounts.get(&account).map_or(0, |account| account.value);
+        let virtual_time = self.virtual_times.get_or_insert_with(pool, || 0);
+        *virtual_time = value.max(*virtual_time);
+        let usage = LeaseUsage {
+            lease,
+            upstream: route.name.clone(),
+            incarnation: route.incarnation,
+            target: key.1.clone(),
+            workspace: key.0.clone(),
+            charged: 0,
+            first_token_ms: None,
+            end: None,
+        };
+        self.add_lease(usage, estimate);
+        if queued == 0 {
+            self.backlog.remove(key);
+            self.update_backlogged(&key.0);
+        }
+        SlotGrant { lease, target: key.1.clone(), workspace: key.0.clone(), upstream: route }
+    }
+
+    fn add_lease(&mut self, usage: LeaseUsage, estimate: CostUnits) {
+        let workspace = self.workspaces.get_mut(&usage.workspace);
+        let weight = workspace.as_ref().map_or(1, |workspace| workspace.weight);
+        if let Some(workspace) = workspace {
+            workspace.running += 1;
+        }
+        let charge = weighted_cost(estimate, weight);
+        if let Some(upstream) = self.upstreams.get_mut(&usage.upstream)
+            && upstream.announcement.incarnation == usage.incarnation
+        {
+            upstream.running += 1;
+            let key = (pool_key(&upstream.announcement), usage.workspace.clone());
+            self.accounts.get_or_insert_with(key, FairAccount::default).replace_charge(0, charge);
+        }
+        self.leases.insert(usage.lease, LocalLease { usage, weight, charge, estimate });
+    }
+
+    /// Takes the cost so far or the end of a held or local lease. An ended
+    /// lease frees its slot for the router's own backlog.
+    pub fn record_usage(&mut self, usage: &LeaseUsage) {
+        let Some(lease) = self.leases.get_mut(&usage.lease) else { return };
+        lease.usage.charged = lease.usage.charged.max(usage.charged);
+        lease.usage.first_token_ms = usage.first_token_ms;
+        lease.usage.end = usage.end;
+        let counted = match usage.end {
+            Some(_) => lease.usage.charged,
+            None => lease.usage.charged.max(lease.estimate),
+        };
+        let charge = weighted_cost(counted, lease.weight);
+        let old = std::mem::replace(&mut lease.charge, charge);
+        if let Some(upstream) = self.upstreams.get(&usage.upstream) {
+            let key = (pool_key(&upstream.announcement), usage.workspace.clone());
+            let account = self.accounts.get_or_insert_with(key, FairAccount::default);
+            account.replace_charge(old, charge);
+        }
+        if usage.end.is_some() {
+            self.end_lease(usage);
+        }
+    }
+
+    fn end_lease(&mut self, usage: &LeaseUsage) {
+        let Some(lease) = self.leases.remove(&usage.lease) else { return };
+        if let Some(workspace) = self.workspaces.get_mut(&usage.workspace) {
+            workspace.running = workspace.running.saturating_sub(1);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(&usage.upstream)
+            && upstream.announcement.incarnation == usage.incarnation
+        {
+            upstream.running = upstream.running.saturating_sub(1);
+        }
+        if usage.lease.term == LOCAL_TERM && usage.end != Some(LeaseEnd::Unused) {
+            self.ended.push(lease.usage);
+        }
+    }
+
+    /// Local leases, running and ended, for the next full report. The router
+    /// reports the leases of dispatchers itself.
+    pub fn usage(&self) -> impl Iterator<Item = &LeaseUsage> {
+        let running = self.leases.values().map(|lease| &lease.usage);
+        running.filter(|usage| usage.lease.term == LOCAL_TERM).chain(&self.ended)
+    }
+
+    /// Forgets ended leases once a report that listed them is acknowledged.
+    pub fn forget_ended(&mut self) {
+        self.ended.clear();
+    }
+
+    /// Number for the next local lease; the `first_number` of a later
+    /// dispatcher of the same router incarnation.
+    pub fn next_number(&self) -> u64 {
+        self.next_number
+    }
+}
+
+fn pool_key(announcement: &UpstreamAnnouncement) -> PoolKey {
+    (announcement.kind, announcement.pool_name().to_owned())
+}
+
+/// Route to an announced upstream.
+pub fn route_of(announcement: &UpstreamAnnouncement) -> UpstreamRoute {
+    UpstreamRoute {
+        name: announcement.name.clone(),
+        incarnation: announcement.incarnation,
+        address: announcement.address,
+        honours_fencing: announcement.honours_fencing,
+        resume: announcement.resume,
+        cancel: announcement.cancel,
+    }
+}
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -20,10 +20,8 @@
 use crate::workspace_table::WorkspaceTable;
 use std::time::Duration;
 
-/// Bits of a grant number below the term. Numbers of a later term are higher
-/// than all of an earlier one, so a router's `received_grant` of an earlier
-/// term never acknowledges a grant of this one.
-const GRANT_NUMBER_BITS: u32 = 40;
+/// Most grants of one answer; it keeps the message under its size limit.
+const GRANTS_PER_ANSWER: usize = 1024;
 
 /// Fair dispatcher of one term.
 ///
@@ -65,6 +63,7 @@
 /// dispatcher.apply_report(now, &DispatchReport {
 ///     router: NodeIdentity { name: "entry-1".to_owned(), incarnation: 1 },
 ///     zone: "a".to_owned(),
+///     term: 1,
 ///     sequence: 1,
 ///     full: true,
 ///     backlog: vec![BacklogEntry {
@@ -127,7 +126,7 @@
             started: now,
             recovering: true,
             expected: None,
-            last_grant: term << GRANT_NUMBER_BITS,
+            last_grant: 0,
             decisions: 0,
             stamp: 0,
             workspace_names: SortedMap::new(),
@@ -227,11 +226,15 @@
         !self.recovering && (0..self.pools.len()).any(|pool| self.grant_next(now, pool))
     }
 
+    /// Ends the recovery if its conditions are met; true once it has ended.
+    pub fn finish_recovery(&mut self, now: Duration) -> bool {
+        self.recovering = self.recovering && !self.is_recovered(now);
+        !self.recovering
+    }
+
     /// Applies the changes that come with time alone.
     fn advance(&mut self, now: Duration) {
-        if self.recovering {
-            self.recovering = !self.is_recovered(now);
-        }
+        self.finish_recovery(now);
         while let Some((due, id)) = self.blocked.peek()
             && due <= now
         {
@@ -380,10 +383,10 @@
         });
         let router = &mut self.routers[id];
         router.refused = refused;
-        router.wake = false;
+        router.wake = router.pending.len() > GRANTS_PER_ANSWER;
         answer.resync = !router.synced;
         answer.acknowledged = router.sequence;
-        answer.grants = router.pending.iter().cloned().collect();
+        answer.grants = router.pending.iter().take(GRANTS_PER_ANSWER).cloned().collect();
         answer
     }
 
--- /dev/null
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -0,0 +1,275 @@
+//! Builders and a simulated fleet of routers for the dispatcher tests.
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use baobabfall_core::dispatch_messages::*;
+use baobabfall_core::dispatch_settings::DispatchSettings;
+use baobabfall_core::slot_dispatcher::SlotDispatcher;
+use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_core::upstream_registry::*;
+use baobabfall_core::workspace_table::*;
+use quickcheck::{Arbitrary, Gen};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+pub const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+pub fn target(name: &str) -> WorkTarget {
+    WorkTarget { kind: UpstreamKind::Model, name: name.to_owned() }
+}
+
+pub fn row(name: &str, weight: u32, concurrency: u32) -> WorkspaceRow {
+    WorkspaceRow {
+        name: name.to_owned(),
+        key_hashes: vec![],
+        weight,
+        concurrency,
+        requests_per_minute: 10_000_000,
+        tokens_per_minute: 1_000_000_000_000,
+        queue_length: 1_000_000,
+        request_kib: 1024,
+        protected: false,
+    }
+}
+
+pub fn table(rows: &[WorkspaceRow]) -> WorkspaceTable {
+    let mut table = WorkspaceTable::default();
+    let changes = rows.iter().map(|row| RowChange::Put { row: row.clone() });
+    table.apply(&changes.collect::<Vec<_>>());
+    table
+}
+
+pub fn engine(name: &str, serves: &[&str], concurrency: u32) -> UpstreamAnnouncement {
+    UpstreamAnnouncement {
+        name: name.to_owned(),
+        incarnation: 1,
+        sequence: 1,
+        address: ([127, 0, 0, 1], 9000).into(),
+        kind: UpstreamKind::Model,
+        serves: serves.iter().map(|name| (*name).to_owned()).collect(),
+        zone: "a".to_owned(),
+        concurrency,
+        pool: None,
+        honours_fencing: false,
+        resume: false,
+        cancel: false,
+        leaving: false,
+        running: None,
+    }
+}
+
+pub fn entry(workspace: &str, queued: u32, cost_hint: CostUnits) -> BacklogEntry {
+    BacklogEntry {
+        target: target("m"),
+        workspace: workspace.to_owned(),
+        queued,
+        cost_hint,
+        prefix: None,
+        avoid: None,
+    }
+}
+
+pub fn usage(grant: &SlotGrant, charged: CostUnits, end: Option<LeaseEnd>) -> LeaseUsage {
+    LeaseUsage {
+        lease: grant.lease,
+        upstream: grant.upstream.name.clone(),
+        incarnation: grant.upstream.incarnation,
+        target: grant.target.clone(),
+        workspace: grant.workspace.clone(),
+        charged,
+        first_token_ms: None,
+        end,
+    }
+}
+
+/// A router driven by hand: it numbers its reports and reports full first.
+pub struct ManualRouter {
+    pub identity: NodeIdentity,
+    pub term: u64,
+    pub sequence: u64,
+    pub received: u64,
+    pub full: bool,
+}
+
+impl ManualRouter {
+    pub fn new(name: &str) -> Self {
+        let identity = NodeIdentity { name: name.to_owned(), incarnation: 1 };
+        Self { identity, term: 1, sequence: 0, received: 0, full: true }
+    }
+
+    pub fn report(&mut self, backlog: Vec<BacklogEntry>, usage: Vec<LeaseUsage>) -> DispatchReport {
+        self.sequence += 1;
+        DispatchReport {
+            router: self.identity.clone(),
+            zone: "a".to_owned(),
+            term: self.term,
+            sequence: self.sequence,
+            full: std::mem::take(&mut self.full),
+            backlog,
+            usage,
+            received_grant: self.received,
+            wait_ms: 0,
+        }
+    }
+
+    /// Takes the grants that were not received before.
+    pub fn receive(&mut self, now: Duration, dispatcher: &mut SlotDispatcher) -> Vec<SlotGrant> {
+        let answer = dispatcher.take_answer(now, &self.identity.name);
+        let received = self.received;
+        self.received = answer.grants.iter().fold(received, |n, g| n.max(g.lease.number));
+        answer.grants.into_iter().filter(|grant| grant.lease.number > received).collect()
+    }
+}
+
+/// A dispatcher out of recovery that has a table and upstreams.
+pub fn ready(
+    settings: DispatchSettings,
+    rows: &[WorkspaceRow],
+    engines: &[UpstreamAnnouncement],
+) -> SlotDispatcher {
+    let mut dispatcher = SlotDispatcher::new(Duration::ZERO, 1, settings);
+    dispatcher.expect_routers([]);
+    dispatcher.set_table(Duration::ZERO, &table(rows));
+    dispatcher.set_upstreams(Duration::ZERO, engines);
+    dispatcher
+}
+
+/// Random numbers of a seeded generator.
+pub struct Dice(pub Gen);
+
+impl Dice {
+    pub fn new(seed: u64) -> Self {
+        Self(Gen::from_size_and_seed(64, seed))
+    }
+
+    pub fn below(&mut self, limit: usize) -> usize {
+        usize::arbitrary(&mut self.0) % limit
+    }
+
+    /// Heavy-tailed cost: each doubling is half as likely, up to 128 times.
+    pub fn cost(&mut self) -> CostUnits {
+        let doublings = (self.below(128) + 1).ilog2();
+        (500 + u64::arbitrary(&mut self.0) % 1000) << (7 - doublings)
+    }
+}
+
+pub struct SimRequest {
+    pub cost: CostUnits,
+    pub hint: CostUnits,
+}
+
+pub struct SimLease {
+    pub grant: SlotGrant,
+    pub cost: CostUnits,
+    pub done: CostUnits,
+    pub end: Option<LeaseEnd>,
+    /// Report that first listed the end.
+    pub ended_in: u64,
+}
+
+/// A router with its own queue, as the protocol describes it.
+pub struct SimRouter {
+    pub identity: NodeIdentity,
+    pub sequence: u64,
+    pub acknowledged: u64,
+    pub received: u64,
+    pub term: u64,
+    pub full: bool,
+    pub queues: SortedMap<(String, String), (u64, VecDeque<SimRequest>)>,
+    pub leases: Vec<SimLease>,
+}
+
+impl SimRouter {
+    pub fn new(name: &str, incarnation: u64) -> Self {
+        let identity = NodeIdentity { name: name.to_owned(), incarnation };
+        Self {
+            identity,
+            sequence: 0,
+            acknowledged: 0,
+            received: 0,
+            term: 0,
+            full: true,
+            queues: SortedMap::new(),
+            leases: Vec::new(),
+        }
+    }
+
+    pub fn queue(&mut self, workspace: &str, model: &str) -> &mut (u64, VecDeque<SimRequest>) {
+        let key = (workspace.to_owned(), model.to_owned());
+        self.queues.get_or_insert_with(key, || (0, VecDeque::new()))
+    }
+
+    pub fn arrive(&mut self, workspace: &str, model: &str, request: SimRequest) {
+        let next = self.sequence + 1;
+        let queue = self.queue(workspace, model);
+        queue.0 = next;
+        queue.1.push_back(request);
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &SimLease> {
+        self.leases.iter().filter(|lease| lease.end.is_none())
+    }
+
+    /// Lists what changed since the last acknowledged report.
+    pub fn report(&mut self) -> DispatchReport {
+        self.sequence += 1;
+        let (sequence, acknowledged, full) = (self.sequence, self.acknowledged, self.full);
+        let queues = self.queues.iter().filter(|(_, queue)| full || queue.0 > acknowledged);
+        let backlog = queues.map(|((workspace, model), (_, queue))| BacklogEntry {
+            target: target(model),
+            ..entry(
+                workspace,
+                u32::try_from(queue.len()).expect("queues are short"),
+                queue.front().map_or(0, |request| request.hint),
+            )
+        });
+        let backlog = backlog.collect();
+        for lease in self.leases.iter_mut().filter(|l| l.end.is_some() && l.ended_in == 0) {
+            lease.ended_in = sequence;
+        }
+        let usage = self.leases.iter().map(|lease| usage(&lease.grant, lease.done, lease.end));
+        DispatchReport {
+            router: self.identity.clone(),
+            zone: "a".to_owned(),
+            term: self.term,
+            sequence,
+            full,
+            backlog,
+            usage: usage.collect(),
+            received_grant: self.received,
+            wait_ms: 200,
+        }
+    }
+
+    /// Takes an answer and starts a request for each new grant.
+    pub fn answer(&mut self, answer: &DispatchAnswer) {
+        if answer.term < self.term {
+            return;
+        }
+        if answer.term > self.term {
+            (self.term, self.full, self.received) = (answer.term, true, 0);
+        }
+        self.full |= answer.resync;
+        if !answer.resync && answer.acknowledged > self.acknowledged {
+            self.acknowledged = answer.acknowledged;
+            self.full = false;
+            self.leases
+                .retain(|l| l.end.is_none() || l.ended_in == 0 || l.ended_in > answer.acknowledged);
+        }
+        for grant in &answer.grants {
+            assert_eq!(grant.lease.term, answer.term);
+            if grant.lease.number <= self.received {
+                continue;
+            }
+            self.received = grant.lease.number;
+            let next = self.sequence + 1;
+            let queue = self.queue(&grant.workspace, &grant.target.name);
+            queue.0 = next;
+            let request = queue.1.pop_front();
+            let end = request.is_none().then_some(LeaseEnd::Unused);
+            let cost = request.map_or(0, |request| request.cost);
+            self.leases.push(SimLease { grant: grant.clone(), cost, done: 0, end, ended_in: 0 });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/dispatch_limits.rs
@@ -0,0 +1,321 @@
+//! Focused tests of limits, placement, ejection and local mode.
+
+mod dispatch_fleet;
+
+use baobabfall_core::dispatch_messages::*;
+use baobabfall_core::dispatch_settings::{DispatchSettings, PlacementSettings};
+use baobabfall_core::fair_order::IndexedHeap;
+use baobabfall_core::local_dispatcher::{LOCAL_TERM, LocalDispatcher, LocalSettings};
+use baobabfall_core::placement::UpstreamCapacity;
+use baobabfall_core::rate_limit::TokenBucket;
+use baobabfall_core::retry_budget::{RetryBudget, RetrySettings, retry_wait};
+use baobabfall_core::slot_dispatcher::SlotDispatcher;
+use baobabfall_core::workspace_table::WorkspaceRow;
+use dispatch_fleet::*;
+use quickcheck::Arbitrary;
+use std::time::Duration;
+
+const START: Duration = Duration::ZERO;
+
+fn send(dispatcher: &mut SlotDispatcher, now: Duration, report: &DispatchReport) {
+    assert!(dispatcher.apply_report(now, report));
+    dispatcher.dispatch(now);
+}
+
+/// Guards against a workspace at its request rate that blocks others, gets
+/// more than its rate or waits longer than told.
+#[test]
+fn dispatch_request_rate_blocks_only_its_workspace() {
+    let limited = WorkspaceRow { requests_per_minute: 60, ..row("a", 1, 99) };
+    let engines = [engine("e", &["m"], 40)];
+    let mut dispatcher = ready(DispatchSettings::default(), &[limited, row("b", 1, 99)], &engines);
+    let mut router = ManualRouter::new("r");
+    let report = router.report(vec![entry("a", 50, 1_000), entry("b", 5, 1_000)], vec![]);
+    send(&mut dispatcher, START, &report);
+    let grants = router.receive(START, &mut dispatcher);
+    let of = |name: &str| grants.iter().filter(|grant| grant.workspace == name).count();
+    assert_eq!((of("a"), of("b")), (10, 5), "ten seconds of rate may be saved up");
+    assert_eq!(dispatcher.next_wakeup(START), Some(ms(1_000)));
+    assert_eq!(dispatcher.dispatch(ms(999)), 0);
+    assert_eq!(dispatcher.dispatch(ms(1_000)), 1);
+}
+
+/// Guards the token rate: it is charged as settled and may become negative;
+/// a long wait is refused with its time.
+#[test]
+fn dispatch_token_rate_refuses_long_waits() {
+    let limited = WorkspaceRow { tokens_per_minute: 60, ..row("a", 1, 99) };
+    let mut dispatcher = ready(DispatchSettings::default(), &[limited], &[engine("e", &["m"], 1)]);
+    let mut router = ManualRouter::new("r");
+    send(&mut dispatcher, START, &router.report(vec![entry("a", 5, 1_000)], vec![]));
+    let grant = router.receive(START, &mut dispatcher).remove(0);
+    let end = usage(&grant, 110 * UNITS_PER_TOKEN, Some(LeaseEnd::Finished));
+    send(&mut dispatcher, START, &router.report(vec![entry("a", 4, 1_000)], vec![end]));
+    assert_eq!(dispatcher.routers_to_wake(), ["r"]);
+    let answer = dispatcher.take_answer(START, "r");
+    assert!(answer.grants.is_empty());
+    let refusal = &answer.refusals[0];
+    assert_eq!((refusal.keep, refusal.retry_after_ms), (0, 100_001));
+    send(&mut dispatcher, START, &router.report(vec![entry("a", 0, 0)], vec![]));
+    assert!(dispatcher.take_answer(START, "r").refusals.is_empty());
+    let report = router.report(vec![entry("a", 1, 1_000)], vec![]);
+    assert!(dispatcher.apply_report(ms(100_002), &report));
+    assert_eq!(dispatcher.dispatch(ms(100_002)), 1);
+}
+
+/// Guards the fleet-wide queue length: only the excess is refused, at the
+/// router that reported last.
+#[test]
+fn take_answer_refuses_queue_excess() {
+    let limited = WorkspaceRow { queue_length: 10, ..row("a", 1, 99) };
+    let mut dispatcher = ready(DispatchSettings::default(), &[limited], &[]);
+    let (mut first, mut second) = (ManualRouter::new("r"), ManualRouter::new("s"));
+    send(&mut dispatcher, START, &first.report(vec![entry("a", 8, 0)], vec![]));
+    send(&mut dispatcher, START, &second.report(vec![entry("a", 5, 0)], vec![]));
+    assert!(dispatcher.take_answer(START, "r").refusals.is_empty());
+    let refusals = dispatcher.take_answer(START, "s").refusals;
+    assert_eq!((refusals[0].keep, refusals[0].retry_after_ms), (2, 1_000));
+}
+
+/// Guards the concurrency limit over all routers.
+#[test]
+fn dispatch_concurrency_is_fleet_wide() {
+    let engines = [engine("e", &["m"], 40)];
+    let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 3)], &engines);
+    for name in ["r", "s"] {
+        let report = ManualRouter::new(name).report(vec![entry("a", 9, 0)], vec![]);
+        send(&mut dispatcher, START, &report);
+    }
+    assert_eq!(dispatcher.decisions(), 3);
+}
+
+/// Guards exact refill: no rounding over many small steps.
+#[test]
+fn token_bucket_refills_exactly() {
+    let mut bucket = TokenBucket::new(START, 7, ms(0));
+    bucket.charge(START, 1);
+    for nanos in (0..60_000_000_000_u64 / 7).step_by(999_983) {
+        assert!(bucket.wait(Duration::from_nanos(nanos), 1).is_some());
+    }
+    assert!(bucket.wait(Duration::from_nanos(60_000_000_000 / 7 + 1), 1).is_none());
+}
+
+/// Guards the choice of a slot: avoided, affine, load, zone, planned stop.
+#[test]
+fn dispatch_chooses_upstream() {
+    let mut engines: Vec<_> = ["e0", "e1", "e2"].map(|name| engine(name, &["m"], 4)).into();
+    engines[2].zone = "z".to_owned();
+    let rows = [row("a", 1, 99)];
+    let chosen = |stopping: &[&str], zone: &str, entry: BacklogEntry| {
+        let mut dispatcher = ready(DispatchSettings::default(), &rows, &engines);
+        dispatcher.set_stopping_upstreams(START, stopping.iter().copied());
+        let mut router = ManualRouter::new("r");
+        let report = DispatchReport { zone: zone.to_owned(), ..router.report(vec![entry], vec![]) };
+        send(&mut dispatcher, START, &report);
+        let grants = router.receive(START, &mut dispatcher).into_iter();
+        grants.map(|grant| grant.upstream.name).collect::<Vec<_>>()
+    };
+    let avoiding = |name: &str| BacklogEntry { avoid: Some(name.to_owned()), ..entry("a", 1, 0) };
+    assert_eq!(chosen(&[], "z", entry("a", 1, 0)), ["e2"], "same zone first");
+    assert_eq!(chosen(&[], "z", entry("a", 2, 0)), ["e2", "e0"], "least loaded first");
+    assert_eq!(chosen(&[], "a", avoiding("e0")), ["e1"]);
+    assert_eq!(chosen(&["e1", "e2"], "a", avoiding("e0")), ["e0"], "no other can serve");
+    assert_eq!(chosen(&["e0", "e1", "e2"], "a", entry("a", 1, 0)), [""; 0]);
+    let mut dispatcher = ready(DispatchSettings::default(), &rows, &engines);
+    let mut router = ManualRouter::new("r");
+    for step in 0..3 {
+        let prefixed = BacklogEntry { prefix: Some(5), ..entry("a", 1, 0) };
+        send(&mut dispatcher, ms(step), &router.report(vec![prefixed], vec![]));
+        assert_eq!(router.receive(ms(step), &mut dispatcher)[0].upstream.name, "e0");
+    }
+}
+
+/// Guards the ejection bound: however many upstreams fail, at most half of
+/// the pool is ejected, also after the pool shrinks; and slow readmission.
+#[test]
+fn dispatch_ejects_at_most_half() {
+    let engines: Vec<_> = (0..5).map(|n| engine(&format!("e{n}"), &["m"], 4)).collect();
+    let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
+    let mut router = ManualRouter::new("r");
+    let mut ends = vec![];
+    for _ in 0..30 {
+        send(&mut dispatcher, START, &router.report(vec![entry("a", 20, 0)], ends));
+        let grants = router.receive(START, &mut dispatcher);
+        ends = grants.iter().map(|grant| usage(grant, 0, Some(LeaseEnd::Failed))).collect();
+        let ejected = dispatcher.upstreams(START).filter(|upstream| upstream.ejected).count();
+        assert!(ejected <= 2);
+    }
+    send(&mut dispatcher, START, &router.report(vec![entry("a", 0, 0)], ends));
+    let ejected = |dispatcher: &SlotDispatcher| -> Vec<String> {
+        let views = dispatcher.upstreams(START).filter(|upstream| upstream.ejected);
+        views.map(|upstream| upstream.name.to_owned()).collect()
+    };
+    let names = ejected(&dispatcher);
+    assert_eq!(names.len(), 2);
+    let kept: Vec<_> = engines.iter().filter(|e| names.contains(&e.name)).cloned().collect();
+    let mut shrunk = dispatcher.clone();
+    shrunk.set_upstreams(START, &kept);
+    assert_eq!(ejected(&shrunk).len(), 1);
+    dispatcher.dispatch(ms(5_000));
+    assert_eq!(ejected(&dispatcher).len(), 0);
+    let slots = |dispatcher: &mut SlotDispatcher, now: Duration| {
+        dispatcher.dispatch(now);
+        let slots = dispatcher.upstreams(now).find(|u| u.name == names[0]).map(|u| u.slots);
+        slots.unwrap()
+    };
+    assert_eq!(slots(&mut dispatcher, ms(5_001)), 1);
+    assert_eq!(slots(&mut dispatcher, ms(7_001)), 2);
+    assert_eq!(slots(&mut dispatcher, ms(9_001)), 4);
+}
+
+/// Guards the learnt capacity: it stays between 1 and the announced value,
+/// falls on each kind of overload and recovers.
+#[test]
+fn upstream_capacity_learns_within_bounds() {
+    let settings = PlacementSettings::default();
+    let at = Duration::from_secs;
+    let mut capacity = UpstreamCapacity::new(8, None);
+    for (second, lowest) in (1..).zip([6, 4, 3, 2, 1, 1, 1, 1]) {
+        capacity.record_end(at(second), &settings, LeaseEnd::Refused);
+        capacity.record_end(at(second), &settings, LeaseEnd::Refused);
+        assert_eq!(capacity.slots(at(second), &settings), lowest);
+    }
+    for (second, learnt) in (20..).zip([2, 3, 4, 5, 6, 7, 8, 8]) {
+        capacity.record_end(at(second), &settings, LeaseEnd::Finished);
+        assert_eq!(capacity.learnt(), learnt);
+    }
+    capacity.record_running(8);
+    capacity.record_load(at(50), &settings, 8, 2);
+    assert_eq!(capacity.learnt(), 8, "a lagging report of own requests is no overload");
+    (51..53).for_each(|second| capacity.record_load(at(second), &settings, 3, 2));
+    capacity.record_load(at(53), &settings, 9, 2);
+    assert_eq!(capacity.learnt(), 6);
+    (0..40).for_each(|_| capacity.record_first_token(at(60), &settings, 200));
+    assert_eq!(capacity.learnt(), 6);
+    (0..10).for_each(|_| capacity.record_first_token(at(61), &settings, 4_000));
+    assert_eq!(capacity.learnt(), 4);
+    capacity.set_announced(2);
+    assert_eq!(capacity.learnt(), 2);
+}
+
+/// Guards a joiner against a full load at once.
+#[test]
+fn set_upstreams_joiner_starts_slowly() {
+    let engines = [engine("e0", &["m"], 8), engine("e1", &["m"], 8)];
+    let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines[..1]);
+    dispatcher.set_upstreams(ms(60_000), &engines);
+    let slots = |now| dispatcher.upstreams(now).map(|u| u.slots).collect::<Vec<_>>();
+    assert_eq!(slots(ms(60_000)), [8, 1]);
+    assert_eq!(slots(ms(62_000)), [8, 4]);
+    assert_eq!(slots(ms(64_000)), [8, 8]);
+}
+
+/// Guards a restarted engine against the leases of its earlier incarnation.
+#[test]
+fn set_upstreams_restarted_engine_is_empty() {
+    let mut engines = [engine("e", &["m"], 2)];
+    let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
+    let mut router = ManualRouter::new("r");
+    send(&mut dispatcher, START, &router.report(vec![entry("a", 4, 0)], vec![]));
+    let old = router.receive(START, &mut dispatcher);
+    engines[0].incarnation = 2;
+    dispatcher.set_upstreams(START, &engines);
+    assert_eq!(dispatcher.dispatch(START), 2);
+    let ends = old.iter().map(|grant| usage(grant, 5, Some(LeaseEnd::Failed))).collect();
+    send(&mut dispatcher, START, &router.report(vec![], ends));
+    assert_eq!(dispatcher.upstreams(START).next().unwrap().running, 2);
+}
+
+/// Guards local mode: held slots are reused in fair order and never
+/// multiplied; leases that it made are listed until acknowledged.
+#[test]
+fn local_dispatcher_reuses_held_slots() {
+    let rows = table(&[row("a", 1, 99), row("b", 3, 99)]);
+    let engines = [engine("e", &["m"], 8)];
+    let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
+    let mut router = ManualRouter::new("r");
+    send(&mut dispatcher, START, &router.report(vec![entry("a", 2, 0)], vec![]));
+    let mut running = router.receive(START, &mut dispatcher);
+    let held: Vec<_> = running.iter().map(|grant| usage(grant, 0, None)).collect();
+    let settings = LocalSettings { routers: 4, first_number: 9, ..LocalSettings::default() };
+    let mut local = LocalDispatcher::new(settings, &rows, &held);
+    local.set_upstreams(&engines);
+    let mut served = [0, 0];
+    for _ in 0..400 {
+        local.set_backlog(&entry("a", 9, 1_000));
+        local.set_backlog(&entry("b", 9, 1_000));
+        running.extend(local.dispatch(START));
+        assert_eq!(running.len(), 2);
+        let done = running.remove(0);
+        served[usize::from(done.workspace == "b")] += 1;
+        local.record_usage(&usage(&done, 1_000, Some(LeaseEnd::Finished)));
+    }
+    assert!((95..=105).contains(&served[0]), "{served:?}");
+    assert_eq!(local.next_number(), 9 + 399);
+    assert_eq!(local.usage().count(), 399);
+    local.forget_ended();
+    assert!(local.usage().all(|usage| usage.lease.term == LOCAL_TERM && usage.end.is_none()));
+    local.set_upstreams(&[]);
+    assert!(local.dispatch(START).is_empty(), "no upstream may get new work");
+}
+
+/// Guards the isolated share: all shares together fit the upstream, and a
+/// router has one slot per pool at least.
+#[test]
+fn local_dispatcher_isolated_share() {
+    let engines = [engine("e", &["m"], 8), engine("f", &["m"], 2)];
+    for (routers, share) in [(3, 2), (8, 1), (30, 1)] {
+        let settings = LocalSettings { routers, seed: 1, ..LocalSettings::default() };
+        let mut local = LocalDispatcher::new(settings, &table(&[row("a", 1, 99)]), []);
+        local.set_upstreams(&engines);
+        local.set_backlog(&entry("a", 50, 0));
+        assert!(local.dispatch(ms(9_999)).is_empty());
+        assert_eq!(local.dispatch(ms(10_000)).len(), share);
+    }
+}
+
+/// Guards the retry share over every prefix of a history, and the backoff.
+#[test]
+fn retry_budget_stays_below_a_tenth() {
+    let settings = RetrySettings::default();
+    let (mut budget, mut dice) = (RetryBudget::new(settings), Dice::new(3));
+    let (mut requests, mut retries) = (0, 0);
+    for _ in 0..10_000 {
+        match dice.below(3) {
+            0 => retries += u32::from(budget.take_retry()),
+            _ => {
+                budget.record_request();
+                requests += 1;
+            }
+        }
+        assert!(retries * 10 <= requests);
+        let wait = retry_wait(&settings, retries % 9, u32::arbitrary(&mut dice.0));
+        let bound = ms(25 << (retries % 9)).min(ms(1_000));
+        assert!(wait >= bound / 2 && wait <= bound);
+    }
+    assert!(retries * 10 + 20 > requests, "the budget is used up");
+}
+
+/// Guards the heap against a lost or misplaced entry: it must agree with a
+/// scan after every change.
+#[test]
+fn indexed_heap_agrees_with_scan() {
+    let mut dice = Dice::new(11);
+    let (mut heap, mut naive) = (IndexedHeap::new(), vec![None; 40]);
+    for _ in 0..5_000 {
+        let index = dice.below(40);
+        let key = (dice.below(3) > 0).then(|| dice.below(50));
+        match key {
+            Some(key) => heap.set(index, key),
+            None => assert_eq!(heap.remove(index), naive[index].is_some()),
+        }
+        naive[index] = key;
+        let lowest = |skip: usize| {
+            let held = naive.iter().enumerate().filter(|(index, _)| *index != skip);
+            held.filter_map(|(index, key): (usize, &Option<usize>)| Some(((*key)?, index))).min()
+        };
+        assert_eq!(heap.peek(), lowest(usize::MAX));
+        assert_eq!(heap.peek_other(index), lowest(index));
+        assert_eq!(heap.key(index), key);
+    }
+}
