--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,9 +4,24 @@
 //! [`std::time::Duration`] since an arbitrary start, so the same code runs in
 //! tests and in production.
 
+pub mod backlog_queue;
+pub mod cost_estimate;
+pub mod decision_workload;
+mod dispatch_intake;
+mod dispatch_ledger;
 pub mod dispatch_messages;
+pub mod dispatch_settings;
+pub mod dispatch_state;
+mod dispatch_upstreams;
 pub mod error_kind;
+pub mod fair_order;
+pub mod local_dispatcher;
+pub mod naive_dispatcher;
+pub mod placement;
+pub mod rate_limit;
 pub mod request_life;
+pub mod retry_budget;
+pub mod slot_dispatcher;
 pub mod sorted_map;
 pub mod state_chart;
 pub mod upstream_registry;
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -246,6 +246,7 @@
         DispatchReport {
             router: router.clone(),
             zone: zone.to_owned(),
+            term: self.term,
             sequence,
             full,
             backlog: backlog.map(|(key, queue)| queue.entry(key)).collect(),
--- a/crates/router/src/retry.rs
+++ b/crates/router/src/retry.rs
@@ -1,52 +1,72 @@
 //! Retry budgets of the router and of each workspace.
 
+use baobabfall_core::retry_budget::{RetryBudget, RetrySettings, retry_wait};
 use baobabfall_core::sorted_map::SortedMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Requests per permitted retry.
-const REQUESTS_PER_RETRY: u32 = 10;
-/// Retries that a quiet time may save up.
-const SAVED_RETRIES: u32 = 100;
-const FIRST_WAIT: Duration = Duration::from_millis(25);
-const LONGEST_WAIT: Duration = Duration::from_secs(1);
-
 /// Retry budgets of the router and of each workspace.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryBooks {
-    books: Mutex<(u32, SortedMap<String, u32>)>,
+    settings: RetrySettings,
+    books: Mutex<BudgetBooks>,
+}
+
+#[derive(Debug)]
+struct BudgetBooks {
+    router: RetryBudget,
+    workspaces: SortedMap<String, RetryBudget>,
+}
+
+impl Default for RetryBooks {
+    fn default() -> Self {
+        Self::new(RetrySettings::default())
+    }
 }
 
 impl RetryBooks {
+    /// Empty budgets.
+    pub fn new(settings: RetrySettings) -> Self {
+        let router = RetryBudget::new(settings);
+        Self { settings, books: Mutex::new(BudgetBooks { router, workspaces: SortedMap::new() }) }
+    }
+
+    fn books(&self) -> MutexGuard<'_, BudgetBooks> {
+        self.books.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a first attempt.
     pub fn record_request(&self, workspace: &str) {
-        let limit = REQUESTS_PER_RETRY * SAVED_RETRIES;
-        let mut books = self.books.lock().unwrap_or_else(PoisonError::into_inner);
-        books.0 = (books.0 + 1).min(limit);
-        match books.1.get_mut(workspace) {
-            Some(balance) => *balance = (*balance + 1).min(limit),
-            None => {
-                books.1.insert(workspace.to_owned(), 1);
-            }
+        let mut books = self.books();
+        books.router.record_request();
+        if let Some(budget) = books.workspaces.get_mut(workspace) {
+            budget.record_request();
+            return;
         }
+        let mut budget = RetryBudget::new(self.settings);
+        budget.record_request();
+        books.workspaces.insert(workspace.to_owned(), budget);
     }
 
     /// Takes one retry from both budgets; false when either is exhausted.
+    ///
+    /// ```
+    /// use baobabfall_router::retry::RetryBooks;
+    /// let books = RetryBooks::default();
+    /// (0..10).for_each(|_| books.record_request("team-a"));
+    /// assert!(!books.take_retry("team-b"));
+    /// assert!(books.take_retry("team-a"));
+    /// assert!(!books.take_retry("team-a"));
+    /// ```
     pub fn take_retry(&self, workspace: &str) -> bool {
-        let mut books = self.books.lock().unwrap_or_else(PoisonError::into_inner);
-        let (router, workspaces) = &mut *books;
-        let Some(balance) = workspaces.get_mut(workspace) else { return false };
-        if *router < REQUESTS_PER_RETRY || *balance < REQUESTS_PER_RETRY {
-            return false;
-        }
-        *router -= REQUESTS_PER_RETRY;
-        *balance -= REQUESTS_PER_RETRY;
-        true
+        let mut books = self.books();
+        let BudgetBooks { router, workspaces } = &mut *books;
+        let Some(budget) = workspaces.get_mut(workspace) else { return false };
+        router.allows_retry() && budget.allows_retry() && router.take_retry() && budget.take_retry()
     }
 
     /// Wait before retry number `attempt`, from 0, with jitter.
     pub fn wait(&self, attempt: u32) -> Duration {
-        let bound = (FIRST_WAIT * 2u32.saturating_pow(attempt.min(10))).min(LONGEST_WAIT);
-        bound / 2 + (bound / 2).mul_f64(rand::random::<f64>())
+        retry_wait(&self.settings, attempt, rand::random())
     }
 }
