--- a/crates/core/src/control_command.rs
+++ b/crates/core/src/control_command.rs
@@ -69,8 +69,9 @@
         edit: EditIdentity,
         /// What stops.
         target: StopTarget,
-        /// Log time at which the announcement ends by itself, in milliseconds.
-        until_ms: Option<u64>,
+        /// Time to wait for running requests before the operator is asked, in
+        /// milliseconds.
+        limit_ms: Option<u64>,
     },
     /// Cancels a planned stop.
     CancelStop {
@@ -132,8 +133,9 @@
     pub operator: String,
     /// Log time of the announcement in milliseconds.
     pub announced_ms: u64,
-    /// Log time at which it ends by itself.
-    pub until_ms: Option<u64>,
+    /// Time to wait for running requests before the operator is asked, in
+    /// milliseconds; nothing is cut when it passes.
+    pub limit_ms: Option<u64>,
 }
 
 /// Answer of the state machine to one command.
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -156,7 +156,6 @@
         self.applied_term = entry.term;
         self.time_ms = self.time_ms.max(entry.time_ms);
         self.ledger.advance(self.time_ms);
-        self.end_stops();
         match &entry.command {
             ControlCommand::Blank => ControlAnswer::Done,
             ControlCommand::Members { members } => {
@@ -185,13 +184,6 @@
         }
     }
 
-    fn end_stops(&mut self) {
-        let before = self.stops.len();
-        let now = self.time_ms;
-        self.stops.retain(|_, stop| stop.until_ms.is_none_or(|until| until > now));
-        self.stops_version += u64::from(before != self.stops.len());
-    }
-
     fn apply_edit(&mut self, edit: &EditIdentity, command: &ControlCommand) -> ControlAnswer {
         let digest = command.digest();
         match self.edits.get(&edit.id) {
@@ -253,8 +245,8 @@
             ControlCommand::ResolveAction { key, ran, note, .. } => {
                 self.resolve(edit, key, *ran, note)
             }
-            ControlCommand::AnnounceStop { target, until_ms, .. } => {
-                self.announce_stop(edit, target, *until_ms)
+            ControlCommand::AnnounceStop { target, limit_ms, .. } => {
+                self.announce_stop(edit, target, *limit_ms)
             }
             ControlCommand::CancelStop { target, .. } => self.cancel_stop(target),
             ControlCommand::RemoveNode { node, .. } => self.remove_node(node),
@@ -325,22 +317,18 @@
         &mut self,
         edit: &EditIdentity,
         target: &StopTarget,
-        until_ms: Option<u64>,
+        limit_ms: Option<u64>,
     ) -> EditResult {
         if !is_valid_name(&target.name) {
             let message = format!("{:?} is not a name of 1 to 64 of a-z 0-9 - . _.", target.name);
             return Err(self.refusal(ErrorKind::MalformedRequest, message));
         }
-        if until_ms.is_some_and(|until| until <= self.time_ms) {
-            let message = "The time limit of the stop has passed.";
-            return Err(self.refusal(ErrorKind::MalformedRequest, message));
-        }
         if self.stops.len() >= STOP_LIMIT {
             let message = "Too many planned stops are in force; cancel some.";
             return Err(self.refusal(ErrorKind::LimitReached, message));
         }
         let stop =
-            PlannedStop { operator: edit.operator.clone(), announced_ms: self.time_ms, until_ms };
+            PlannedStop { operator: edit.operator.clone(), announced_ms: self.time_ms, limit_ms };
         self.stops.insert(target.clone(), stop);
         self.stops_version += 1;
         Ok(None)
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -41,9 +41,16 @@
         })
     }
 
-    /// Reads and checks a settings file and opens the credentials.
+    /// Reads and checks a settings file and opens the credentials; their
+    /// relative paths start at the folder of the file.
     pub fn load(path: &Path) -> Result<Self, RouterError> {
-        Self::open(load_settings(path)?)
+        let mut settings: RouterSettings = load_settings(path)?;
+        let base = path.parent().unwrap_or(Path::new("."));
+        let files = &mut settings.credentials;
+        for file in [&mut files.process, &mut files.upstream, &mut files.metrics] {
+            *file = base.join(&*file);
+        }
+        Self::open(settings)
     }
 
     /// Bounds of both listeners.
