baobabctl: an edit sent again under its id is the same edit

Cause: a resent apply computed its changes against the table in force, so the same id carried another edit. Change: changes are computed against the base revision, which the controller serves while it is kept; replies of a replica without membership use the configured addresses, so learners answer the leader. Conclusion: the local fleet forms a group of three by itself.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -2,9 +2,7 @@
 
 use crate::action_service::ActionService;
 use crate::dispatch_service::DispatchService;
-use crate::membership::{
-    JOIN_PATH, JoinRequest, PRESENCE_PATH, ReplicaPresence, accept_join,
-};
+use crate::membership::{JOIN_PATH, JoinRequest, PRESENCE_PATH, ReplicaPresence, accept_join};
 use crate::node_tracker::NodeTracker;
 use crate::operator_api::OperatorApi;
 use crate::options::ControllerOptions;
@@ -17,8 +15,8 @@
 use baobabfall_node::credentials::CredentialFile;
 use baobabfall_node::http_client::PeerClient;
 use baobabfall_node::http_server::{
-    FullResponse, bytes_response, error_response, json_response, message_response,
-    presented_token, read_json, read_message,
+    FullResponse, bytes_response, error_response, json_response, message_response, presented_token,
+    read_json, read_message,
 };
 use baobabfall_node::messages::{
     ANNOUNCE_PATH, AnnounceAnswer, AnnounceMessage, CLAIM_PATH, ClaimRequest, FORWARD_PATH,
@@ -132,9 +130,9 @@
                 message_response(&ReplicaPresence { in_group })
             }
             JOIN_PATH => match read_message::<JoinRequest>(request).await {
-                Ok(join) => log_result(accept_join(&self.replica, join).await, |()| {
-                    message_response(&())
-                }),
+                Ok(join) => {
+                    log_result(accept_join(&self.replica, join).await, |()| message_response(&()))
+                }
                 Err(refusal) => refusal.response(),
             },
             _ => error_response(ErrorKind::NotFound, "There is no such path."),
@@ -171,19 +169,19 @@
 
     async fn outcome(&self, request: Request<Incoming>) -> FullResponse {
         match read_message::<OutcomeRequest>(request).await {
-            Ok(message) => log_result(self.actions.record(message.outcomes).await, |()| {
-                message_response(&())
-            }),
+            Ok(message) => {
+                log_result(self.actions.record(message.outcomes).await, |()| message_response(&()))
+            }
             Err(refusal) => refusal.response(),
         }
     }
 
     async fn announce(&self, request: Request<Incoming>) -> FullResponse {
-        let announcement: UpstreamAnnouncement =
-            match read_json(request, ANNOUNCEMENT_LIMIT).await {
-                Ok(announcement) => announcement,
-                Err(refusal) => return refusal.response(),
-            };
+        let announcement: UpstreamAnnouncement = match read_json(request, ANNOUNCEMENT_LIMIT).await
+        {
+            Ok(announcement) => announcement,
+            Err(refusal) => return refusal.response(),
+        };
         if let Err(refusal) = self.registry.announce(announcement.clone()) {
             return announcement_refusal(&refusal);
         }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -104,9 +104,9 @@
 /// Starts a controller from checked options.
 pub async fn start(options: ControllerOptions) -> Result<ControllerHandle, ControllerError> {
     let listen = options.settings.control.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|error| {
-        ControllerError::Listen { address: listen, reason: error.to_string() }
-    })?;
+    let listener = TcpListener::bind(listen)
+        .await
+        .map_err(|error| ControllerError::Listen { address: listen, reason: error.to_string() })?;
     start_on(options, listener).await
 }
 
@@ -151,12 +151,9 @@
     tasks.spawn(until_draining(run_overdue(api.clone()), signal.clone()));
     tasks.spawn(until_draining(follow_leader(api.clone()), signal.clone()));
     tasks.spawn(until_draining(report_nodes(api.clone()), signal.clone()));
-    for credential in [
-        &api.options.process,
-        &api.options.operator,
-        &api.options.upstream,
-        &api.options.metrics,
-    ] {
+    for credential in
+        [&api.options.process, &api.options.operator, &api.options.upstream, &api.options.metrics]
+    {
         tasks.spawn(until_draining(credential.clone().watch(), signal.clone()));
     }
     let service = tower::service_fn(move |request: Request<Incoming>| {
@@ -211,7 +208,8 @@
         let kind = baobabfall_core::error_kind::ErrorKind::StorageFailed;
         storage_error(kind, format!("The storage thread cannot start: {error}."))
     })?;
-    let peers = PeerLinks::new(options.process.clone());
+    let configured = options.settings.peers.iter().map(|peer| (peer.name.clone(), peer.address));
+    let peers = PeerLinks::new(options.process.clone(), configured);
     let (driver, replica) = ReplicaDriver::new(core, clock, state, storage, done, peers);
     if replica.view().members.get(identity.id).is_none() {
         tokio::spawn(join_group(options.clone(), replica.clone(), identity, address));
@@ -258,8 +256,10 @@
             .collect();
         (state.history().table().clone(), stops)
     };
-    let stopping: Vec<String> =
-        stopping.iter().flat_map(|name| operator_views::upstreams_of(&api.operators, name)).collect();
+    let stopping: Vec<String> = stopping
+        .iter()
+        .flat_map(|name| operator_views::upstreams_of(&api.operators, name))
+        .collect();
     let live: Vec<_> = {
         let registry = api.registry.lock();
         registry.live().map(|entry| entry.announcement.clone()).collect()
@@ -289,8 +289,7 @@
         ticks.tick().await;
         api.actions.settle_overdue().await;
         for router in api.dispatch.take_news() {
-            let command =
-                baobabfall_core::control_command::ControlCommand::RouterSeen { router };
+            let command = baobabfall_core::control_command::ControlCommand::RouterSeen { router };
             let _ = api.replica.propose(command).await;
         }
     }
@@ -359,8 +358,7 @@
         }
         if let Some(client) = &client {
             let token = api.options.process.token();
-            let _: Result<(), _> =
-                client.call(OBSERVED_PATH, &token, &views, LEADER_TIMEOUT).await;
+            let _: Result<(), _> = client.call(OBSERVED_PATH, &token, &views, LEADER_TIMEOUT).await;
         }
     }
 }
--- a/crates/controller/src/node_tracker.rs
+++ b/crates/controller/src/node_tracker.rs
@@ -111,7 +111,8 @@
     pub fn live_routers(&self, silence: Duration) -> Vec<String> {
         let limit = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
         let views = self.views();
-        let live = views.into_iter().filter(|view| view.kind == "router" && view.silent_ms <= limit);
+        let live =
+            views.into_iter().filter(|view| view.kind == "router" && view.silent_ms <= limit);
         live.map(|view| view.name).collect()
     }
 
--- a/crates/controller/src/operator_api.rs
+++ b/crates/controller/src/operator_api.rs
@@ -20,8 +20,8 @@
 use baobabfall_node::messages::StopKind;
 use baobabfall_node::operator_messages::{
     ACTIONS_PATH, ActionResolution, ConflictView, EditAnswer, FAIRNESS_PATH, HISTORY_PATH,
-    MEMBERS_PATH, MemberEdit, NODES_PATH, NodeRemoval, STATUS_PATH, STOPS_PATH, StopEdit,
-    TABLE_PATH, ROLLBACK_PATH, TableEdit, TableRollback, UPSTREAMS_PATH, WORKSPACES_PATH,
+    MEMBERS_PATH, MemberEdit, NODES_PATH, NodeRemoval, ROLLBACK_PATH, STATUS_PATH, STOPS_PATH,
+    StopEdit, TABLE_PATH, TableEdit, TableRollback, UPSTREAMS_PATH, WORKSPACES_PATH,
 };
 use http::{Method, Request};
 use hyper::body::Incoming;
@@ -87,7 +87,7 @@
         let path = request.uri().path().to_owned();
         let result = match (request.method().clone(), path.as_str()) {
             (Method::GET, STATUS_PATH) => Ok(json_response(200, &operator_views::status(self))),
-            (Method::GET, path) => self.read(path).await,
+            (Method::GET, path) => self.read(path, request.uri().query()).await,
             (Method::POST, path) => self.change(path, request).await,
             _ => Ok(error_response(ErrorKind::MethodNotAllowed, "Use GET or POST.")),
         };
@@ -95,10 +95,10 @@
     }
 
     /// Reads are answered by the leader only, after it confirmed that it leads.
-    async fn read(&self, path: &str) -> OperatorResult {
+    async fn read(&self, path: &str, query: Option<&str>) -> OperatorResult {
         self.replica.confirm_read().await?;
         Ok(match path {
-            TABLE_PATH => json_response(200, &operator_views::table(self)),
+            TABLE_PATH => self.read_table(query),
             HISTORY_PATH => json_response(200, &operator_views::history(self)),
             WORKSPACES_PATH => json_response(200, &operator_views::workspaces(self)),
             UPSTREAMS_PATH => json_response(200, &operator_views::upstreams(self)),
@@ -110,6 +110,26 @@
         })
     }
 
+    fn read_table(&self, query: Option<&str>) -> FullResponse {
+        let revision = match query.map(|query| query.strip_prefix("revision=").unwrap_or(query)) {
+            None => self.replica.state().history().revision(),
+            Some(text) => match text.parse() {
+                Ok(revision) => revision,
+                Err(_) => {
+                    let message = "The query accepts revision=NUMBER only.";
+                    return error_response(ErrorKind::MalformedRequest, message);
+                }
+            },
+        };
+        match operator_views::table(self, revision) {
+            Some(view) => json_response(200, &view),
+            None => {
+                let message = format!("Revision {revision} is not kept; see the history.");
+                error_response(ErrorKind::NotFound, &message)
+            }
+        }
+    }
+
     async fn change(&self, path: &str, request: Request<Incoming>) -> OperatorResult {
         match path {
             TABLE_PATH => self.edit_table(message(request).await?).await,
--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -5,7 +5,7 @@
 use baobabfall_core::action_ledger::ActionKey;
 use baobabfall_core::control_command::{PlannedStop, StopKind as StoredKind, StopTarget};
 use baobabfall_core::table_history::RowEdit;
-use baobabfall_core::workspace_table::RowChange;
+use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
 use baobabfall_node::messages::FencingToken;
 use baobabfall_node::operator_messages::{
     ActionView, FairnessView, HistoryEntry, MembersView, NodeView, StatusView, StopView, TableView,
@@ -31,15 +31,14 @@
     }
 }
 
-/// The table in force.
-pub fn table(api: &OperatorApi) -> TableView {
+/// The table of a revision that is kept; revision 0 is the empty table.
+pub fn table(api: &OperatorApi, revision: u64) -> Option<TableView> {
     let state = api.replica.state();
-    let history = state.history();
-    TableView {
-        revision: history.revision(),
-        digest: history.digest().to_owned(),
-        csv: history.table().to_csv(),
-    }
+    let table = match revision {
+        0 => WorkspaceTable::default(),
+        revision => state.history().table_at(revision)?,
+    };
+    Some(TableView { revision, digest: table.digest(), csv: table.to_csv() })
 }
 
 /// Accepted revisions, oldest first.
@@ -102,7 +101,9 @@
     let slots = api.dispatch.read(|dispatcher, now| {
         dispatcher
             .upstreams(now)
-            .map(|view| (view.name.to_owned(), view.slots, view.running, view.ejected, view.stopping))
+            .map(|view| {
+                (view.name.to_owned(), view.slots, view.running, view.ejected, view.stopping)
+            })
             .collect::<Vec<_>>()
     });
     let slots = slots.unwrap_or_default();
@@ -198,7 +199,10 @@
     let names = upstreams_of(api, name);
     let running = api.dispatch.read(|dispatcher, now| {
         let views = dispatcher.upstreams(now);
-        views.filter(|view| names.iter().any(|held| held == view.name)).map(|view| view.running).sum()
+        views
+            .filter(|view| names.iter().any(|held| held == view.name))
+            .map(|view| view.running)
+            .sum()
     });
     running.unwrap_or(0)
 }
@@ -241,4 +245,3 @@
     };
     MembersView { voters: names(true), learners: names(false) }
 }
-
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -125,7 +125,8 @@
                     return refuse("peers.name", format!("{} stands twice.", peer.name));
                 }
                 if other.address == peer.address {
-                    let message = format!("{} and {} have the same address.", other.name, peer.name);
+                    let message =
+                        format!("{} and {} have the same address.", other.name, peer.name);
                     return refuse("peers.address", message);
                 }
             }
--- a/crates/controller/src/peer_links.rs
+++ b/crates/controller/src/peer_links.rs
@@ -1,6 +1,6 @@
 //! Sending of replica messages to the other controllers.
 
-use baobabfall_core::replica_members::ReplicaMembers;
+use baobabfall_core::replica_members::{ReplicaIdentity, ReplicaMembers};
 use baobabfall_core::replica_messages::ReplicaMessage;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_node::credentials::CredentialFile;
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub struct PeerLinks {
     credential: CredentialFile,
+    /// Addresses of the settings, for a replica that holds no membership yet.
+    configured: SortedMap<String, SocketAddr>,
     links: SortedMap<SocketAddr, PeerLink>,
 }
 
@@ -32,15 +34,23 @@
 
 impl PeerLinks {
     /// No connection yet; they are opened as messages are sent.
-    pub fn new(credential: CredentialFile) -> Self {
-        Self { credential, links: SortedMap::new() }
+    pub fn new(
+        credential: CredentialFile,
+        configured: impl IntoIterator<Item = (String, SocketAddr)>,
+    ) -> Self {
+        let configured = configured.into_iter().collect();
+        Self { credential, configured, links: SortedMap::new() }
+    }
+
+    fn address(&self, members: &ReplicaMembers, peer: &ReplicaIdentity) -> Option<SocketAddr> {
+        let member = members.get(peer.id).and_then(|member| member.address.parse().ok());
+        member.or_else(|| self.configured.get(&peer.name).copied())
     }
 
     /// Sends a message without waiting for it to arrive.
     pub fn send(&mut self, members: &ReplicaMembers, message: ReplicaMessage) {
-        let Some(member) = members.get(message.to.id) else { return };
-        let Ok(address) = member.address.parse::<SocketAddr>() else {
-            log::warn!(peer = member.identity.name.as_str(); "peer has an unusable address");
+        let Some(address) = self.address(members, &message.to) else {
+            log::warn!(peer = message.to.name.as_str(); "peer has no known address");
             return;
         };
         let link = self.links.get_or_insert_with(address, || PeerLink {
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -374,11 +374,7 @@
     }
 }
 
-fn view_of<R: Rng>(
-    core: &ReplicaCore<R>,
-    now: Duration,
-    failed: Option<String>,
-) -> ReplicaView {
+fn view_of<R: Rng>(core: &ReplicaCore<R>, now: Duration, failed: Option<String>) -> ReplicaView {
     ReplicaView {
         role: core.role(),
         term: core.term(),
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -33,15 +33,16 @@
     /// Answers at once when there is news, else when some comes or the wait ends.
     pub async fn sync(&self, request: &SyncRequest) -> SyncAnswer {
         self.tracker.note_sync(request);
-        let end = Instant::now()
-            + Duration::from_millis(request.wait_ms.into()).min(SYNC_WAIT_LIMIT);
+        let end =
+            Instant::now() + Duration::from_millis(request.wait_ms.into()).min(SYNC_WAIT_LIMIT);
         let mut replica = self.replica.news();
         let mut registry = self.registry.watch();
         loop {
             replica.borrow_and_update();
             registry.borrow_and_update();
             let answer = self.answer(request);
-            let news = answer.table.is_some() || answer.stops.is_some() || answer.registry.is_some();
+            let news =
+                answer.table.is_some() || answer.stops.is_some() || answer.registry.is_some();
             if news || Instant::now() >= end {
                 return self.confirmed(answer).await;
             }
@@ -63,24 +64,29 @@
 
     fn answer(&self, request: &SyncRequest) -> SyncAnswer {
         let view = self.replica.view();
-        let leader = view.leader.as_ref().and_then(|leader| {
-            view.members.get(leader.id)?.address.parse::<SocketAddr>().ok()
-        });
+        let leader = view
+            .leader
+            .as_ref()
+            .and_then(|leader| view.members.get(leader.id)?.address.parse::<SocketAddr>().ok());
         let state = self.replica.state();
         let revision = state.history().revision();
-        let table = (request.revision < revision).then(|| self.table_update(&state, request.revision));
+        let table =
+            (request.revision < revision).then(|| self.table_update(&state, request.revision));
         let stops = (request.stops_version != state.stops_version()).then(|| StopList {
             version: state.stops_version(),
             stops: state
                 .stops()
                 .keys()
-                .map(|target| PlannedStop { kind: shown_kind(target.kind), name: target.name.clone() })
+                .map(|target| PlannedStop {
+                    kind: shown_kind(target.kind),
+                    name: target.name.clone(),
+                })
                 .collect(),
         });
         drop(state);
         let held = self.registry.version(view.term);
-        let registry = (view.leads && request.registry_version != held)
-            .then(|| self.registry.view(view.term));
+        let registry =
+            (view.leads && request.registry_version != held).then(|| self.registry.view(view.term));
         SyncAnswer { confirmed: false, term: view.term, leader, revision, table, stops, registry }
     }
 
--- a/crates/core/src/dispatch_fairness.rs
+++ b/crates/core/src/dispatch_fairness.rs
@@ -54,7 +54,8 @@
             pool: self.pools[pool].name.clone(),
             backlogged,
             gap: tokens(gap / ACCOUNT_SCALE),
-            bound: terms.iter().take(2).sum(),
+            // An empty sum of floats is -0.0, which would be shown as such.
+            bound: terms.iter().take(2).sum::<f64>() + 0.0,
         }
     }
 }
--- a/crates/core/tests/workspace_table.rs
+++ b/crates/core/tests/workspace_table.rs
@@ -99,5 +99,4 @@
     for _ in 0..300 {
         let _ = WorkspaceTable::parse_csv(&Vec::<u8>::arbitrary(&mut source));
     }
-
 }
--- a/crates/ctl/src/table_commands.rs
+++ b/crates/ctl/src/table_commands.rs
@@ -62,7 +62,14 @@
 }
 
 async fn fetch(client: &ControlClient) -> Result<(TableView, WorkspaceTable), CtlError> {
-    let view: TableView = client.get(TABLE_PATH).await?;
+    fetch_from(client, TABLE_PATH).await
+}
+
+async fn fetch_from(
+    client: &ControlClient,
+    path: &str,
+) -> Result<(TableView, WorkspaceTable), CtlError> {
+    let view: TableView = client.get(path).await?;
     let table = WorkspaceTable::parse_csv(view.csv.as_bytes()).map_err(|faults| {
         CtlError::Table { path: "table sent by the controller".into(), faults }
     })?;
@@ -122,8 +129,14 @@
     };
     let next = read_table(&apply.file)?;
     let client = ControlClient::new(options)?;
-    let (view, held) = fetch(&client).await?;
-    let base = apply.base.unwrap_or(view.revision);
+    // The changes are those against the base, so that an edit which is sent again under its id is
+    // the same edit whatever is in force by then.
+    let path = match apply.base {
+        Some(base) => format!("{TABLE_PATH}?revision={base}"),
+        None => TABLE_PATH.to_owned(),
+    };
+    let (view, held) = fetch_from(&client, &path).await?;
+    let base = view.revision;
     let edit_id = apply.edit_id.clone().unwrap_or_else(|| uuid::Uuid::new_v4().to_string());
     let changes = held.diff(&next);
     if changes.is_empty() && apply.edit_id.is_none() {
--- a/crates/local/src/error.rs
+++ b/crates/local/src/error.rs
@@ -68,9 +68,7 @@
             Self::Usage(_) => ErrorKind::MalformedRequest,
             Self::Unwritable { .. } => ErrorKind::StorageFailed,
             Self::Controller(error) => return error.exit_code(),
-            Self::Router(_) | Self::Settings(_) | Self::Credential(_) => {
-                ErrorKind::InvalidSettings
-            }
+            Self::Router(_) | Self::Settings(_) | Self::Credential(_) => ErrorKind::InvalidSettings,
             Self::Upstream { .. } | Self::NotReady { .. } => ErrorKind::NotReady,
             Self::Table(_) => ErrorKind::InvalidTable,
             Self::NotAccepted(error) => error.kind(),
--- a/crates/local/src/local_fleet.rs
+++ b/crates/local/src/local_fleet.rs
@@ -124,9 +124,10 @@
         let routers = status.nodes.iter().filter(|node| {
             node.kind == "router"
                 && node.revision >= revision
-                && self.routers.iter().any(|router| {
-                    router.state().options.identity.incarnation == node.incarnation
-                })
+                && self
+                    .routers
+                    .iter()
+                    .any(|router| router.state().options.identity.incarnation == node.incarnation)
         });
         let live = upstreams.iter().filter(|upstream| upstream.state == "live");
         routers.count() == self.routers.len() && live.count() == self.upstreams.len()
@@ -166,14 +167,17 @@
     let mut upstreams = Vec::new();
     for index in 0..deployment.engines {
         let name = format!("engine-{}", index + 1);
-        let mut engine = EngineOptions::new(&name, deployment.models[index % deployment.models.len()]);
+        let mut engine =
+            EngineOptions::new(&name, deployment.models[index % deployment.models.len()]);
         prepare(&mut engine.upstream, deployment.zones[index % deployment.zones.len()], &announce);
         engine.token_interval = TOKEN_INTERVAL;
         engine.resume = true;
         engine.cancel = true;
-        upstreams.push(model_engine::start(engine).await.map_err(|error| {
-            LocalError::Upstream { name, reason: error.to_string() }
-        })?);
+        upstreams.push(
+            model_engine::start(engine)
+                .await
+                .map_err(|error| LocalError::Upstream { name, reason: error.to_string() })?,
+        );
     }
     for index in 0..deployment.workers {
         let name = format!("{}-{}", deployment.service, index + 1);
@@ -181,9 +185,11 @@
         prepare(&mut service.upstream, deployment.zones[index % deployment.zones.len()], &announce);
         // The last worker ignores fencing tokens, as some upstreams do.
         service.honours_fencing = index + 1 < deployment.workers;
-        upstreams.push(plain_service::start(service).await.map_err(|error| {
-            LocalError::Upstream { name, reason: error.to_string() }
-        })?);
+        upstreams.push(
+            plain_service::start(service)
+                .await
+                .map_err(|error| LocalError::Upstream { name, reason: error.to_string() })?,
+        );
     }
     Ok(upstreams)
 }
--- a/crates/local/src/role_settings.rs
+++ b/crates/local/src/role_settings.rs
@@ -54,10 +54,8 @@
     );
     for (index, address) in options.controllers().iter().enumerate() {
         let number = index + 1;
-        let _ = write!(
-            text,
-            "\n[[peers]]\nname = \"controller-{number}\"\naddress = \"{address}\"\n"
-        );
+        let _ =
+            write!(text, "\n[[peers]]\nname = \"controller-{number}\"\naddress = \"{address}\"\n");
     }
     text
 }
--- a/crates/node/src/operator_messages.rs
+++ b/crates/node/src/operator_messages.rs
@@ -274,7 +274,6 @@
     pub ran: bool,
 }
 
-
 /// Controllers of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MembersView {
