Add focused tests of the replicated log and its storage

Cause: The random kill runs alone do not name each failure they guard against. Change: Add tests of the core, the control state, the action ledger and the log store. A sync report above the last write is limited to it. Conclusion: Votes, leases, commits, claims and damaged files each have a test.

--- /dev/null
+++ b/crates/controller/tests/log_store.rs
@@ -0,0 +1,238 @@
+//! Tests of the durable storage on real and on faulty folders.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod faulty_folder;
+
+use baobabfall_controller::disk_folder::{DataFolder, DiskFolder};
+use baobabfall_controller::log_store::LogStore;
+use baobabfall_controller::record_codec::{FrameRead, read_frame};
+use baobabfall_controller::store_error::StoreError;
+use baobabfall_core::control_command::ControlCommand;
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::replica_events::StoredReplica;
+use baobabfall_core::replica_members::{ReplicaIdentity, ReplicaMembers};
+use baobabfall_core::replica_messages::{LogEntry, SnapshotData, SnapshotMeta, TermVote};
+use faulty_folder::{EIO, ENOSPC, EROFS, FaultyFolder};
+use quickcheck::{Arbitrary, Gen};
+use std::sync::Arc;
+
+const LOG: &str = "log-00000000000000000000.bin";
+
+fn identity() -> ReplicaIdentity {
+    ReplicaIdentity { name: "controller-1".into(), id: 7 }
+}
+
+fn entry(index: u64, term: u64) -> LogEntry {
+    LogEntry { index, term, time_ms: index, command: ControlCommand::Blank }
+}
+
+fn vote(term: u64) -> TermVote {
+    TermVote { term, vote: Some(7) }
+}
+
+fn snapshot(index: u64) -> SnapshotData {
+    let meta = SnapshotMeta { index, term: 1, members: ReplicaMembers::default() };
+    SnapshotData { meta, bytes: Arc::new(vec![5; 300]) }
+}
+
+fn indexes(stored: &StoredReplica) -> Vec<u64> {
+    stored.entries.iter().map(|entry| entry.index).collect()
+}
+
+fn open<F: DataFolder>(folder: F) -> Result<(LogStore<F>, StoredReplica), StoreError> {
+    LogStore::open(folder, identity(), ReplicaMembers::single(identity(), "here"))
+}
+
+/// A folder with the entries 1 to 4 in frames of their own.
+fn written() -> FaultyFolder {
+    let folder = FaultyFolder::default();
+    let (mut store, _) = open(folder.clone()).unwrap();
+    for index in 1..=4 {
+        store.append(Some(vote(index)), &[entry(index, index)]).unwrap();
+        store.sync().unwrap();
+    }
+    folder.lose_power(0);
+    folder
+}
+
+fn with_log(bytes: &[u8]) -> FaultyFolder {
+    let folder = written();
+    folder.file(LOG).unwrap().borrow_mut().bytes = bytes.to_vec();
+    folder
+}
+
+/// Positions after each frame of a log.
+fn frame_ends(bytes: &[u8]) -> Vec<usize> {
+    let mut ends = Vec::new();
+    while let FrameRead::Complete(_, next) = read_frame(bytes, ends.last().copied().unwrap_or(0)) {
+        ends.push(next);
+    }
+    ends
+}
+
+/// Guards against a store that refuses or misreads a log that was cut by an
+/// interrupted write, at every byte of the last two records.
+#[test]
+fn log_cut_at_any_byte_keeps_whole_records() {
+    let bytes = written().read(LOG).unwrap();
+    let ends = frame_ends(&bytes);
+    assert_eq!((ends.len(), *ends.last().unwrap()), (5, bytes.len()));
+    for cut in ends[2]..bytes.len() {
+        let folder = with_log(&bytes[..cut]);
+        let (mut store, stored) = open(folder.clone()).unwrap();
+        let whole = ends.iter().filter(|end| **end <= cut).count() as u64 - 1;
+        assert_eq!(indexes(&stored), (1..=whole).collect::<Vec<_>>(), "cut at {cut}");
+        assert_eq!(stored.term_vote, vote(whole));
+        store.append(None, &[entry(whole + 1, 9)]).unwrap();
+        store.sync().unwrap();
+        folder.lose_power(0);
+        assert_eq!(indexes(&open(folder).unwrap().1).len() as u64, whole + 1);
+    }
+}
+
+/// Guards against damage that is taken for an interrupted write, which would
+/// take back stored entries: every bit before the last record, and every bit
+/// of the last one while the note says that it was synced.
+#[test]
+fn flipped_bit_is_damage() {
+    let bytes = written().read(LOG).unwrap();
+    let tail = frame_ends(&bytes)[3];
+    for place in 0..bytes.len() * 8 {
+        let mut flipped = bytes.clone();
+        flipped[place / 8] ^= 1 << (place % 8);
+        let folder = with_log(&flipped);
+        if place / 8 >= tail {
+            let mut note = [0; 20];
+            note[8..16].copy_from_slice(&(bytes.len() as u64).to_le_bytes());
+            let check = crc32fast::hash(&note[..16]);
+            note[16..].copy_from_slice(&check.to_le_bytes());
+            folder.overwrite("synced", &note).unwrap();
+        }
+        let error = open(folder).err().expect("a flipped bit is noticed");
+        assert_eq!(error.kind(), ErrorKind::StorageDamaged, "bit {place}: {error}");
+    }
+}
+
+/// Guards against a snapshot that is used although it is damaged.
+#[test]
+fn flipped_bit_of_snapshot_is_damage() {
+    let name = "snapshot-00000000000000000000.bin";
+    let bytes = written().read(name).unwrap();
+    for place in 0..bytes.len() * 8 {
+        let folder = written();
+        folder.file(name).unwrap().borrow_mut().bytes[place / 8] ^= 1 << (place % 8);
+        assert!(matches!(open(folder), Err(StoreError::Damaged { .. })), "bit {place}");
+    }
+}
+
+/// Guards against lost or invented entries when the power fails at any
+/// operation, with any part of the unsynced bytes kept.
+#[test]
+fn power_loss_at_any_operation_keeps_synced_entries() {
+    let mut source = Gen::from_size_and_seed(30, 5);
+    for run in 0..400 {
+        let folder = FaultyFolder::default();
+        let (mut store, _) = open(folder.clone()).unwrap();
+        folder.0.borrow_mut().power = Some(usize::arbitrary(&mut source) % 60);
+        let (mut written, mut synced, mut generation, mut synced_term) = (0, 0, 0, 0);
+        while written < 200 {
+            for _ in 0..u8::arbitrary(&mut source) % 4 {
+                written += 1;
+                store.append(Some(vote(written)), &[entry(written, 1)]).unwrap();
+            }
+            let done = if u8::arbitrary(&mut source) % 4 == 0 && synced > generation {
+                let tail: Vec<_> = (synced + 1..=written).map(|i| entry(i, 1)).collect();
+                generation = synced;
+                store.save_snapshot(&snapshot(synced), vote(written), &tail)
+            } else {
+                store.sync()
+            };
+            if done.is_err() {
+                break;
+            }
+            (synced, synced_term) = (written, written);
+        }
+        drop(store);
+        folder.lose_power(usize::arbitrary(&mut source) % 120);
+        let (_, stored) = open(folder).unwrap_or_else(|error| panic!("run {run}: {error}"));
+        let first = stored.snapshot.meta.index;
+        let last = stored.entries.last().map_or(first, |entry| entry.index);
+        assert!((synced..=written).contains(&last), "run {run}: {last} of {synced} to {written}");
+        assert_eq!(indexes(&stored), (first + 1..=last).collect::<Vec<_>>());
+        assert!((synced_term..=written).contains(&stored.term_vote.term), "run {run}");
+    }
+}
+
+/// Guards against a lost record after a full disk and against one that counts
+/// as stored after a failed sync.
+#[test]
+fn full_disk_is_repeated_and_failed_sync_poisons() {
+    let folder = FaultyFolder::default();
+    let (mut store, _) = open(folder.clone()).unwrap();
+    store.append(None, &[entry(1, 1)]).unwrap();
+    folder.0.borrow_mut().fault = Some((0, ENOSPC));
+    assert!(matches!(store.sync(), Err(StoreError::DiskFull { .. })));
+    store.append(None, &[entry(2, 1)]).unwrap();
+    store.sync().unwrap();
+    folder.0.borrow_mut().fault = Some((1, ENOSPC));
+    let full = store.save_snapshot(&snapshot(1), vote(1), &[entry(2, 1)]);
+    assert!(matches!(full, Err(StoreError::DiskFull { .. })), "{full:?}");
+    store.save_snapshot(&snapshot(1), vote(1), &[entry(2, 1)]).unwrap();
+    store.append(None, &[entry(3, 1)]).unwrap();
+    folder.0.borrow_mut().fault = Some((1, EIO));
+    assert!(matches!(store.sync(), Err(StoreError::SyncFailed { .. })));
+    assert!(matches!(store.sync(), Err(StoreError::Poisoned)));
+    assert!(matches!(store.append(None, &[]), Err(StoreError::Poisoned)));
+    folder.lose_power(0);
+    assert_eq!(indexes(&open(folder).unwrap().1), [2]);
+}
+
+/// Guards against unclear errors of a read-only folder.
+#[test]
+fn read_only_folder_is_named() {
+    let folder = FaultyFolder::default();
+    folder.0.borrow_mut().fault = Some((0, EROFS));
+    let error = open(folder).err().unwrap();
+    assert!(matches!(error, StoreError::ReadOnly { .. }));
+    assert!(error.to_string().contains("not writable"), "{error}");
+    assert_eq!(error.kind(), ErrorKind::StorageFailed);
+}
+
+/// Guards against two processes on one folder and a folder of another name.
+#[test]
+fn folder_in_use_or_of_other_controller_is_refused() {
+    let directory = tempfile::tempdir().unwrap();
+    let (store, _) = open(DiskFolder::new(directory.path())).unwrap();
+    let second = open(DiskFolder::new(directory.path()));
+    assert!(matches!(second, Err(StoreError::Locked { .. })));
+    drop(store);
+    let other = ReplicaIdentity { name: "controller-2".into(), id: 8 };
+    let disk = DiskFolder::new(directory.path());
+    let opened = LogStore::open(disk, other, ReplicaMembers::default());
+    assert!(matches!(opened, Err(StoreError::WrongName { .. })));
+    let renewed = ReplicaIdentity { id: 99, ..identity() };
+    let disk = DiskFolder::new(directory.path());
+    let (store, _) = LogStore::open(disk, renewed, ReplicaMembers::default()).unwrap();
+    assert_eq!(store.identity().id, 7, "the stored identity counts");
+}
+
+/// Guards against entries that return after they were replaced, and against
+/// old files that stay, on the real disk.
+#[test]
+fn snapshot_replaces_old_log_on_disk() {
+    let directory = tempfile::tempdir().unwrap();
+    let (mut store, _) = open(DiskFolder::new(directory.path())).unwrap();
+    let entries: Vec<LogEntry> = (1..=6).map(|index| entry(index, 1)).collect();
+    store.append(Some(vote(1)), &entries).unwrap();
+    store.append(Some(vote(2)), &[entry(4, 2)]).unwrap();
+    store.sync().unwrap();
+    store.save_snapshot(&snapshot(3), vote(2), &[entry(4, 2)]).unwrap();
+    store.append(None, &[entry(5, 2)]).unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let (_, stored) = open(DiskFolder::new(directory.path())).unwrap();
+    assert_eq!((indexes(&stored), stored.term_vote), (vec![4, 5], vote(2)));
+    assert_eq!((stored.entries[0].term, stored.snapshot), (2, snapshot(3)));
+    assert_eq!(std::fs::read_dir(directory.path()).unwrap().count(), 4);
+}
--- a/crates/core/src/replica_election.rs
+++ b/crates/core/src/replica_election.rs
@@ -297,6 +297,7 @@
     }
 
     pub(crate) fn take_synced(&mut self, now: Duration, sequence: u64) {
+        let sequence = sequence.min(self.next_sequence - 1);
         self.synced_sequence = self.synced_sequence.max(sequence);
         let mut stored_snapshot = false;
         let before = self.synced_index;
--- /dev/null
+++ b/crates/core/tests/control_state.rs
@@ -0,0 +1,335 @@
+//! Tests of the control state, the table history and the action ledger.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use baobabfall_core::action_ledger::*;
+use baobabfall_core::control_command::*;
+use baobabfall_core::control_state::*;
+use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::phase_chart::PhaseChart;
+use baobabfall_core::replica_messages::LogEntry;
+use baobabfall_core::state_chart::{ACTION_CHART, CompiledChart};
+use baobabfall_core::table_history::{DifferenceContent, REVISION_LIMIT};
+use baobabfall_core::workspace_table::{RowChange, WorkspaceRow, WorkspaceTable, hash_key};
+use quickcheck::{Arbitrary, Gen};
+
+/// 2026-12-03T00:00:00Z.
+const DAY_START: u64 = 1_796_256_000_000;
+const DAY: u64 = 86_400_000;
+
+fn row(name: &str, weight: u32) -> WorkspaceRow {
+    let (requests_per_minute, tokens_per_minute) = (1, 1);
+    let key_hashes = vec![hash_key(name)];
+    let (concurrency, queue_length, request_kib, protected) = (1, 1, 1, false);
+    WorkspaceRow {
+        name: name.to_owned(),
+        key_hashes,
+        weight,
+        concurrency,
+        requests_per_minute,
+        tokens_per_minute,
+        queue_length,
+        request_kib,
+        protected,
+    }
+}
+
+fn put(name: &str, weight: u32) -> RowChange {
+    RowChange::Put { row: row(name, weight) }
+}
+
+fn who(id: &str) -> EditIdentity {
+    EditIdentity { operator: "ana".into(), id: id.into() }
+}
+
+fn edit(id: &str, base_revision: u64, changes: Vec<RowChange>) -> ControlCommand {
+    ControlCommand::EditTable { edit: who(id), base_revision, changes }
+}
+
+fn apply(state: &mut ControlState, time_ms: u64, command: ControlCommand) -> ControlAnswer {
+    let index = state.applied_index() + 1;
+    state.apply(&LogEntry { index, term: 1, time_ms, command })
+}
+
+fn refused(answer: ControlAnswer) -> EditRefusal {
+    match answer {
+        ControlAnswer::Refused(refusal) => *refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Guards against an edit with two effects and against a reused edit id.
+#[test]
+fn edit_sent_again_gets_its_first_answer() {
+    let mut state = ControlState::default();
+    let first = apply(&mut state, 5, edit("e1", 0, vec![put("team-a", 1)]));
+    apply(&mut state, 6, edit("e2", 1, vec![put("team-b", 2)]));
+    let mut state = ControlState::from_snapshot(&state.to_snapshot().unwrap()).unwrap();
+    assert_eq!(apply(&mut state, 7, edit("e1", 0, vec![put("team-a", 1)])), first);
+    let other = refused(apply(&mut state, 8, edit("e1", 2, vec![put("team-a", 3)])));
+    assert_eq!((other.kind, state.history().revision()), (ErrorKind::EditReused, 2));
+}
+
+/// Guards against a silent overwrite of another operator's edit.
+#[test]
+fn edit_on_old_revision_gets_the_difference() {
+    let mut state = ControlState::default();
+    apply(&mut state, 5, edit("e1", 0, vec![put("team-a", 1), put("team-b", 1)]));
+    let gone = RowChange::Remove { name: "team-b".into() };
+    apply(&mut state, 6, edit("e2", 1, vec![put("team-a", 7), gone.clone()]));
+    let refusal = refused(apply(&mut state, 7, edit("e3", 1, vec![put("team-c", 1)])));
+    assert_eq!((refusal.kind, refusal.revision), (ErrorKind::RevisionConflict, 2));
+    let difference = refusal.difference.unwrap();
+    assert_eq!(difference.content, DifferenceContent::Changes(vec![put("team-a", 7), gone]));
+    assert_eq!(difference.digest, state.history().table().digest());
+}
+
+/// Guards against a table that no parser would accept.
+#[test]
+fn edit_with_invalid_rows_is_refused() {
+    let mut state = ControlState::default();
+    let mut shared = row("team-b", 1);
+    shared.key_hashes = vec![hash_key("team-a")];
+    let remove = RowChange::Remove { name: "team-x".into() };
+    let cases = [
+        vec![put("team a", 1)],
+        vec![put("team-a", 0)],
+        vec![put("team-a", 1), RowChange::Put { row: shared }],
+        vec![put("team-a", 1), put("team-a", 2)],
+        vec![remove],
+    ];
+    for (number, changes) in cases.into_iter().enumerate() {
+        let refusal = refused(apply(&mut state, 5, edit(&format!("e{number}"), 0, changes)));
+        assert_eq!(refusal.kind, ErrorKind::InvalidTable, "case {number}");
+    }
+    assert_eq!(state.history().revision(), 0);
+}
+
+/// Guards against a router that gets another table by differences than the
+/// whole table, and against a rollback to other content. The reference keeps
+/// every revision as a full table.
+#[test]
+fn changes_since_agrees_with_kept_tables() {
+    let mut source = Gen::from_size_and_seed(60, 3);
+    for _ in 0..60 {
+        let mut state = ControlState::default();
+        let mut tables = vec![WorkspaceTable::default()];
+        for (rollback, name, weight) in Vec::<(u8, u8, u8)>::arbitrary(&mut source) {
+            let last = tables.len() - 1;
+            let base = state.history().revision();
+            let id = format!("e{base}");
+            let (command, next) = if rollback % 4 == 0 {
+                let to = usize::from(weight) % tables.len();
+                let to_revision = to as u64;
+                let edit = who(&id);
+                (
+                    ControlCommand::Rollback { edit, base_revision: base, to_revision },
+                    tables[to].clone(),
+                )
+            } else {
+                let change = put(&format!("team-{}", name % 6), 1 + u32::from(weight));
+                let mut next = tables[last].clone();
+                next.apply(std::slice::from_ref(&change));
+                (edit(&id, base, vec![change]), next)
+            };
+            assert!(matches!(apply(&mut state, 5, command), ControlAnswer::Accepted(_)));
+            tables.push(next);
+        }
+        for (revision, table) in tables.iter().enumerate() {
+            assert_eq!(state.history().table_at(revision as u64).as_ref(), Some(table));
+            let difference = state.changes_since(revision as u64);
+            let DifferenceContent::Changes(changes) = difference.content else {
+                panic!("revision {revision} is kept")
+            };
+            let mut table = table.clone();
+            table.apply(&changes);
+            assert_eq!(table.digest(), difference.digest);
+        }
+    }
+}
+
+/// Guards against unbounded history and a wrong answer for forgotten revisions.
+#[test]
+fn history_keeps_the_last_revisions() {
+    let mut state = ControlState::default();
+    let last = REVISION_LIMIT as u64 + 10;
+    for base in 0..last {
+        apply(
+            &mut state,
+            base,
+            edit(&format!("e{base}"), base, vec![put("team-a", 1 + u32::try_from(base).unwrap())]),
+        );
+    }
+    assert_eq!(state.history().revisions().len(), REVISION_LIMIT);
+    let oldest = state.history().revisions().next().unwrap();
+    assert_eq!((oldest.revision, oldest.operator.as_str(), oldest.time_ms), (11, "ana", 10));
+    assert!(matches!(state.changes_since(10).content, DifferenceContent::Changes(_)));
+    for unknown in [9, last + 1] {
+        assert!(matches!(state.changes_since(unknown).content, DifferenceContent::Whole(_)));
+    }
+    let command = ControlCommand::Rollback { edit: who("r"), base_revision: last, to_revision: 9 };
+    assert_eq!(refused(apply(&mut state, 9, command)).kind, ErrorKind::NotFound);
+}
+
+/// Guards against stops that outlive their limit and a removed node that
+/// returns.
+#[test]
+fn stop_ends_at_limit_and_removed_node_stays_out() {
+    let mut state = ControlState::default();
+    let target = StopTarget { kind: StopKind::Host, name: "host-1".into() };
+    let announce = ControlCommand::AnnounceStop {
+        edit: who("s1"),
+        target: target.clone(),
+        until_ms: Some(DAY_START + 100),
+    };
+    apply(&mut state, DAY_START, announce);
+    assert_eq!((state.stops().len(), state.stops_version()), (1, 1));
+    apply(&mut state, DAY_START + 100, ControlCommand::Blank);
+    assert_eq!((state.stops().len(), state.stops_version()), (0, 2));
+    let cancel = ControlCommand::CancelStop { edit: who("s2"), target };
+    assert_eq!(refused(apply(&mut state, DAY_START, cancel)).kind, ErrorKind::NotFound);
+    let node = router(4);
+    let remove = ControlCommand::RemoveNode { edit: who("n1"), node: node.clone() };
+    apply(&mut state, DAY_START, remove);
+    assert!(state.is_removed(&node) && !state.is_removed(&router(5)));
+    let claims = vec![claim("20261203-a", 4, 1)];
+    let answer = apply(&mut state, DAY_START, ControlCommand::Claims { claims });
+    let stale = ClaimAnswer::Refused(ErrorKind::StaleIncarnation);
+    assert_eq!(answer, ControlAnswer::Claims(vec![stale]));
+}
+
+fn router(incarnation: u64) -> NodeIdentity {
+    NodeIdentity { name: "router-1".into(), incarnation }
+}
+
+fn claim(key: &str, incarnation: u64, attempt: u64) -> ActionClaim {
+    let key = ActionKey::new("team-a", "payout", key);
+    let path = "/payout".into();
+    ActionClaim { key, body_digest: [1; 32], router: router(incarnation), attempt, path }
+}
+
+fn ledger() -> ActionLedger {
+    let mut ledger = ActionLedger::default();
+    ledger.advance(DAY_START);
+    ledger
+}
+
+const PAID: ActionOutcome = ActionOutcome { status: 200, digest: [2; 32] };
+
+/// Guards against a state without way in, and against an event without a
+/// defined answer.
+#[test]
+fn action_chart_answers_every_event() {
+    let chart = CompiledChart::parse(ACTION_CHART).unwrap();
+    let phases = PhaseChart::parse(ACTION_CHART, &ACTION_PHASES).unwrap();
+    let mut reached = vec![ActionPhase::Running];
+    let mut next = 0;
+    let mut refused = 0;
+    while next < reached.len() {
+        for event in chart.event_names() {
+            match phases.step(reached[next], event) {
+                Ok(phase) if !reached.contains(&phase) => reached.push(phase),
+                Ok(_) => {}
+                Err(_) => refused += 1,
+            }
+        }
+        next += 1;
+    }
+    assert_eq!((reached.len(), chart.event_names().len(), refused), (4, 4, 16 - 6));
+}
+
+/// Guards against a second grant in every state of an action.
+#[test]
+fn claim_key_twice_is_refused() {
+    let mut ledger = ledger();
+    let first = claim("20261203-a", 1, 1);
+    let token = FencingToken { term: 7, number: 1 };
+    assert_eq!(ledger.claim(7, &first), ClaimAnswer::Granted(token));
+    assert_eq!(ledger.claim(8, &first), ClaimAnswer::Granted(token), "the same attempt");
+    let second = claim("20261203-a", 1, 2);
+    assert_eq!(ledger.claim(8, &second), ClaimAnswer::Running);
+    let reused = ActionClaim { body_digest: [9; 32], ..second.clone() };
+    assert_eq!(ledger.claim(8, &reused), ClaimAnswer::Refused(ErrorKind::KeyReused));
+    ledger.advance(DAY_START + CLAIM_LEASE_MS + CLAIM_MARGIN_MS - 1);
+    assert_eq!(ledger.claim(8, &second), ClaimAnswer::Running);
+    ledger.advance(DAY_START + CLAIM_LEASE_MS + CLAIM_MARGIN_MS);
+    assert_eq!(ledger.claim(8, &first), ClaimAnswer::Unknown { ran: None });
+    let (key, record) = ledger.unresolved().next().unwrap();
+    assert_eq!((key, record.token), (&first.key, token));
+    let found = ActionResolution { operator: "ana".into(), time_ms: 1, ran: true, note: "".into() };
+    assert!(ledger.resolve(&first.key, found.clone()).unwrap().ran);
+    assert_eq!(ledger.claim(8, &first), ClaimAnswer::Unknown { ran: Some(true) });
+    assert_eq!(ledger.resolve(&first.key, found), Err(ErrorKind::RevisionConflict));
+    let report = OutcomeReport { key: first.key.clone(), token, outcome: PAID };
+    let stale = OutcomeReport { token: FencingToken { term: 8, number: 1 }, ..report.clone() };
+    assert_eq!(ledger.record_outcome(&stale), OutcomeAnswer::Refused(ErrorKind::StaleToken));
+    assert_eq!(ledger.record_outcome(&report), OutcomeAnswer::Recorded);
+    let other = OutcomeReport { outcome: ActionOutcome { status: 500, ..PAID }, ..report };
+    assert_eq!(ledger.record_outcome(&other), OutcomeAnswer::Repeated(PAID));
+    assert_eq!(ledger.claim(8, &second), ClaimAnswer::Known(PAID));
+}
+
+/// Guards against a claim that a restarted router believes to hold.
+#[test]
+fn claim_of_restarted_router_becomes_unknown() {
+    let mut ledger = ledger();
+    ledger.claim(1, &claim("20261203-a", 1, 1));
+    ledger.claim(1, &claim("20261203-b", 2, 1));
+    assert_eq!(ledger.unresolved().count(), 1);
+    let late = claim("20261203-c", 1, 2);
+    assert_eq!(ledger.claim(1, &late), ClaimAnswer::Refused(ErrorKind::StaleIncarnation));
+    ledger.router_seen(&router(3));
+    assert_eq!((ledger.unresolved().count(), ledger.next_deadline_ms()), (2, None));
+}
+
+/// Guards against a trimmed action that runs again.
+#[test]
+fn key_outside_retention_is_refused() {
+    let mut ledger = ledger();
+    let cases = [
+        ("20261125-a", Some(ErrorKind::KeyExpired)),
+        ("20261126-a", None),
+        ("20261204-a", None),
+        ("20261205-a", Some(ErrorKind::MalformedRequest)),
+        ("20260230-a", Some(ErrorKind::MalformedRequest)),
+        ("20261203-", Some(ErrorKind::MalformedRequest)),
+        ("2026120-aa", Some(ErrorKind::MalformedRequest)),
+        ("é0261203-a", Some(ErrorKind::MalformedRequest)),
+    ];
+    for (key, refusal) in cases {
+        let answer = ledger.claim(1, &claim(key, 1, 1));
+        match refusal {
+            Some(kind) => assert_eq!(answer, ClaimAnswer::Refused(kind), "{key}"),
+            None => assert!(matches!(answer, ClaimAnswer::Granted(_)), "{key}: {answer:?}"),
+        }
+    }
+    let first = ActionKey::new("team-a", "payout", "20261126-a");
+    let token = FencingToken { term: 1, number: 1 };
+    ledger.record_outcome(&OutcomeReport { key: first.clone(), token, outcome: PAID });
+    ledger.advance(DAY_START + DAY);
+    assert_eq!((ledger.len(), ledger.get(&first).is_none()), (1, true));
+    let answer = ledger.claim(1, &claim("20261126-a", 1, 2));
+    assert_eq!(answer, ClaimAnswer::Refused(ErrorKind::KeyExpired));
+    // An unresolved action stays listed for longer, and is still refused.
+    ledger.advance(DAY_START + 20 * DAY);
+    assert_eq!(ledger.unresolved().count(), 1);
+    // A clock that is set back changes nothing.
+    ledger.advance(DAY_START);
+    let answer = ledger.claim(1, &claim("20261203-z", 1, 3));
+    assert_eq!(answer, ClaimAnswer::Refused(ErrorKind::KeyExpired));
+    ledger.advance(DAY_START + 40 * DAY);
+    assert!(ledger.is_empty());
+}
+
+/// Guards against a fencing token that is given twice after a snapshot.
+#[test]
+fn token_grows_over_snapshot() {
+    let mut state = ControlState::default();
+    let claims = |key| ControlCommand::Claims { claims: vec![claim(key, 1, 1)] };
+    apply(&mut state, DAY_START, claims("20261203-a"));
+    let mut state = ControlState::from_snapshot(&state.to_snapshot().unwrap()).unwrap();
+    let answer = apply(&mut state, DAY_START, claims("20261203-b"));
+    let token = FencingToken { term: 1, number: 2 };
+    assert_eq!(answer, ControlAnswer::Claims(vec![ClaimAnswer::Granted(token)]));
+}
--- /dev/null
+++ b/crates/core/tests/replica_core.rs
@@ -0,0 +1,319 @@
+//! Focused tests of the consensus core.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod replica_sim;
+
+use baobabfall_core::control_command::{ControlAnswer, ControlCommand};
+use baobabfall_core::phase_chart::PhaseChart;
+use baobabfall_core::replica_core::*;
+use baobabfall_core::replica_events::*;
+use baobabfall_core::replica_members::*;
+use baobabfall_core::replica_messages::*;
+use baobabfall_core::state_chart::{CompiledChart, REPLICA_CHART};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use replica_sim::{Sim, SimFaults, edit_command};
+use std::time::Duration;
+
+const CALM: SimFaults = SimFaults { loss: 0, chaos: 0 };
+
+fn ms(number: u64) -> Duration {
+    Duration::from_millis(number)
+}
+
+fn identity(id: u64) -> ReplicaIdentity {
+    ReplicaIdentity { name: format!("controller-{id}"), id }
+}
+
+/// Replica 1 of three voters, started at time 0 with the given term.
+fn replica(term: u64) -> ReplicaCore<StdRng> {
+    let mut members = ReplicaMembers::default();
+    for id in 1..=3 {
+        members = members.with_learner(identity(id), String::new()).with_voter(id);
+    }
+    let mut stored = StoredReplica::empty(members);
+    stored.term_vote.term = term;
+    let options = ReplicaOptions::new(identity(1));
+    ReplicaCore::new(Duration::ZERO, options, stored, StdRng::seed_from_u64(1))
+}
+
+fn message(from: u64, term: u64, body: MessageBody) -> ReplicaEvent {
+    let (from, to) = (identity(from), identity(1));
+    ReplicaEvent::Message(ReplicaMessage { from, to, term, body })
+}
+
+fn append(previous_index: u64, commit: u64, sent_at: Duration) -> MessageBody {
+    let (previous_term, entries) = (0, Vec::new());
+    MessageBody::Append(AppendRequest { previous_index, previous_term, entries, commit, sent_at })
+}
+
+const EMPTY_LOG: VoteRequest = VoteRequest { last_index: 0, last_term: 0 };
+
+fn sent(effects: &[ReplicaEffect]) -> Vec<&MessageBody> {
+    let bodies = effects.iter().filter_map(|effect| match effect {
+        ReplicaEffect::Send(message) => Some(&message.body),
+        _ => None,
+    });
+    bodies.collect()
+}
+
+fn vote_granted(effects: &[ReplicaEffect]) -> bool {
+    let answer = |body: &&MessageBody| matches!(body, MessageBody::VoteAnswer(a) if a.granted);
+    sent(effects).iter().any(answer)
+}
+
+/// A core that leads its term after the votes of replica 2, at the given time.
+fn leading(now: Duration) -> ReplicaCore<StdRng> {
+    let mut core = replica(0);
+    core.handle(now, [ReplicaEvent::Tick]);
+    let granted = VoteAnswer { asked_term: 1, granted: true };
+    core.handle(now, [message(2, 0, MessageBody::PreVoteAnswer(granted))]);
+    core.handle(now, [ReplicaEvent::Synced { sequence: 1 }]);
+    core.handle(now, [message(2, 1, MessageBody::VoteAnswer(granted))]);
+    assert_eq!(core.role(), ReplicaRole::Leader);
+    core
+}
+
+fn ack(from: u64, matched: u64, sent_at: Duration) -> ReplicaEvent {
+    let answer = AppendAnswer { success: true, matched, hint: 0, sent_at };
+    message(from, 1, MessageBody::AppendAnswer(answer))
+}
+
+/// Guards against a role that the code cannot reach or leave as charted.
+#[test]
+fn replica_chart_reaches_every_role() {
+    let chart = CompiledChart::parse(REPLICA_CHART).unwrap();
+    let phases = PhaseChart::parse(REPLICA_CHART, &REPLICA_ROLES).unwrap();
+    let mut reached = vec![ReplicaRole::Learner];
+    let mut next = 0;
+    let mut refused = 0;
+    while next < reached.len() {
+        for event in chart.event_names() {
+            match phases.step(reached[next], event) {
+                Ok(role) if !reached.contains(&role) => reached.push(role),
+                Ok(_) => {}
+                Err(_) => refused += 1,
+            }
+        }
+        next += 1;
+    }
+    assert_eq!(reached.len(), REPLICA_ROLES.len());
+    assert_eq!((chart.event_names().len(), refused), (8, 40 - 20));
+}
+
+/// Guards against a vote that a crash could take back.
+#[test]
+fn vote_before_sync_is_not_sent() {
+    let mut core = replica(0);
+    let effects = core.handle(ms(700), [message(2, 1, MessageBody::Vote(EMPTY_LOG))]);
+    assert!(matches!(effects[..], [ReplicaEffect::Persist { sequence: 1, .. }]));
+    assert!(vote_granted(&core.handle(ms(701), [ReplicaEvent::Synced { sequence: 1 }])));
+}
+
+/// Guards against a second leader within the lease of the first, also when the
+/// voter restarted or learnt of the new term from another message.
+#[test]
+fn vote_within_leader_contact_is_refused() {
+    let vote = || message(2, 5, MessageBody::Vote(EMPTY_LOG));
+    let mut restarted = replica(1);
+    assert!(!vote_granted(&restarted.handle(ms(599), [vote()])));
+    let mut core = replica(1);
+    core.handle(ms(1000), [message(3, 1, append(0, 0, ms(7)))]);
+    let answer = VoteAnswer { asked_term: 2, granted: false };
+    core.handle(ms(1001), [message(2, 5, MessageBody::PreVoteAnswer(answer))]);
+    assert_eq!(core.term(), 5);
+    core.handle(ms(1002), [ReplicaEvent::Synced { sequence: 9 }]);
+    assert!(!vote_granted(&core.handle(ms(1599), [vote()])));
+    core.handle(ms(1600), [vote()]);
+    assert!(vote_granted(&core.handle(ms(1601), [ReplicaEvent::Synced { sequence: 10 }])));
+}
+
+/// Guards against pre-votes of an old term that start an election now.
+#[test]
+fn pre_vote_answer_of_other_term_is_not_counted() {
+    let mut core = replica(3);
+    core.handle(ms(1300), [ReplicaEvent::Tick]);
+    assert_eq!(core.role(), ReplicaRole::PreCandidate);
+    let answer = |asked_term| {
+        let answer = VoteAnswer { asked_term, granted: true };
+        message(2, 0, MessageBody::PreVoteAnswer(answer))
+    };
+    core.handle(ms(1301), [answer(3)]);
+    assert_eq!((core.role(), core.term()), (ReplicaRole::PreCandidate, 3));
+    core.handle(ms(1302), [answer(4)]);
+    assert_eq!((core.role(), core.term()), (ReplicaRole::Candidate, 4));
+}
+
+/// Guards against a replica that returns from a partition and deposes the
+/// leader by a higher term.
+#[test]
+fn partitioned_replica_returns_without_new_term() {
+    let mut sim = Sim::new(3, 3, CALM);
+    sim.run(3000);
+    let leader = sim.leader().unwrap();
+    let term = sim.nodes[leader].core.as_ref().unwrap().term();
+    let cut = (leader + 1) % 3;
+    sim.blocked = (0..3).flat_map(|n| [(cut, n), (n, cut)]).collect();
+    sim.run(5000);
+    sim.blocked.clear();
+    sim.run(3000);
+    assert_eq!(sim.leader(), Some(leader));
+    assert_eq!(sim.nodes[leader].core.as_ref().unwrap().term(), term);
+}
+
+/// Guards against a lease that counts from the receipt of answers.
+#[test]
+fn lease_counts_from_sending_time() {
+    let mut core = leading(ms(2000));
+    assert!(!core.has_lease(ms(2000)));
+    core.handle(ms(2300), [ack(2, 0, ms(2000))]);
+    assert!(core.has_lease(ms(2399)));
+    assert!(!core.has_lease(ms(2400)));
+}
+
+/// Guards against answers of a replica that lost its disk and kept its name.
+#[test]
+fn answer_of_other_identity_is_not_counted() {
+    let mut core = leading(ms(2000));
+    core.handle(ms(2001), [ReplicaEvent::Synced { sequence: 2 }]);
+    let from = ReplicaIdentity { name: "controller-2".into(), id: 99 };
+    let answer = AppendAnswer { success: true, matched: 1, hint: 0, sent_at: ms(2000) };
+    let body = MessageBody::AppendAnswer(answer);
+    let to = identity(1);
+    core.handle(ms(2002), [ReplicaEvent::Message(ReplicaMessage { from, to, term: 1, body })]);
+    assert_eq!((core.commit_index(), core.has_lease(ms(2002))), (0, false));
+    core.handle(ms(2003), [ack(2, 1, ms(2000))]);
+    assert_eq!((core.commit_index(), core.has_lease(ms(2003))), (1, true));
+}
+
+/// Guards against a commit that counts the leader's unsynced entry.
+#[test]
+fn commit_waits_for_own_sync() {
+    let mut core = leading(ms(2000));
+    core.handle(ms(2001), [ack(2, 1, ms(2000))]);
+    assert_eq!(core.commit_index(), 0);
+    core.handle(ms(2002), [ReplicaEvent::Synced { sequence: 2 }]);
+    assert_eq!(core.commit_index(), 1);
+}
+
+/// Guards against reads and proposals at a leader that may be replaced, and
+/// against one that stays leader without a quorum.
+#[test]
+fn leader_without_quorum_rejects_and_steps_down() {
+    let mut core = leading(ms(2000));
+    core.handle(ms(2001), [ack(2, 0, ms(2000))]);
+    let propose =
+        || ReplicaEvent::Propose { proposal: 8, command: ControlCommand::Blank, time_ms: 1 };
+    assert!(sent(&core.handle(ms(2002), [propose()])).len() == 2);
+    let reason = RejectReason::NoQuorum;
+    let rejected = ReplicaEffect::RejectProposal { proposal: 8, reason: reason.clone() };
+    let refused = ReplicaEffect::RejectRead { read: 9, reason };
+    let events = [propose(), ReplicaEvent::Read { read: 9 }];
+    assert_eq!(core.handle(ms(2400), events), [rejected, refused]);
+    let effects = core.handle(ms(3201), [ReplicaEvent::Tick]);
+    let lost = RejectReason::LeadershipLost;
+    assert_eq!(effects, [ReplicaEffect::RejectProposal { proposal: 8, reason: lost }]);
+    assert_eq!(core.role(), ReplicaRole::Follower);
+}
+
+/// Guards against appends above their limit and commands that never fit.
+#[test]
+fn append_stays_within_limit() {
+    let mut core = leading(ms(2000));
+    core.handle(ms(2001), [ack(2, 0, ms(2000))]);
+    let large = |bytes: usize| {
+        let note = "x".repeat(bytes);
+        let edit =
+            baobabfall_core::control_command::EditIdentity { operator: note, id: "1".into() };
+        let target = baobabfall_core::control_command::StopTarget {
+            kind: baobabfall_core::control_command::StopKind::Host,
+            name: "host-1".into(),
+        };
+        let command = ControlCommand::CancelStop { edit, target };
+        ReplicaEvent::Propose { proposal: 7, command, time_ms: 0 }
+    };
+    let effects = core.handle(ms(2002), [large(600_000)]);
+    let reason = RejectReason::Oversized;
+    assert_eq!(effects, [ReplicaEffect::RejectProposal { proposal: 7, reason }]);
+    let effects = core.handle(ms(2003), (0..5).map(|_| large(200_000)));
+    let bodies = sent(&effects);
+    let largest = bodies.iter().map(|body| rmp_serde::to_vec(body).unwrap().len()).max().unwrap();
+    assert!((400_000..600_000).contains(&largest), "{largest}");
+}
+
+/// Guards against two changes of the membership at once.
+#[test]
+fn second_member_change_is_refused_while_one_is_uncommitted() {
+    let mut core = leading(ms(2000));
+    let change = |id| {
+        let change = MemberChange::Add { identity: identity(id), address: String::new() };
+        ReplicaEvent::ChangeMembers { proposal: id, change, time_ms: 0 }
+    };
+    let pending = |proposal| {
+        [ReplicaEffect::RejectProposal { proposal, reason: RejectReason::ChangePending }]
+    };
+    core.handle(ms(2001), [ack(2, 0, ms(2000))]);
+    assert_eq!(core.handle(ms(2001), [change(4)]), pending(4), "the term has no commit yet");
+    core.handle(ms(2002), [ReplicaEvent::Synced { sequence: 2 }, ack(2, 1, ms(2001))]);
+    assert!(matches!(core.handle(ms(2003), [change(4)])[0], ReplicaEffect::Persist { .. }));
+    assert_eq!(core.handle(ms(2004), [change(5)]), pending(5));
+}
+
+/// Guards against the loss of a second replica right after the repair of a
+/// lost disk, and against a replacement that is counted before it holds the log.
+#[test]
+fn replaced_replica_carries_the_log_alone_with_one_other() {
+    let mut sim = Sim::new(11, 3, CALM);
+    sim.run(3000);
+    for number in 0..40 {
+        let leader = sim.leader().unwrap();
+        let command = edit_command(&format!("edit-{number}"), number, "team-1", 1);
+        sim.propose(leader, command);
+        sim.run(100);
+    }
+    let lost = (sim.leader().unwrap() + 1) % 3;
+    sim.lose_disk(lost);
+    let id = sim.nodes[lost].identity.id;
+    while !sim.all_members_vote() {
+        sim.run(20);
+        let Some(leader) = sim.leader() else { continue };
+        let core = sim.nodes[leader].core.as_ref().unwrap();
+        assert!(core.members().voters().count() <= 3, "the quorum never grows");
+        if core.members().is_voter(id) {
+            assert!(
+                core.peer_matched(id).unwrap() >= 41,
+                "it votes with {:?}",
+                core.peer_matched(id)
+            );
+        }
+        assert!(sim.time < 20_000, "the replacement never votes");
+    }
+    let leader = sim.leader().unwrap();
+    sim.crash(leader);
+    sim.run(4000);
+    let next = sim.leader().expect("the other two elect a leader");
+    let proposal = sim.propose(next, edit_command("after", 40, "team-2", 9));
+    sim.run(500);
+    let answer = sim.answers.get(&proposal);
+    assert!(matches!(answer, Some(ControlAnswer::Accepted(a)) if a.revision == 41), "{answer:?}");
+    sim.heal();
+    sim.run(3000);
+    sim.check_final();
+}
+
+/// Guards against a leader that keeps leading after its removal.
+#[test]
+fn removed_leader_hands_over() {
+    let mut sim = Sim::new(5, 3, CALM);
+    sim.run(3000);
+    let leader = sim.leader().unwrap();
+    let id = sim.nodes[leader].identity.id;
+    sim.change_members(leader, MemberChange::Remove { id });
+    // Not `run`, which would add the replica again.
+    for _ in 0..800 {
+        sim.step();
+    }
+    assert_ne!(sim.leader().unwrap(), leader);
+    assert_eq!(sim.nodes[leader].core.as_ref().unwrap().role(), ReplicaRole::Learner);
+}
