--- a/crates/burn/examples/generate_samples.rs
+++ b/crates/burn/examples/generate_samples.rs
@@ -10,7 +10,7 @@
 
 const MINUTE: Duration = Duration::from_secs(60);
 const PERIOD: Duration = Duration::from_secs(30 * 86_400);
-/// 2026-12-03 10:13:20 UTC.
+/// 2026-12-03 12:13:20 UTC.
 const END_MS: u64 = 1_796_300_000_000;
 
 fn main() -> std::io::Result<()> {
--- a/crates/burn/src/burn_plot.rs
+++ b/crates/burn/src/burn_plot.rs
@@ -2,7 +2,7 @@
 
 use crate::burn_rate::EventTally;
 use crate::error::BurnError;
-use crate::fleet_merge::PLOT_POINTS;
+use crate::objective_tally::PLOT_POINTS;
 use crate::units::to_float;
 use plotters::prelude::*;
 
@@ -24,6 +24,8 @@
     pub unit: &'static str,
     /// Horizontal lines: value, and whether it is a paging rule.
     pub marks: Vec<(f64, bool)>,
+    /// True when values are shares, shown as percentages.
+    pub shares: bool,
     /// Lowest value of the axis.
     pub floor: f64,
     /// Highest value that the axis shows at least.
@@ -44,6 +46,7 @@
             span: 6.0,
             unit: "h",
             marks,
+            shares: false,
             floor: 0.0,
             ceiling: 1.5,
         }
@@ -72,6 +75,7 @@
             span: days,
             unit: "d",
             marks: vec![(0.0, true)],
+            shares: target < 1.0,
             floor: if lowest < 0.0 { -1.0 } else { 0.0 },
             ceiling: 1.0,
         }
@@ -112,12 +116,14 @@
             .x_label_formatter(&|time| {
                 if *time > -0.001 { "now".to_owned() } else { format!("{time:.0} {unit}") }
             })
-            .y_label_formatter(&|value| format_tick(*value))
+            .y_label_formatter(&|value| {
+                if self.shares { format!("{:.0}%", value * 100.0) } else { format_tick(*value) }
+            })
             .draw()?;
         for (value, page) in self.marks.iter().filter(|(value, _)| *value <= top) {
             let color = if *page { PAGE_LINE } else { TICKET_LINE };
             let ends = [(-self.span, *value), (0.0, *value)];
-            chart.draw_series(DashedLineSeries::new(ends, 5, 4, color.stroke_width(1)))?;
+            chart.draw_series(LineSeries::new(ends, color.stroke_width(1)))?;
         }
         for segment in self.segments() {
             if let [point] = segment.as_slice() {
--- a/crates/burn/src/cli.rs
+++ b/crates/burn/src/cli.rs
@@ -52,6 +52,16 @@
             /// Stores the scraped text instead of the compact form.
             optional --raw
         }
+
+        /// Copies recorded samples and leaves out what no window needs any more.
+        cmd thin {
+            /// Recorded samples: a file, or a folder of .jsonl files; repeatable.
+            repeated --samples path: PathBuf
+            /// New file to write; it must not exist.
+            required --out file: PathBuf
+            /// Longest period of the objectives; 30d when left out.
+            optional --period duration: String
+        }
     }
 }
 // generated start
@@ -68,6 +78,7 @@
 pub enum BaobabfallBurnCmd {
     Report(Report),
     Record(Record),
+    Thin(Thin),
 }
 
 #[derive(Debug)]
@@ -87,6 +98,13 @@
     pub raw: bool,
 }
 
+#[derive(Debug)]
+pub struct Thin {
+    pub samples: Vec<PathBuf>,
+    pub out: PathBuf,
+    pub period: Option<String>,
+}
+
 impl BaobabfallBurn {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- a/crates/burn/src/html_report.rs
+++ b/crates/burn/src/html_report.rs
@@ -182,11 +182,11 @@
     let burn =
         if window.data == WindowData::Missing { "no data".to_owned() } else { format_burn(window) };
     format!(
-        "<tr class=\"{row}\"><td>{}</td><td>{burn}</td><td>{}</td><td>{}</td><td>{}</td></tr>",
+        "<tr class=\"{row}\"><td>{}</td><td>{burn}</td><td>{}</td><td>{}</td><td>{:.0}%</td></tr>",
         window_name(window),
         window.bad,
         window.events,
-        format!("{:.0}%", (window.coverage * 100.0).floor())
+        (window.coverage * 100.0).floor()
     )
 }
 
@@ -197,10 +197,7 @@
     let titles = if strict {
         ["Missed events, last 6 h", "Missed events so far in the period"]
     } else {
-        [
-            "Burn rate, last 6 h (dashed: 6 pages, 1 spends the budget)",
-            "Budget left over the period",
-        ]
+        ["Burn rate, last 6 h (red line: 6, amber line: 1)", "Budget left over the period"]
     };
     Ok(format!("<h3>{}</h3>{recent}<h3>{}</h3>{budget}", titles[0], titles[1]))
 }
--- a/crates/burn/src/options.rs
+++ b/crates/burn/src/options.rs
@@ -1,6 +1,6 @@
 //! Checks the command line once and reads the files it names.
 
-use crate::cli::{BaobabfallBurn, BaobabfallBurnCmd, Record, Report};
+use crate::cli::{BaobabfallBurn, BaobabfallBurnCmd, Record, Report, Thin};
 use crate::error::BurnError;
 use crate::objectives::ObjectiveSet;
 use crate::scraper::Credential;
@@ -37,6 +37,8 @@
     Report(ReportOptions),
     /// Record samples.
     Record(RecordOptions),
+    /// Thin samples out.
+    Thin(ThinOptions),
 }
 
 /// Time that a report is about.
@@ -78,6 +80,17 @@
     pub raw: bool,
 }
 
+/// Options of thinning.
+#[derive(Debug)]
+pub struct ThinOptions {
+    /// Files and folders of samples.
+    pub samples: Vec<PathBuf>,
+    /// New file.
+    pub out: PathBuf,
+    /// Longest period of the objectives.
+    pub period: Duration,
+}
+
 fn usage<T>(argument: &'static str, message: impl Into<String>) -> Result<T, BurnError> {
     Err(BurnError::Usage { argument, message: message.into() })
 }
@@ -105,6 +118,7 @@
         let command = match flags.subcommand {
             BaobabfallBurnCmd::Report(report) => check_report(report, &addresses)?,
             BaobabfallBurnCmd::Record(record) => check_record(record, &addresses)?,
+            BaobabfallBurnCmd::Thin(thin) => check_thin(thin)?,
         };
         Ok(Self { targets: ScrapeTargets { addresses, credential }, command })
     }
@@ -165,3 +179,15 @@
         raw: flags.raw,
     }))
 }
+
+fn check_thin(flags: Thin) -> Result<BurnCommand, BurnError> {
+    if flags.samples.is_empty() {
+        return usage("--samples", "It is missing; name a file or folder of recorded samples.");
+    }
+    let period = match flags.period.as_deref().map(parse_duration) {
+        None => Duration::from_secs(30 * 86_400),
+        Some(Ok(period)) => period,
+        Some(Err(message)) => return usage("--period", message),
+    };
+    Ok(BurnCommand::Thin(ThinOptions { samples: flags.samples, out: flags.out, period }))
+}
--- a/crates/burn/src/parallel_merge.rs
+++ b/crates/burn/src/parallel_merge.rs
@@ -8,7 +8,7 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 
 /// Threads that merge; the reader is one more.
-pub const MERGE_THREADS: usize = 4;
+pub const MERGE_THREADS: usize = 6;
 /// Lines are handed to a thread in batches of about this many bytes.
 const BATCH_BYTES: usize = 1 << 20;
 /// Batches that wait per thread.
@@ -25,7 +25,7 @@
         let mut workers = Vec::new();
         for _ in 0..MERGE_THREADS {
             let (sender, batches) = sync_channel(BATCH_QUEUE);
-            lanes.push(Lane { sender, batch: Vec::new() });
+            lanes.push(Lane { sender, batch: LineBatch::default() });
             workers.push(scope.spawn(move || merge_batches(set, now, &batches)));
         }
         let read = read_files(files, lanes);
@@ -40,17 +40,27 @@
     })
 }
 
+/// Lines one after the other, with the end of each.
+#[derive(Default)]
+struct LineBatch {
+    bytes: Vec<u8>,
+    ends: Vec<usize>,
+}
+
 /// Batch in the making for one thread.
 struct Lane {
-    sender: SyncSender<Vec<u8>>,
-    batch: Vec<u8>,
+    sender: SyncSender<LineBatch>,
+    batch: LineBatch,
 }
 
 impl Lane {
     fn push(&mut self, line: &[u8]) {
-        self.batch.extend_from_slice(line);
-        self.batch.push(b'\n');
-        if self.batch.len() >= BATCH_BYTES {
+        if self.batch.bytes.capacity() == 0 {
+            self.batch.bytes.reserve(BATCH_BYTES + BATCH_BYTES / 8);
+        }
+        self.batch.bytes.extend_from_slice(line);
+        self.batch.ends.push(self.batch.bytes.len());
+        if self.batch.bytes.len() >= BATCH_BYTES {
             self.flush();
         }
     }
@@ -85,12 +95,13 @@
     hash % lanes.max(1)
 }
 
-fn merge_batches(set: &ObjectiveSet, now: u64, batches: &Receiver<Vec<u8>>) -> FleetMerge {
+fn merge_batches(set: &ObjectiveSet, now: u64, batches: &Receiver<LineBatch>) -> FleetMerge {
     let mut merge = FleetMerge::new(set, now);
     for batch in batches {
-        let lines = batch.strip_suffix(b"\n").unwrap_or_default();
-        if !batch.is_empty() {
-            lines.split(|byte| *byte == b'\n').for_each(|line| merge.add_line(line));
+        let mut start = 0;
+        for end in batch.ends {
+            merge.add_line(batch.bytes.get(start..end).unwrap_or_default());
+            start = end;
         }
     }
     merge
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -9,7 +9,8 @@
     AlertLevel, EventTally, ObjectiveState, PAGING_WINDOWS, PERIOD_INDEX, WINDOW_COUNT,
     WindowTallies, alert_level, is_exhausted,
 };
-use crate::fleet_merge::{FleetMerge, IntakeCounts, ObjectiveTally, quantile_bound};
+use crate::fleet_merge::{FleetMerge, IntakeCounts};
+use crate::objective_tally::{ObjectiveTally, quantile_bound};
 use crate::objectives::{GoodRule, ObjectiveSet, ServiceObjective};
 use crate::units::{format_duration, to_float};
 use serde::Serialize;
@@ -251,7 +252,7 @@
     }
 
     fn window(&self, tally: &ObjectiveTally, index: usize) -> WindowReport {
-        let (window_ms, slot_ms) = tally.window(index);
+        let (window_ms, slot_ms) = tally.windows[index];
         let counted = self.merge.coverage().iter().find(|held| held.window_ms == window_ms);
         let present = counted.map_or(0, |held| held.present);
         let expected = self.expected.saturating_mul(window_ms / slot_ms);
--- a/crates/burn/src/run.rs
+++ b/crates/burn/src/run.rs
@@ -10,17 +10,23 @@
 use crate::samples::{last_time, sample_files};
 use crate::scraper::scrape_all;
 use crate::text_report::render_text;
+use crate::thinner::thin_files;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use tokio::runtime::{Builder, Runtime};
 
-/// Runs a command; a recording that ends is a success.
+/// Runs a command; a recording or thinning that ends is a success.
 pub fn run(options: &BurnOptions) -> Result<FleetVerdict, BurnError> {
     match &options.command {
         BurnCommand::Record(record_options) => {
             runtime()?.block_on(record(&options.targets, record_options))?;
             Ok(FleetVerdict::WithinBudget)
         }
+        BurnCommand::Thin(thin_options) => {
+            let files = list_files(&thin_options.samples)?;
+            thin_files(&files, thin_options, newest(&files)?)?;
+            Ok(FleetVerdict::WithinBudget)
+        }
         BurnCommand::Report(report_options) => {
             let report = build_report(report_options, &options.targets)?;
             write_report(&report, report_options)?;
@@ -43,10 +49,7 @@
     options: &ReportOptions,
     targets: &ScrapeTargets,
 ) -> Result<FleetReport, BurnError> {
-    let mut files: Vec<PathBuf> = Vec::new();
-    for path in &options.samples {
-        files.extend(sample_files(path).map_err(unreadable(path))?);
-    }
+    let files = list_files(&options.samples)?;
     if files.is_empty() && targets.addresses.is_empty() {
         return Err(BurnError::NoData("the folder holds no .jsonl file.".to_owned()));
     }
@@ -62,6 +65,14 @@
     Ok(FleetReport::build(&options.set, &merge))
 }
 
+fn list_files(paths: &[PathBuf]) -> Result<Vec<PathBuf>, BurnError> {
+    let mut files = Vec::new();
+    for path in paths {
+        files.extend(sample_files(path).map_err(unreadable(path))?);
+    }
+    Ok(files)
+}
+
 fn newest(files: &[PathBuf]) -> Result<u64, BurnError> {
     let mut newest = None;
     for file in files {
--- a/crates/burn/src/sample_generator.rs
+++ b/crates/burn/src/sample_generator.rs
@@ -299,7 +299,7 @@
     /// Rounds up or down at random, so that small rates still give events.
     fn rounded(&mut self, value: f64) -> u64 {
         let value = (value + self.unit()).floor().max(0.0);
-        u64::try_from(Duration::from_secs_f64(value.min(1e15)).as_secs()).unwrap_or(u64::MAX)
+        Duration::from_secs_f64(value.min(1e15)).as_secs()
     }
 }
 
--- a/crates/burn/src/samples.rs
+++ b/crates/burn/src/samples.rs
@@ -31,6 +31,8 @@
 pub const SAMPLE_LIMIT: usize = 12 << 20;
 /// Most series of one compact sample.
 const SERIES_LIMIT: usize = 200_000;
+/// Most digits of a number; more could overflow.
+const DIGIT_LIMIT: usize = 16;
 /// Bytes read at once from the end of a file when looking for its last line.
 const TAIL_STEP: u64 = 64 << 10;
 
@@ -145,7 +147,7 @@
     }
     let aligned = scrape.len() <= hint.len()
         && (0..scrape.len()).all(|index| scrape.key(index) == hint.key(index));
-    match scrape.repeated_key().filter(|_| !aligned) {
+    match if aligned { None } else { scrape.repeated_key() } {
         Some(key) => Err(format!("A series of {} stands twice.", key.family.code())),
         None => Ok(scrape),
     }
@@ -227,27 +229,28 @@
 /// Reads the values up to `;` and returns the number of bytes read.
 fn push_numbers(text: &[u8], cumulative: bool, scrape: &mut NodeScrape) -> Option<usize> {
     let mut total = 0_u64;
-    let mut value = 0_u64;
-    let mut digits = 0;
-    for (index, byte) in text.iter().enumerate() {
-        if byte.is_ascii_digit() && digits < 16 {
-            value = value * 10 + u64::from(byte - b'0');
-            digits += 1;
-            continue;
+    let mut start = 0;
+    loop {
+        let mut value = 0_u64;
+        let mut index = start;
+        while let Some(digit) = text.get(index).map(|byte| byte.wrapping_sub(b'0'))
+            && digit < 10
+        {
+            value = value.wrapping_mul(10).wrapping_add(u64::from(digit));
+            index += 1;
         }
-        let ends = *byte == b';';
-        if digits == 0 || !(ends || *byte == b' ') {
+        if index == start || index - start > DIGIT_LIMIT {
             return None;
         }
         total = if cumulative { total.checked_add(value)? } else { value };
         scrape.push_value(total);
-        if ends {
-            return Some(index + 1);
+        start = index + 1;
+        match text.get(index)? {
+            b';' => return Some(start),
+            b' ' => {}
+            _ => return None,
         }
-        value = 0;
-        digits = 0;
     }
-    None
 }
 
 /// The files that `path` names: itself, or the `.jsonl` files of a folder by name.
--- a/crates/burn/src/text_report.rs
+++ b/crates/burn/src/text_report.rs
@@ -131,7 +131,7 @@
 ///
 /// ```
 /// use baobabfall_burn::text_report::format_time;
-/// assert_eq!(format_time(1_796_300_000_000), "2026-12-03 10:13:20 UTC");
+/// assert_eq!(format_time(1_796_300_000_000), "2026-12-03 12:13:20 UTC");
 /// ```
 pub fn format_time(unix_ms: u64) -> String {
     let seconds = unix_ms / 1000;
