Shorten the compact sample form

Cause: Each workspace and model stood three times in a compact sample. Change: Series are ordered by labels, repeated labels are written as =, families as one letter.

--- a/crates/burn/src/node_scrape.rs
+++ b/crates/burn/src/node_scrape.rs
@@ -60,7 +60,19 @@
         }
     }
 
-    /// Short name in the compact sample form.
+    /// Letter in the compact sample form.
+    pub fn letter(self) -> char {
+        match self {
+            Self::Requests => 'r',
+            Self::Answers => 'a',
+            Self::FirstToken => 'f',
+            Self::TokenGap => 'g',
+            Self::EditInForce => 'e',
+            Self::FairnessGap => 'p',
+        }
+    }
+
+    /// Short name, which latency objectives have as their section.
     pub fn code(self) -> &'static str {
         match self {
             Self::Requests => "requests",
--- a/crates/burn/src/samples.rs
+++ b/crates/burn/src/samples.rs
@@ -12,15 +12,18 @@
 //! The compact form holds entries separated by `;`. `le FAMILY B...` gives the
 //! finite bucket bounds of a histogram family in seconds and precedes its
 //! series. `FAMILY WORKSPACE MODEL N...` gives one series; an absent label is
-//! `-`. Histograms list the events per bucket (not cumulative), the infinite
+//! `-`, and `FAMILY = N...` has the labels of the entry before. FAMILY is `r`
+//! for requests, `a` answers, `f` first token, `g` token gap, `e` edit in
+//! force, `p` fairness gap (its pool stands as the model). Histograms list the events per bucket (not cumulative), the infinite
 //! bucket last; counters list their values in the order of
 //! [`OUTCOMES`](crate::node_scrape::OUTCOMES) or
 //! [`COMPLETENESS`](crate::node_scrape::COMPLETENESS); the fairness gap is in
 //! millionths.
 
-use crate::label_table::LabelTable;
+use crate::label_table::{LabelTable, PairId};
 use crate::metric_text::BUCKET_LIMIT;
 use crate::node_scrape::{FAMILIES, MetricFamily, NodeScrape, SeriesKey};
+use crate::text_report::or_dash;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::fs::File;
@@ -79,36 +82,54 @@
     for family in FAMILIES {
         if let Some(layout) = scrape.layouts[family.index()] {
             out.push_str("le ");
-            out.push_str(family.code());
+            out.push(family.letter());
             for bound in labels.layout(layout) {
                 out.push_str(&format!(" {bound}"));
             }
             out.push(';');
         }
     }
+    let mut order: Vec<(PairId, MetricFamily, usize)> = Vec::with_capacity(scrape.len());
     for index in 0..scrape.len() {
         let key = scrape.key(index)?;
-        let (workspace, model) = labels.pair(key.pair);
-        out.push_str(key.family.code());
-        for label in [workspace, model] {
-            if label == "-" || label.contains([' ', ';']) {
-                return None;
-            }
-            out.push(' ');
-            out.push_str(if label.is_empty() { "-" } else { label });
-        }
-        let cumulative = key.family.fixed_values().is_none();
-        let mut last = 0;
-        for value in scrape.values(index) {
-            out.push(' ');
-            push_number(&mut out, value.saturating_sub(last));
-            last = if cumulative { *value } else { 0 };
+        order.push((key.pair, key.family, index));
+    }
+    order.sort_unstable();
+    let mut last = None;
+    for (pair, family, index) in order {
+        out.push(family.letter());
+        if last == Some(pair) {
+            out.push_str(" =");
+        } else {
+            push_labels(&mut out, labels.pair(pair))?;
         }
+        last = Some(pair);
+        push_values(&mut out, scrape.values(index), family.fixed_values().is_none());
         out.push(';');
     }
     Some(out)
 }
 
+fn push_labels(out: &mut String, (workspace, model): (&str, &str)) -> Option<()> {
+    for label in [workspace, model] {
+        if label == "-" || label == "=" || label.contains([' ', ';']) {
+            return None;
+        }
+        out.push(' ');
+        out.push_str(or_dash(label));
+    }
+    Some(())
+}
+
+fn push_values(out: &mut String, values: &[u64], cumulative: bool) {
+    let mut last = 0;
+    for value in values {
+        out.push(' ');
+        push_number(out, value.saturating_sub(last));
+        last = if cumulative { *value } else { 0 };
+    }
+}
+
 fn push_number(out: &mut String, mut value: u64) {
     let mut digits = [b'0'; 20];
     let mut start = digits.len();
@@ -132,6 +153,7 @@
 ) -> Result<NodeScrape, String> {
     let mut scrape = NodeScrape::default();
     let mut rest = text;
+    let mut last = None;
     while !rest.is_empty() {
         if let Some(after) = rest.strip_prefix("le ") {
             let (entry, after) = after.split_once(';').ok_or("The bucket bounds do not end.")?;
@@ -143,19 +165,22 @@
             return Err(format!("The sample has over {SERIES_LIMIT} series."));
         }
         let guess = hint.key(scrape.len());
-        rest = decode_entry(rest, labels, guess, &mut scrape)?;
+        rest = decode_entry(rest, labels, last, guess, &mut scrape)?;
+        last = scrape.key(scrape.len() - 1).map(|key| key.pair);
     }
     let aligned = scrape.len() <= hint.len()
         && (0..scrape.len()).all(|index| scrape.key(index) == hint.key(index));
     match if aligned { None } else { scrape.repeated_key() } {
-        Some(key) => Err(format!("A series of {} stands twice.", key.family.code())),
+        Some(key) => Err(format!("A series of {} stands twice.", key.family.metric())),
         None => Ok(scrape),
     }
 }
 
-fn family_of(code: &str) -> Result<MetricFamily, String> {
-    let family = FAMILIES.iter().find(|family| family.code() == code);
-    family.copied().ok_or_else(|| "A series has an unknown family.".to_owned())
+/// Family and the text after its letter and space.
+fn split_family(text: &str) -> Option<(MetricFamily, &str)> {
+    let letter = text.chars().next()?;
+    let family = *FAMILIES.iter().find(|family| family.letter() == letter)?;
+    Some((family, text.get(1..)?.strip_prefix(' ')?))
 }
 
 fn decode_bounds(
@@ -163,10 +188,9 @@
     labels: &mut LabelTable,
     scrape: &mut NodeScrape,
 ) -> Result<(), String> {
-    let mut words = rest.split(' ');
-    let family = family_of(words.next().unwrap_or_default())?;
-    let bounds: Vec<f64> = words.map_while(|word| word.parse().ok()).collect();
-    let count = rest.split(' ').count() - 1;
+    let (family, words) = split_family(rest).ok_or("The bucket bounds have no family.")?;
+    let bounds: Vec<f64> = words.split(' ').map_while(|word| word.parse().ok()).collect();
+    let count = words.split(' ').count();
     let grows = bounds.windows(2).all(|pair| pair[0] < pair[1]);
     if family.fixed_values().is_some() || bounds.len() != count || !grows || count >= BUCKET_LIMIT {
         return Err("The bucket bounds are malformed.".to_owned());
@@ -175,18 +199,27 @@
     Ok(())
 }
 
-/// Reads one series and returns the text after it.
+/// Reads one series and returns the text after it. `last` is the pair of the
+/// series before, `guess` the key that is likely.
 fn decode_entry<'a>(
     text: &'a str,
     labels: &mut LabelTable,
+    last: Option<PairId>,
     guess: Option<SeriesKey>,
     scrape: &mut NodeScrape,
 ) -> Result<&'a str, String> {
-    let expected = guess.and_then(|key| Some((key, skip_key(text, key, labels)?)));
-    let (key, numbers) = match expected {
-        Some(found) => found,
-        None => read_key(text, labels).ok_or("A series is malformed.")?,
+    let (family, rest) = split_family(text).ok_or("A series has an unknown family.")?;
+    let repeated = rest.strip_prefix("= ");
+    let guessed = || guess.and_then(|key| Some((key.pair, skip_labels(rest, key.pair, labels)?)));
+    let (pair, numbers) = match (repeated, last) {
+        (Some(numbers), Some(pair)) => (pair, numbers),
+        (Some(_), None) => return Err("The first series has no labels.".to_owned()),
+        (None, _) => match guessed() {
+            Some(found) => found,
+            None => read_labels(rest, labels).ok_or("A series is malformed.")?,
+        },
     };
+    let key = SeriesKey { family, pair };
     let fixed = key.family.fixed_values();
     let expected = match (fixed, scrape.layouts[key.family.index()]) {
         (Some(count), _) => count,
@@ -202,28 +235,21 @@
     Ok(numbers.get(length..).unwrap_or_default())
 }
 
-/// The text after the labels of `key`, if it begins with them.
-fn skip_key<'a>(text: &'a str, key: SeriesKey, labels: &LabelTable) -> Option<&'a str> {
-    let (workspace, model) = labels.pair(key.pair);
-    let mut rest = text.strip_prefix(key.family.code())?;
-    for label in [workspace, model] {
-        let label = if label.is_empty() { "-" } else { label };
-        rest = rest.strip_prefix(' ')?.strip_prefix(label)?;
-    }
-    rest.strip_prefix(' ')
+/// The text after the labels of `pair`, if it begins with them.
+fn skip_labels<'a>(text: &'a str, pair: PairId, labels: &LabelTable) -> Option<&'a str> {
+    let (workspace, model) = labels.pair(pair);
+    let rest = text.strip_prefix(or_dash(workspace))?.strip_prefix(' ')?;
+    rest.strip_prefix(or_dash(model))?.strip_prefix(' ')
 }
 
-fn read_key<'a>(text: &'a str, labels: &mut LabelTable) -> Option<(SeriesKey, &'a str)> {
-    let (code, rest) = text.split_once(' ')?;
-    let (workspace, rest) = rest.split_once(' ')?;
+fn read_labels<'a>(text: &'a str, labels: &mut LabelTable) -> Option<(PairId, &'a str)> {
+    let (workspace, rest) = text.split_once(' ')?;
     let (model, numbers) = rest.split_once(' ')?;
-    if [code, workspace, model].iter().any(|word| word.is_empty() || word.contains(';')) {
+    if [workspace, model].iter().any(|word| word.is_empty() || word.contains(';')) {
         return None;
     }
-    let family = *FAMILIES.iter().find(|family| family.code() == code)?;
     let label = |word| if word == "-" { "" } else { word };
-    let pair = labels.pair_id(label(workspace), label(model));
-    Some((SeriesKey { family, pair }, numbers))
+    Some((labels.pair_id(label(workspace), label(model)), numbers))
 }
 
 /// Reads the values up to `;` and returns the number of bytes read.
--- a/crates/burn/tests/burn_rate.rs
+++ b/crates/burn/tests/burn_rate.rs
@@ -80,7 +80,7 @@
     let mut merge = FleetMerge::new(&set, NOW);
     for (index, samples) in nodes.iter().enumerate() {
         for (t, inc, finished, refused) in samples.iter().copied() {
-            let series = format!("requests team m {finished} {refused} 0 5;");
+            let series = format!("r team m {finished} {refused} 0 5;");
             let node = Cow::Owned(format!("router-{index}"));
             let series = Some(Cow::Owned(series));
             let sample =
--- a/crates/burn/tests/fleet_merge.rs
+++ b/crates/burn/tests/fleet_merge.rs
@@ -45,26 +45,26 @@
 /// whether the restart shows in the incarnation or only in a fallen counter.
 #[test]
 fn counters_restart_keeps_the_sum() {
-    let old = "requests w m 100 5 0 0;";
-    let same_incarnation = [(3, "a", 1, old), (2, "a", 1, "requests w m 7 1 0 0;")];
+    let old = "r w m 100 5 0 0;";
+    let same_incarnation = [(3, "a", 1, old), (2, "a", 1, "r w m 7 1 0 0;")];
     assert_eq!(events(&same_incarnation), (7, 8));
-    let new_incarnation = [(3, "a", 1, old), (2, "a", 2, "requests w m 150 9 0 0;")];
+    let new_incarnation = [(3, "a", 1, old), (2, "a", 2, "r w m 150 9 0 0;")];
     assert_eq!(events(&new_incarnation), (150, 159));
-    let grown = [(3, "a", 1, old), (2, "a", 1, "requests w m 150 9 0 0;")];
+    let grown = [(3, "a", 1, old), (2, "a", 1, "r w m 150 9 0 0;")];
     assert_eq!(events(&grown), (50, 54));
 }
 
 /// Guards against a first sample whose lifetime total is taken for recent events.
 #[test]
 fn counters_first_sample_is_a_baseline() {
-    assert_eq!(events(&[(1, "a", 1, "requests w m 100 5 0 0;")]), (0, 0));
+    assert_eq!(events(&[(1, "a", 1, "r w m 100 5 0 0;")]), (0, 0));
 }
 
 /// Guards against a new workspace whose first events are lost, and one that
 /// leaves the bounded label set and is counted twice when it returns.
 #[test]
 fn counters_series_appears_and_returns() {
-    let (one, both) = ("requests w m 10 0 0 0;", "requests w m 10 0 0 0;requests v m 4 1 0 0;");
+    let (one, both) = ("r w m 10 0 0 0;", "r w m 10 0 0 0;r v m 4 1 0 0;");
     assert_eq!(events(&[(4, "a", 1, one), (3, "a", 1, both)]), (4, 5));
     let returns = [(4, "a", 1, both), (3, "a", 1, one), (2, "a", 1, both)];
     assert_eq!(events(&returns), (0, 0));
@@ -73,7 +73,7 @@
 /// Guards against samples that are counted twice when files overlap.
 #[test]
 fn samples_repeated_or_out_of_order_are_left_out() {
-    let (low, high) = ("requests w m 10 0 0 0;", "requests w m 30 0 0 0;");
+    let (low, high) = ("r w m 10 0 0 0;", "r w m 30 0 0 0;");
     let samples = [(4, "a", 1, low), (3, "a", 1, high), (3, "a", 1, high), (4, "a", 1, low)];
     assert_eq!(events(&samples), (20, 20));
     assert_eq!(merged(&availability(), &samples).intake().out_of_order, 2);
@@ -84,13 +84,13 @@
 #[test]
 fn histograms_merge_by_bucket() {
     let set = settings("[first_token]\nthreshold = \"1s\"\ntarget = 0.95\nperiod = \"30d\"\n");
-    let fast = "le first_token 0.1 1 10;";
-    let slow = "le first_token 0.5 1 20;";
+    let fast = "le f 0.1 1 10;";
+    let slow = "le f 0.5 1 20;";
     let samples = [
-        (3, "a", 1, format!("{fast}first_token w m 0 0 0 0;")),
-        (3, "b", 1, format!("{slow}first_token w m 0 0 0 0;")),
-        (2, "a", 1, format!("{fast}first_token w m 900 60 0 0;")),
-        (2, "b", 1, format!("{slow}first_token w m 0 0 40 0;")),
+        (3, "a", 1, format!("{fast}f w m 0 0 0 0;")),
+        (3, "b", 1, format!("{slow}f w m 0 0 0 0;")),
+        (2, "a", 1, format!("{fast}f w m 900 60 0 0;")),
+        (2, "b", 1, format!("{slow}f w m 0 0 40 0;")),
     ];
     let borrowed: Vec<_> = samples.iter().map(|(a, n, i, s)| (*a, *n, *i, s.as_str())).collect();
     let merge = merged(&set, &borrowed);
@@ -106,12 +106,12 @@
 #[test]
 fn histograms_threshold_between_bounds_is_conservative() {
     let set = settings("[first_token]\nthreshold = \"1.9s\"\ntarget = 0.95\nperiod = \"30d\"\n");
-    let zero = "le first_token 1 2.5;first_token w m 0 0 0;";
-    let some = "le first_token 1 2.5;first_token w m 7 3 0;";
+    let zero = "le f 1 2.5;f w m 0 0 0;";
+    let some = "le f 1 2.5;f w m 7 3 0;";
     let merge = merged(&set, &[(2, "a", 1, zero), (1, "a", 1, some)]);
     assert_eq!(merge.tallies()[0].fleet[0], EventTally { good: 7, total: 10 });
-    let none = "le first_token 2.5;first_token w m 0 0;";
-    let late = "le first_token 2.5;first_token w m 7 3;";
+    let none = "le f 2.5;f w m 0 0;";
+    let late = "le f 2.5;f w m 7 3;";
     let merge = merged(&set, &[(2, "a", 1, none), (1, "a", 1, late)]);
     assert_eq!(merge.tallies()[0].fleet[0], EventTally::default());
     assert!(merge.tallies()[0].unusable_bounds);
--- a/crates/burn/tests/metric_text.rs
+++ b/crates/burn/tests/metric_text.rs
@@ -41,8 +41,14 @@
     assert_eq!(labels.pair(scrape.key(1).unwrap().pair), ("a", "m"));
     let compact = encode_series(&scrape, &labels).unwrap();
     let read = decode_series(&compact, &mut labels, &NodeScrape::default()).unwrap();
-    let held: Vec<&[u64]> = (0..read.len()).map(|index| read.values(index)).collect();
-    assert_eq!(held, values);
+    let series = |held: &NodeScrape| {
+        let positions = held.sorted_positions();
+        positions
+            .into_iter()
+            .map(|(key, index)| (key, held.values(index).to_vec()))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(series(&read), series(&scrape));
 }
 
 /// Guards against a text that is cut within a line or a histogram and taken
@@ -94,7 +100,7 @@
     let set = ObjectiveSet::parse("[availability]\ntarget=1.0\nperiod=\"9d\"\n", "t".as_ref());
     let mut merge = FleetMerge::new(&set.unwrap(), 10_000_000);
     let mut labels = LabelTable::default();
-    let compact = "le first_token 0.5 1.9;first_token a m 3 2 1;requests a m 9 0 0 1000;";
+    let compact = "le f 0.5 1.9;f a m 3 2 1;r a m 9 0 0 1000;";
     let sample = format!("{{\"t\":9000000,\"node\":\"n\",\"inc\":1,\"series\":\"{compact}\"}}");
     for _ in 0..3000 {
         let noise = Vec::<u8>::arbitrary(&mut gen_);
--- a/crates/burn/tests/missing_data.rs
+++ b/crates/burn/tests/missing_data.rs
@@ -83,8 +83,7 @@
 fn report_refused_samples_are_missing() {
     let set = ObjectiveSet::parse(EXAMPLE, "test".as_ref()).unwrap();
     let mut merge = FleetMerge::new(&set, NOW);
-    for series in ["requests w m 1 2 3;", "requests w m 1 2 3 4", "first_token w m 1;", "x w m 1;"]
-    {
+    for series in ["r w m 1 2 3;", "r w m 1 2 3 4", "f w m 1;", "x w m 1;"] {
         let line = format!("{{\"t\":{NOW},\"node\":\"a\",\"inc\":1,\"series\":\"{series}\"}}");
         merge.add_line(line.as_bytes());
     }
@@ -116,7 +115,7 @@
         let (t, done) = (NOW - ago * 60_000, 360 - ago);
         let (large, small) = (done * 1_000_000, done * 10);
         let line = format!(
-            "{{\"t\":{t},\"node\":\"a\",\"inc\":1,\"series\":\"requests large m {large} 0 0 0;requests small m {small} {small} 0 0;\"}}"
+            "{{\"t\":{t},\"node\":\"a\",\"inc\":1,\"series\":\"r large m {large} 0 0 0;r small m {small} {small} 0 0;\"}}"
         );
         merge.add_line(line.as_bytes());
     }
--- a/crates/burn/tests/program.rs
+++ b/crates/burn/tests/program.rs
@@ -105,7 +105,7 @@
         run(&["record", "--scrape", &address, "--credential", key, "--out", out, "--rounds", "1"]);
     assert_eq!(code, Some(0), "{errors}");
     let recorded = std::fs::read_to_string(out).unwrap();
-    assert!(recorded.contains("\"series\":\"requests a m 5 0 0 0;\""), "{recorded}");
+    assert!(recorded.contains("\"series\":\"r a m 5 0 0 0;\""), "{recorded}");
     let scrape = ["--objectives", OBJECTIVES, "--scrape", &address, "--credential", key];
     let (code, report, more) = run(&scrape);
     assert_eq!(code, Some(3), "{report}{more}");
