Make plots and the verdict of the page readable

Cause: Plot labels were small, a ticket read as all within budget, and the budget plot ignored missing samples. Conclusion: The page says the same as the table.

--- a/crates/burn/src/burn_plot.rs
+++ b/crates/burn/src/burn_plot.rs
@@ -6,7 +6,7 @@
 use crate::units::to_float;
 use plotters::prelude::*;
 
-const SIZE: (u32, u32) = (520, 190);
+const SIZE: (u32, u32) = (520, 200);
 const LINE: RGBColor = RGBColor(31, 95, 166);
 const PAGE_LINE: RGBColor = RGBColor(192, 57, 43);
 const TICKET_LINE: RGBColor = RGBColor(200, 130, 20);
@@ -53,10 +53,11 @@
     }
 
     /// Share of the budget left over the period; bad events so far where no
-    /// error is allowed. Bins without events are gaps.
-    pub fn budget(long: &[EventTally], target: f64, days: f64) -> Self {
+    /// error is allowed. Bins without events are gaps. `seen` is the share of
+    /// the period that the events stand for, as in [`EventTally::budget_left`].
+    pub fn budget(long: &[EventTally], target: f64, seen: f64, days: f64) -> Self {
         let total: u64 = long.iter().map(|tally| tally.total).sum();
-        let allowed = to_float(total) * (1.0 - target);
+        let allowed = to_float(total) * (1.0 - target) / seen.max(1e-9);
         let mut bad = 0;
         let mut lowest = 0.0_f64;
         let mut points = Vec::with_capacity(long.len());
@@ -100,8 +101,8 @@
         let mut chart = ChartBuilder::on(&root)
             .margin(6)
             .margin_right(14)
-            .x_label_area_size(26)
-            .y_label_area_size(46)
+            .x_label_area_size(30)
+            .y_label_area_size(52)
             .build_cartesian_2d(-self.span..0.0, self.floor..top)?;
         let unit = self.unit;
         chart
@@ -112,7 +113,7 @@
             .axis_style(GRID)
             .x_labels(7)
             .y_labels(5)
-            .label_style(("sans-serif", 12).into_font().color(&TEXT))
+            .label_style(("sans-serif", 15).into_font().color(&TEXT))
             .x_label_formatter(&|time| {
                 if *time > -0.001 { "now".to_owned() } else { format!("{time:.0} {unit}") }
             })
--- a/crates/burn/src/cli.rs
+++ b/crates/burn/src/cli.rs
@@ -18,7 +18,7 @@
     ///     baobabfall-burn record --scrape 10.0.0.1:7001 --scrape 10.0.0.2:7001 --credential operator.key --out samples/today.jsonl
     ///     baobabfall-burn --objectives examples/objectives.toml --samples samples/
     ///
-    /// Exit codes: 0 all objectives within budget; 1 an objective burns above a
+    /// Exit codes: 0 all objectives within budget, at most a ticket; 1 an objective burns above a
     /// paging rule or its budget is used up; 2 usage or settings error; 3 no
     /// usable data for at least one objective.
     cmd baobabfall-burn {
--- a/crates/burn/src/html_report.rs
+++ b/crates/burn/src/html_report.rs
@@ -26,7 +26,7 @@
 .head{display:flex;gap:12px;align-items:center;flex-wrap:wrap}
 .badge{color:#fff;border-radius:5px;padding:2px 10px;font-weight:700;text-transform:uppercase;font-size:13px}
 .ok{border-color:#2e7d4f}.burning{border-color:#c47600}.exhausted{border-color:#b3261e}.nodata{border-color:#6b7480}
-.badge.ok,.verdict.ok{background:#2e7d4f}.badge.burning{background:#c47600}.badge.exhausted,.verdict.exhausted{background:#b3261e}.badge.nodata,.verdict.nodata{background:#6b7480}
+.badge.ok,.verdict.ok{background:#2e7d4f}.badge.burning,.verdict.burning{background:#c47600}.badge.exhausted,.verdict.exhausted{background:#b3261e}.badge.nodata,.verdict.nodata{background:#6b7480}
 .grid{display:grid;grid-template-columns:repeat(auto-fit,minmax(330px,1fr));gap:18px;margin-top:14px}
 .bar{height:16px;background:#e1e4e8;border-radius:8px;overflow:hidden;margin:2px 0 12px}.bar i{display:block;height:100%}
 table{border-collapse:collapse;width:100%;font-variant-numeric:tabular-nums}
@@ -42,7 +42,7 @@
     let mut body = String::new();
     body.push_str("<h1>Service-level burn</h1>");
     body.push_str(&subtitle(report));
-    let (class, words) = verdict_words(report.verdict);
+    let (class, words) = verdict_words(report);
     body.push_str(&format!("<p class=\"verdict {class}\">{words}</p><div class=\"tiles\">"));
     for objective in &report.objectives {
         body.push_str(&tile(objective));
@@ -73,8 +73,12 @@
     format!("<p class=\"sub\">{text}{notes}</p>")
 }
 
-fn verdict_words(verdict: FleetVerdict) -> (&'static str, &'static str) {
-    match verdict {
+fn verdict_words(report: &FleetReport) -> (&'static str, &'static str) {
+    let burning = |held: &ObjectiveReport| held.state == ObjectiveState::Burning;
+    match report.verdict {
+        FleetVerdict::WithinBudget if report.objectives.iter().any(burning) => {
+            ("burning", "No page, but an objective burns its budget too fast: open a ticket.")
+        }
         FleetVerdict::WithinBudget => ("ok", "All objectives are within budget."),
         FleetVerdict::Burning => {
             ("exhausted", "Act now: an objective burns too fast or its budget is used up.")
@@ -193,7 +197,8 @@
 fn plots(objective: &ObjectiveReport, days: f64) -> Result<String, BurnError> {
     let strict = objective.target >= 1.0;
     let recent = TimePlot::recent_burn(&objective.recent, objective.target).to_svg()?;
-    let budget = TimePlot::budget(&objective.long, objective.target, days).to_svg()?;
+    let seen = objective.seen_share();
+    let budget = TimePlot::budget(&objective.long, objective.target, seen, days).to_svg()?;
     let titles = if strict {
         ["Missed events, last 6 h", "Missed events so far in the period"]
     } else {
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -125,6 +125,19 @@
     pub long: Vec<EventTally>,
 }
 
+impl ObjectiveReport {
+    /// Share of the period that its events stand for: 1, or less when the
+    /// period has too few samples.
+    pub fn seen_share(&self) -> f64 {
+        seen_share(&self.windows)
+    }
+}
+
+fn seen_share(windows: &[WindowReport]) -> f64 {
+    let partial = windows.last().filter(|period| period.data == WindowData::Partial);
+    partial.map_or(1.0, |period| period.coverage)
+}
+
 /// The whole report.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct FleetReport {
@@ -217,8 +230,7 @@
         let objective = &tally.objective;
         let windows: Vec<WindowReport> =
             (0..WINDOW_COUNT).map(|index| self.window(tally, index)).collect();
-        let period = &windows[PERIOD_INDEX];
-        let seen = if period.data == WindowData::Partial { period.coverage } else { 1.0 };
+        let seen = seen_share(&windows);
         let judged = self.judge(tally, seen);
         let measured = windows[..PAGING_WINDOWS]
             .iter()
--- a/crates/burn/src/scraper.rs
+++ b/crates/burn/src/scraper.rs
@@ -63,7 +63,7 @@
 /// Result of scraping one router: the text, or a sentence on what failed.
 pub type ScrapeResult = (SocketAddr, Result<String, String>);
 
-/// Scrapes every router, [`PARALLEL_SCRAPES`] at once, and passes each result
+/// Scrapes every router, a bounded number at once, and passes each result
 /// to `take` as it arrives.
 pub async fn scrape_all(targets: &ScrapeTargets, mut take: impl FnMut(ScrapeResult)) {
     let permits = Arc::new(Semaphore::new(PARALLEL_SCRAPES));
