--- a/crates/burn/src/cli.rs
+++ b/crates/burn/src/cli.rs
@@ -18,7 +18,7 @@
     ///     baobabfall-burn record --scrape 10.0.0.1:7001 --scrape 10.0.0.2:7001 --credential operator.key --out samples/today.jsonl
     ///     baobabfall-burn --objectives examples/objectives.toml --samples samples/
     ///
-    /// Exit codes: 0 all objectives within budget; 1 an objective burns above a
+    /// Exit codes: 0 all objectives within budget, at most a ticket; 1 an objective burns above a
     /// paging rule or its budget is used up; 2 usage or settings error; 3 no
     /// usable data for at least one objective.
     cmd baobabfall-burn {
@@ -52,6 +52,16 @@
             /// Stores the scraped text instead of the compact form.
             optional --raw
         }
+
+        /// Copies recorded samples and leaves out what no window needs any more.
+        cmd thin {
+            /// Recorded samples: a file, or a folder of .jsonl files; repeatable.
+            repeated --samples path: PathBuf
+            /// New file to write; it must not exist.
+            required --out file: PathBuf
+            /// Longest period of the objectives; 30d when left out.
+            optional --period duration: String
+        }
     }
 }
 // generated start
@@ -68,6 +78,7 @@
 pub enum BaobabfallBurnCmd {
     Report(Report),
     Record(Record),
+    Thin(Thin),
 }
 
 #[derive(Debug)]
@@ -87,6 +98,13 @@
     pub raw: bool,
 }
 
+#[derive(Debug)]
+pub struct Thin {
+    pub samples: Vec<PathBuf>,
+    pub out: PathBuf,
+    pub period: Option<String>,
+}
+
 impl BaobabfallBurn {
     #[allow(dead_code)]
     pub fn from_env_or_exit() -> Self {
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -9,7 +9,8 @@
     AlertLevel, EventTally, ObjectiveState, PAGING_WINDOWS, PERIOD_INDEX, WINDOW_COUNT,
     WindowTallies, alert_level, is_exhausted,
 };
-use crate::fleet_merge::{FleetMerge, IntakeCounts, ObjectiveTally, quantile_bound};
+use crate::fleet_merge::{FleetMerge, IntakeCounts};
+use crate::objective_tally::{ObjectiveTally, quantile_bound};
 use crate::objectives::{GoodRule, ObjectiveSet, ServiceObjective};
 use crate::units::{format_duration, to_float};
 use serde::Serialize;
@@ -124,6 +125,19 @@
     pub long: Vec<EventTally>,
 }
 
+impl ObjectiveReport {
+    /// Share of the period that its events stand for: 1, or less when the
+    /// period has too few samples.
+    pub fn seen_share(&self) -> f64 {
+        seen_share(&self.windows)
+    }
+}
+
+fn seen_share(windows: &[WindowReport]) -> f64 {
+    let partial = windows.last().filter(|period| period.data == WindowData::Partial);
+    partial.map_or(1.0, |period| period.coverage)
+}
+
 /// The whole report.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct FleetReport {
@@ -216,8 +230,7 @@
         let objective = &tally.objective;
         let windows: Vec<WindowReport> =
             (0..WINDOW_COUNT).map(|index| self.window(tally, index)).collect();
-        let period = &windows[PERIOD_INDEX];
-        let seen = if period.data == WindowData::Partial { period.coverage } else { 1.0 };
+        let seen = seen_share(&windows);
         let judged = self.judge(tally, seen);
         let measured = windows[..PAGING_WINDOWS]
             .iter()
@@ -251,7 +264,7 @@
     }
 
     fn window(&self, tally: &ObjectiveTally, index: usize) -> WindowReport {
-        let (window_ms, slot_ms) = tally.window(index);
+        let (window_ms, slot_ms) = tally.windows[index];
         let counted = self.merge.coverage().iter().find(|held| held.window_ms == window_ms);
         let present = counted.map_or(0, |held| held.present);
         let expected = self.expected.saturating_mul(window_ms / slot_ms);
