Protected actions: a claim that was not sent is released

Cause: a key whose action never left the router stayed locked until its retention ended, since the ledger could only record an answer; a caller could not try again. Change: command Releases and ledger operation release remove an unsettled record for its own token; the chart has the state released; test release_frees_only_its_own_unsettled_claim; chart counts in action_chart_answers_every_event follow. Conclusion: at most once holds, since a higher token is granted only after the holder gave its own up.

--- a/crates/controller/src/action_service.rs
+++ b/crates/controller/src/action_service.rs
@@ -36,13 +36,32 @@
         }
     }
 
-    /// Records a batch of outcomes; repeated ones have no further effect.
-    pub async fn record(&self, outcomes: Vec<ActionReport>) -> Result<(), ReplicaRefusal> {
-        let outcomes = outcomes.into_iter().filter_map(stored_outcome).collect();
-        match self.replica.propose(ControlCommand::Outcomes { outcomes }).await? {
-            ControlAnswer::Outcomes(_) => Ok(()),
-            _ => Err(unexpected_answer()),
+    /// Records a batch of outcomes and releases; repeated ones have no
+    /// further effect.
+    pub async fn record(&self, reports: Vec<ActionReport>) -> Result<(), ReplicaRefusal> {
+        let (mut outcomes, mut releases) = (Vec::new(), Vec::new());
+        for report in reports {
+            let key = ActionKey::new(&report.workspace, &report.service, &report.key);
+            let token =
+                ledger::FencingToken { term: report.token.term, number: report.token.number };
+            match report.outcome {
+                ActionOutcome::Answered { status, digest } => {
+                    let outcome = ledger::ActionOutcome { status, digest };
+                    outcomes.push(ledger::OutcomeReport { key, token, outcome });
+                }
+                ActionOutcome::NotRun => releases.push(ledger::ReleaseReport { key, token }),
+                // The claim becomes "outcome unknown" when its lease ends, and a later answer may
+                // still settle it.
+                ActionOutcome::Unknown => {}
+            }
+        }
+        if !outcomes.is_empty() {
+            self.replica.propose(ControlCommand::Outcomes { outcomes }).await?;
+        }
+        if !releases.is_empty() {
+            self.replica.propose(ControlCommand::Releases { releases }).await?;
         }
+        Ok(())
     }
 
     /// Advances the log time when a claim's lease has ended, so that the
@@ -90,17 +109,3 @@
         ledger::ClaimAnswer::Refused(_) => ClaimAnswer::KeyMalformed,
     }
 }
-
-/// An unknown outcome is not recorded: the claim becomes "outcome unknown"
-/// when its lease ends, and a later answer may still settle it.
-fn stored_outcome(report: ActionReport) -> Option<ledger::OutcomeReport> {
-    let outcome = match report.outcome {
-        ActionOutcome::Answered { status, digest } => ledger::ActionOutcome { status, digest },
-        ActionOutcome::NotRun | ActionOutcome::Unknown => return None,
-    };
-    Some(ledger::OutcomeReport {
-        key: ActionKey::new(&report.workspace, &report.service, &report.key),
-        token: ledger::FencingToken { term: report.token.term, number: report.token.number },
-        outcome,
-    })
-}
--- a/crates/controller/src/node_tracker.rs
+++ b/crates/controller/src/node_tracker.rs
@@ -13,7 +13,7 @@
 const NODE_LIMIT: usize = 4096;
 
 /// Nodes that sync with this controller or with one that reported them.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct NodeTracker {
     nodes: Arc<Mutex<SortedMap<String, NodeRecord>>>,
 }
@@ -27,12 +27,6 @@
     direct: bool,
 }
 
-impl Default for NodeTracker {
-    fn default() -> Self {
-        Self { nodes: Arc::default() }
-    }
-}
-
 impl NodeTracker {
     fn lock(&self) -> MutexGuard<'_, SortedMap<String, NodeRecord>> {
         self.nodes.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
--- a/crates/core/src/action_ledger.rs
+++ b/crates/core/src/action_ledger.rs
@@ -93,6 +93,16 @@
     pub outcome: ActionOutcome,
 }
 
+/// Statement of a claim's holder that it sent no byte of the action and never
+/// will under this token.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseReport {
+    /// The action.
+    pub key: ActionKey,
+    /// Token of the claim.
+    pub token: FencingToken,
+}
+
 /// What an operator found out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ActionResolution {
@@ -159,14 +169,17 @@
     Resolved,
     /// The outcome is recorded.
     OutcomeKnown,
+    /// The holder never sent it; the record is removed.
+    Released,
 }
 
 /// Names of the phases in `charts/action.scxml`.
-pub const ACTION_PHASES: [(ActionPhase, &str); 4] = [
+pub const ACTION_PHASES: [(ActionPhase, &str); 5] = [
     (ActionPhase::Running, "running"),
     (ActionPhase::OutcomeUnknown, "outcome_unknown"),
     (ActionPhase::Resolved, "resolved"),
     (ActionPhase::OutcomeKnown, "outcome_known"),
+    (ActionPhase::Released, "released"),
 ];
 
 static CHART: LazyLock<PhaseChart<ActionPhase>> = LazyLock::new(|| {
@@ -449,6 +462,26 @@
         OutcomeAnswer::Recorded
     }
 
+    /// Removes the record of an action that was claimed and not sent, so that
+    /// its key can be claimed again under a higher token.
+    pub fn release(&mut self, report: &ReleaseReport) -> OutcomeAnswer {
+        let Some(record) = self.get(&report.key) else {
+            return OutcomeAnswer::Refused(ErrorKind::NotFound);
+        };
+        if record.token != report.token || CHART.step(record.phase, "release").is_err() {
+            return OutcomeAnswer::Refused(ErrorKind::StaleToken);
+        }
+        let deadline = record.holder.claimed_ms + CLAIM_LEASE_MS + CLAIM_MARGIN_MS;
+        self.running.remove(&(deadline, report.token.number));
+        let shard = report.key.issue_day().map(|day| report.key.shard(day));
+        if let Some(records) = shard.and_then(|shard| self.shards.get_mut(&shard))
+            && records.remove(&report.key).is_some()
+        {
+            self.records -= 1;
+        }
+        OutcomeAnswer::Recorded
+    }
+
     /// Records what an operator found out about an unknown outcome.
     ///
     /// # Errors
--- a/crates/core/src/control_command.rs
+++ b/crates/core/src/control_command.rs
@@ -1,7 +1,8 @@
 //! Commands of the replicated log and the answers of the state machine.
 
 use crate::action_ledger::{
-    ActionClaim, ActionKey, ClaimAnswer, OutcomeAnswer, OutcomeReport, ResolvedAction,
+    ActionClaim, ActionKey, ClaimAnswer, OutcomeAnswer, OutcomeReport, ReleaseReport,
+    ResolvedAction,
 };
 use crate::dispatch_messages::NodeIdentity;
 use crate::error_kind::ErrorKind;
@@ -52,6 +53,11 @@
         /// The outcomes, answered in this order.
         outcomes: Vec<OutcomeReport>,
     },
+    /// Releases claims of actions that were not sent.
+    Releases {
+        /// The releases, answered in this order.
+        releases: Vec<ReleaseReport>,
+    },
     /// Records what an operator found out about an unknown outcome.
     ResolveAction {
         /// Who and under which edit id.
@@ -192,6 +198,7 @@
             | Self::Members { .. }
             | Self::Claims { .. }
             | Self::Outcomes { .. }
+            | Self::Releases { .. }
             | Self::RouterSeen { .. } => None,
         }
     }
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -177,6 +177,10 @@
                 let answers = outcomes.iter().map(|report| self.ledger.record_outcome(report));
                 ControlAnswer::Outcomes(answers.collect())
             }
+            ControlCommand::Releases { releases } => {
+                let answers = releases.iter().map(|report| self.ledger.release(report));
+                ControlAnswer::Outcomes(answers.collect())
+            }
             command => match command.edit() {
                 Some(edit) => self.apply_edit(edit, command),
                 None => ControlAnswer::Done,
--- a/crates/core/src/phase_chart.rs
+++ b/crates/core/src/phase_chart.rs
@@ -15,7 +15,8 @@
     /// ```
     /// use baobabfall_core::phase_chart::PhaseChart;
     /// use baobabfall_core::state_chart::ACTION_CHART;
-    /// let names = [(0, "running"), (1, "outcome_unknown"), (2, "resolved"), (3, "outcome_known")];
+    /// let names =
+    ///     [(0, "running"), (1, "outcome_unknown"), (2, "resolved"), (3, "outcome_known"), (4, "released")];
     /// let chart = PhaseChart::parse(ACTION_CHART, &names).unwrap();
     /// assert_eq!(chart.step(0, "lease_end"), Ok(1));
     /// assert!(chart.step(3, "resolve").is_err());
--- a/crates/core/tests/control_state.rs
+++ b/crates/core/tests/control_state.rs
@@ -172,22 +172,25 @@
     assert_eq!(refused(apply(&mut state, 9, command)).kind, ErrorKind::NotFound);
 }
 
-/// Guards against stops that outlive their limit and a removed node that
-/// returns.
+/// Guards against a stop that ends by itself at its limit, which would send
+/// work to a draining target, and a removed node that returns.
 #[test]
-fn stop_ends_at_limit_and_removed_node_stays_out() {
+fn stop_outlasts_limit_and_removed_node_stays_out() {
     let mut state = ControlState::default();
     let target = StopTarget { kind: StopKind::Host, name: "host-1".into() };
     let announce = ControlCommand::AnnounceStop {
         edit: who("s1"),
         target: target.clone(),
-        until_ms: Some(DAY_START + 100),
+        limit_ms: Some(100),
     };
     apply(&mut state, DAY_START, announce);
     assert_eq!((state.stops().len(), state.stops_version()), (1, 1));
     apply(&mut state, DAY_START + 100, ControlCommand::Blank);
+    assert_eq!((state.stops().len(), state.stops_version()), (1, 1));
+    let cancel = ControlCommand::CancelStop { edit: who("s2"), target: target.clone() };
+    apply(&mut state, DAY_START + 101, cancel);
     assert_eq!((state.stops().len(), state.stops_version()), (0, 2));
-    let cancel = ControlCommand::CancelStop { edit: who("s2"), target };
+    let cancel = ControlCommand::CancelStop { edit: who("s3"), target };
     assert_eq!(refused(apply(&mut state, DAY_START, cancel)).kind, ErrorKind::NotFound);
     let node = router(4);
     let remove = ControlCommand::RemoveNode { edit: who("n1"), node: node.clone() };
@@ -236,7 +239,7 @@
         }
         next += 1;
     }
-    assert_eq!((reached.len(), chart.event_names().len(), refused), (4, 4, 16 - 6));
+    assert_eq!((reached.len(), chart.event_names().len(), refused), (5, 5, 25 - 8));
 }
 
 /// Guards against a second grant in every state of an action.
@@ -333,3 +336,28 @@
     let token = FencingToken { term: 1, number: 2 };
     assert_eq!(answer, ControlAnswer::Claims(vec![ClaimAnswer::Granted(token)]));
 }
+
+/// Guards against a key that stays locked after its action was not sent, and
+/// against a release that frees a claim which may have run.
+#[test]
+fn release_frees_only_its_own_unsettled_claim() {
+    let mut ledger = ActionLedger::default();
+    ledger.advance(DAY_START);
+    let ClaimAnswer::Granted(first) = ledger.claim(1, &claim("20261203-a", 1, 1)) else {
+        panic!("the key is free")
+    };
+    let release = |token| ReleaseReport { key: claim("20261203-a", 1, 1).key, token };
+    assert_eq!(ledger.release(&release(first)), OutcomeAnswer::Recorded);
+    let ClaimAnswer::Granted(second) = ledger.claim(1, &claim("20261203-a", 1, 2)) else {
+        panic!("the key is free again")
+    };
+    assert!(second > first);
+    let stale = OutcomeAnswer::Refused(ErrorKind::StaleToken);
+    assert_eq!(ledger.release(&release(first)), stale);
+    assert_eq!(ledger.claim(1, &claim("20261203-a", 1, 3)), ClaimAnswer::Running);
+    let outcome = ActionOutcome { status: 200, digest: [2; 32] };
+    let key = release(second).key;
+    ledger.record_outcome(&OutcomeReport { key, token: second, outcome });
+    assert_eq!(ledger.release(&release(second)), stale);
+    assert_eq!(ledger.claim(1, &claim("20261203-a", 1, 4)), ClaimAnswer::Known(outcome));
+}
--- a/crates/core/tests/workspace_table.rs
+++ b/crates/core/tests/workspace_table.rs
@@ -10,7 +10,8 @@
 }
 
 fn table(rows: &[String]) -> WorkspaceTable {
-    WorkspaceTable::parse_csv(format!("{HEADER}\n{}\n", rows.join("\n")).as_bytes()).unwrap()
+    WorkspaceTable::parse_csv(format!("{HEADER}\n{}\n", rows.join("\n")).as_bytes())
+        .expect("the rows are valid")
 }
 
 /// Guards against files as spreadsheets save them: byte order mark, CRLF,
--- a/crates/ctl/src/table_commands.rs
+++ b/crates/ctl/src/table_commands.rs
@@ -141,7 +141,7 @@
     let changes = held.diff(&next);
     if changes.is_empty() && apply.edit_id.is_none() {
         let answer = EditAnswer { revision: view.revision, digest: view.digest, repeated: false };
-        return report(options, &answer, "no change; the table in force is at revision");
+        return report(options, &answer, "nothing to apply: the file equals revision");
     }
     let edit =
         TableEdit { operator: options.operator.clone(), edit_id, base_revision: base, changes };
