Count first samples from the process start in tests and name file errors once

Cause: File errors printed the reason twice; the rule for first samples had no test. Change: The reason is part of the sentence only; a test covers lifetime counters; the generator writes a wide fleet.

--- a/crates/burn/examples/generate_samples.rs
+++ b/crates/burn/examples/generate_samples.rs
@@ -1,8 +1,9 @@
 //! Writes generated samples of a fleet at target size, for measurements.
 //!
-//! `cargo run --release -p baobabfall-burn --example generate_samples -- FILE history|live`:
+//! `cargo run --release -p baobabfall-burn --example generate_samples -- FILE history|live|wide`:
 //! `history` writes 30 days in the compact form, thinned as far as the windows
-//! allow; `live` writes two scrapes per router as text.
+//! allow; `live` writes two scrapes per router as text; `wide` writes three
+//! rounds in which every router has labels of every workspace.
 
 use baobabfall_burn::sample_generator::{FleetShape, SampleForm, SampleGenerator, thinned_times};
 use std::io::{BufWriter, Error, ErrorKind, Write};
@@ -26,8 +27,13 @@
         "live" => (SampleForm::Text, vec![END_MS - 60_000, END_MS]),
         _ => (SampleForm::Series, thinned_times(END_MS, MINUTE, PERIOD)),
     };
+    let (times, workspaces_per_node) = match kind.as_str() {
+        "wide" => (vec![END_MS - 120_000, END_MS - 60_000, END_MS], 850),
+        _ => (times, FleetShape::target_size().workspaces_per_node),
+    };
     let start = times.first().map_or(END_MS, |time| time - 60_000);
-    let mut generator = SampleGenerator::new(FleetShape::target_size(), start);
+    let shape = FleetShape { workspaces_per_node, ..FleetShape::target_size() };
+    let mut generator = SampleGenerator::new(shape, start);
     for time in times {
         // The last half hour is slow, and some responses are refused.
         let fault = END_MS - time < 30 * 60_000;
--- a/crates/burn/src/error.rs
+++ b/crates/burn/src/error.rs
@@ -34,14 +34,14 @@
         message: String,
     },
     /// A file cannot be read or written.
-    #[error("The file {} cannot be {action}: {source}.", file.display())]
+    #[error("The file {} cannot be {action}: {reason}.", file.display())]
     File {
         /// File concerned.
         file: PathBuf,
         /// `read` or `written`.
         action: &'static str,
         /// Reason given by the system.
-        source: std::io::Error,
+        reason: std::io::Error,
     },
     /// The runtime did not start.
     #[error("The runtime cannot start: {0}.")]
--- a/crates/burn/src/objectives.rs
+++ b/crates/burn/src/objectives.rs
@@ -71,10 +71,10 @@
 
     /// Reads the settings file.
     pub fn load(file: &Path) -> Result<Self, BurnError> {
-        let text = std::fs::read_to_string(file).map_err(|source| BurnError::File {
+        let text = std::fs::read_to_string(file).map_err(|reason| BurnError::File {
             file: file.to_path_buf(),
             action: "read",
-            source,
+            reason,
         })?;
         Self::parse(&text, file)
     }
--- a/crates/burn/src/parallel_merge.rs
+++ b/crates/burn/src/parallel_merge.rs
@@ -80,7 +80,7 @@
                 lane.push(line);
             }
         });
-        read.map_err(|source| BurnError::File { file: file.clone(), action: "read", source })?;
+        read.map_err(|reason| BurnError::File { file: file.clone(), action: "read", reason })?;
     }
     lanes.iter_mut().for_each(Lane::flush);
     Ok(())
--- a/crates/burn/src/recorder.rs
+++ b/crates/burn/src/recorder.rs
@@ -73,7 +73,7 @@
 /// on standard error and has no sample in that round.
 pub async fn record(targets: &ScrapeTargets, options: &RecordOptions) -> Result<(), BurnError> {
     let unwritable =
-        |source| BurnError::File { file: options.out.clone(), action: "written", source };
+        |reason| BurnError::File { file: options.out.clone(), action: "written", reason };
     let mut out = open_append(&options.out).map_err(unwritable)?;
     let mut labels = LabelTable::default();
     let mut ticks = tokio::time::interval(options.interval);
--- a/crates/burn/src/run.rs
+++ b/crates/burn/src/run.rs
@@ -41,7 +41,7 @@
 
 fn unreadable(file: &Path) -> impl FnOnce(std::io::Error) -> BurnError {
     let file = file.to_path_buf();
-    move |source| BurnError::File { file, action: "read", source }
+    move |reason| BurnError::File { file, action: "read", reason }
 }
 
 /// Merges recorded samples and scraped metrics into a report.
@@ -103,16 +103,16 @@
 
 fn write_report(report: &FleetReport, options: &ReportOptions) -> Result<(), BurnError> {
     if let Some(file) = &options.html {
-        std::fs::write(file, render_html(report)?).map_err(|source| BurnError::File {
+        std::fs::write(file, render_html(report)?).map_err(|reason| BurnError::File {
             file: file.clone(),
             action: "written",
-            source,
+            reason,
         })?;
     }
     let text = if options.json { report.to_json() + "\n" } else { render_text(report) };
-    std::io::stdout().lock().write_all(text.as_bytes()).map_err(|source| BurnError::File {
+    std::io::stdout().lock().write_all(text.as_bytes()).map_err(|reason| BurnError::File {
         file: PathBuf::from("standard output"),
         action: "written",
-        source,
+        reason,
     })
 }
--- a/crates/burn/src/scraper.rs
+++ b/crates/burn/src/scraper.rs
@@ -40,10 +40,10 @@
 impl Credential {
     /// Reads the credential from a file with one word.
     pub fn load(file: &Path) -> Result<Self, BurnError> {
-        let text = std::fs::read_to_string(file).map_err(|source| BurnError::File {
+        let text = std::fs::read_to_string(file).map_err(|reason| BurnError::File {
             file: file.to_path_buf(),
             action: "read",
-            source,
+            reason,
         })?;
         let word = text.trim();
         let plain = !word.is_empty() && word.bytes().all(|byte| byte.is_ascii_graphic());
--- a/crates/burn/src/thinner.rs
+++ b/crates/burn/src/thinner.rs
@@ -92,9 +92,9 @@
 /// Thins files into one new file.
 pub fn thin_files(files: &[PathBuf], options: &ThinOptions, now: u64) -> Result<(), BurnError> {
     let fault =
-        |file: &PathBuf, action, source| BurnError::File { file: file.clone(), action, source };
+        |file: &PathBuf, action, reason| BurnError::File { file: file.clone(), action, reason };
     let created = OpenOptions::new().write(true).create_new(true).open(&options.out);
-    let created = created.map_err(|source| fault(&options.out, "written", source))?;
+    let created = created.map_err(|reason| fault(&options.out, "written", reason))?;
     let mut out = BufWriter::new(created);
     let mut written = Ok(());
     let mut keep = |line: &[u8]| {
@@ -106,11 +106,11 @@
     let mut dropped = 0_u64;
     for file in files {
         for_each_line(file, |line| dropped += u64::from(!thinner.add_line(line, &mut keep)))
-            .map_err(|source| fault(file, "read", source))?;
+            .map_err(|reason| fault(file, "read", reason))?;
     }
     thinner.finish(&mut keep);
     if dropped > 0 {
         eprintln!("{dropped} unreadable lines are left out.");
     }
-    written.and_then(|()| out.flush()).map_err(|source| fault(&options.out, "written", source))
+    written.and_then(|()| out.flush()).map_err(|reason| fault(&options.out, "written", reason))
 }
--- a/crates/burn/tests/fleet_merge.rs
+++ b/crates/burn/tests/fleet_merge.rs
@@ -60,6 +60,25 @@
     assert_eq!(events(&[(1, "a", 1, "r w m 100 5 0 0;")]), (0, 0));
 }
 
+/// Guards against a known process start that is ignored: the counters began at
+/// zero then, so the events belong to the windows that reach back to it.
+#[test]
+fn counters_first_sample_counts_from_the_process_start() {
+    let sample = |start_minutes: u64| {
+        let start = NOW - start_minutes * 60_000;
+        let line = format!(
+            "{{\"t\":{NOW},\"node\":\"a\",\"inc\":1,\"start_ms\":{start},\"series\":\"r w m 8 2 0 0;\"}}"
+        );
+        let mut merge = FleetMerge::new(&availability(), NOW);
+        merge.add_line(line.as_bytes());
+        merge.tallies()[0].fleet.map(|window| window.total)
+    };
+    assert_eq!(sample(1), [10; 6]);
+    assert_eq!(sample(20), [0, 10, 10, 10, 10, 10]);
+    assert_eq!(sample(9 * 60), [0, 0, 0, 0, 10, 10]);
+    assert_eq!(sample(40 * 1440), [0; 6]);
+}
+
 /// Guards against a new workspace whose first events are lost, and one that
 /// leaves the bounded label set and is counted twice when it returns.
 #[test]
