Keep foreign leases out of request rates and learnt ratios

Cause: leases of earlier terms and of local mode carry no hint and were never charged to the request rate, yet their ends refunded a request and lowered the mean hint. Change: refunds apply to grants of this term; costs without a hint are left out once a pair has hints; local mode lists unused leases too, so an adopted one always ends. Conclusion: rejoining routers no longer distort limits or estimates.

--- a/crates/core/src/cost_estimate.rs
+++ b/crates/core/src/cost_estimate.rs
@@ -66,13 +66,21 @@
         scaled.clamp(hint.div_ceil(HINT_FACTOR_LIMIT), hint.saturating_mul(HINT_FACTOR_LIMIT))
     }
 
-    /// Takes the settled cost of a request that was granted with `hint`.
+    /// Takes the settled cost of a request that was granted with `hint`. Once
+    /// a pair has hints, costs without one are left out: they would distort
+    /// the ratio.
     pub fn learn(&mut self, pair: (usize, usize), hint: CostUnits, cost: CostUnits) {
         if self.limit == 0 {
             return;
         }
         self.clock += 1;
+        let first = LearntCost { mean_cost: cost, mean_hint: hint, used: self.clock };
         if let Some(learnt) = self.learnt.get_mut(&pair) {
+            match (learnt.mean_hint, hint) {
+                (0, 1..) => *learnt = first,
+                (1.., 0) => return,
+                _ => {}
+            }
             learnt.mean_cost = shift_mean(learnt.mean_cost, cost);
             learnt.mean_hint = shift_mean(learnt.mean_hint, hint);
             learnt.used = self.clock;
@@ -81,8 +89,7 @@
         if self.learnt.len() >= self.limit {
             self.drop_older_half();
         }
-        let learnt = LearntCost { mean_cost: cost, mean_hint: hint, used: self.clock };
-        self.learnt.insert(pair, learnt);
+        self.learnt.insert(pair, first);
     }
 
     /// Forgets a workspace whose index is about to be reused.
--- a/crates/core/src/dispatch_ledger.rs
+++ b/crates/core/src/dispatch_ledger.rs
@@ -219,7 +219,9 @@
             account.running -= 1;
             account.replace_charge(record.charge, settled);
         }
+        // Only grants of this term were charged to the request rate.
         let unused = matches!(end, Some(LeaseEnd::Unused | LeaseEnd::Refused));
+        let unused = unused && lease.term == self.term;
         if let Some(policy) = workspace.policy.as_mut().filter(|_| unused) {
             policy.limit.refund_request(now);
         }
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -7,7 +7,7 @@
 
 use crate::cost_estimate::FIRST_ESTIMATE;
 use crate::dispatch_messages::{
-    BacklogEntry, CostUnits, LeaseEnd, LeaseId, LeaseUsage, SlotGrant, UpstreamRoute,
+    BacklogEntry, CostUnits, LeaseId, LeaseUsage, SlotGrant, UpstreamRoute,
 };
 use crate::fair_order::{AccountValue, FairAccount, weighted_cost};
 use crate::sorted_map::SortedMap;
@@ -398,7 +398,7 @@
         {
             upstream.running = upstream.running.saturating_sub(1);
         }
-        if usage.lease.term == LOCAL_TERM && usage.end != Some(LeaseEnd::Unused) {
+        if usage.lease.term == LOCAL_TERM {
             self.ended.push(lease.usage);
         }
     }
--- a/crates/core/tests/dispatch_limits.rs
+++ b/crates/core/tests/dispatch_limits.rs
@@ -43,6 +43,11 @@
     let backlog = vec![entry("a", 40, 1_000), entry("b", 0, 0)];
     assert!(dispatcher.apply_report(ms(1_000), &router.report(backlog, vec![unused])));
     assert_eq!(dispatcher.dispatch(ms(1_000)), 1, "an unused slot is no request");
+    let mut foreign = usage(&grants[1], 0, Some(LeaseEnd::Unused));
+    foreign.lease = LeaseId { term: LOCAL_TERM, number: 1 };
+    let backlog = vec![entry("a", 40, 1_000)];
+    assert!(dispatcher.apply_report(ms(1_000), &router.report(backlog, vec![foreign])));
+    assert_eq!(dispatcher.dispatch(ms(1_000)), 0, "it was never charged to the rate");
 }
 
 /// Guards the token rate: it is charged as settled and may become negative;
@@ -290,6 +295,8 @@
     }
     assert!(estimate.estimate((199, 0), 2_000).abs_diff(6_000) < 10);
     assert_eq!(estimate.estimate((0, 0), 2_000), 2_000, "the oldest pair is dropped");
+    estimate.learn((199, 0), 0, 1 << 40);
+    assert!(estimate.estimate((199, 0), 2_000) < 6_010, "a cost without hint is left out");
     estimate.forget_workspace(199);
     assert_eq!(estimate.estimate((199, 0), 0), FIRST_ESTIMATE);
 }
