Router: local mode, completion of answers with known length

Cause: An answer with a content length was dropped by the HTTP server before its end was polled and counted as cancelled; no local mode existed.

--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -48,8 +48,17 @@
 
     /// Time since the dispatcher answered last, or since the start.
     pub fn silence(&self) -> Duration {
-        let answered = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
-        self.started.elapsed().saturating_sub(answered)
+        self.elapsed().saturating_sub(self.last_answer())
+    }
+
+    /// When the dispatcher answered last, since the start of the client.
+    pub fn last_answer(&self) -> Duration {
+        Duration::from_millis(self.answered_ms.load(Ordering::Relaxed))
+    }
+
+    /// Time since the start of the client.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
     }
 
     /// Keeps one long poll outstanding.
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -9,6 +9,7 @@
     BacklogEntry, BacklogRefusal, CostUnits, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId,
     LeaseUsage, NodeIdentity, SlotGrant, UpstreamRoute,
 };
+use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::WorkTarget;
 use std::collections::VecDeque;
@@ -17,6 +18,12 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// Number of routers before a dispatcher named it: the isolated share is then
+/// the least one.
+const UNKNOWN_ROUTERS: u32 = u32::MAX;
+/// Ended leases of local mode that are kept one by one.
+const LOCAL_ENDED_LIMIT: usize = 256;
+
 /// What a request asks for and who asks.
 pub type QueueKey = (WorkTarget, String);
 
@@ -128,7 +135,7 @@
 impl LeaseBook {
     /// An empty book whose first report is a full one.
     pub fn new() -> Self {
-        Self { full_needed: true, routers: 1, ..Self::default() }
+        Self { full_needed: true, routers: UNKNOWN_ROUTERS, ..Self::default() }
     }
 
     /// A number for a request that arrives now.
@@ -256,6 +263,48 @@
         }
     }
 
+    /// Use of every lease, ended ones included.
+    pub fn lease_usage(&self) -> impl Iterator<Item = LeaseUsage> {
+        self.leases
+            .iter()
+            .map(|(id, lease)| LeaseUsage { charged: lease.meter.charged(), ..lease.usage(*id) })
+    }
+
+    /// Length of every queue.
+    pub fn backlog(&self) -> impl Iterator<Item = BacklogEntry> {
+        self.queues.iter().map(|(key, queue)| queue.entry(key))
+    }
+
+    /// Takes grants that the router gave itself in local mode.
+    pub fn apply_local_grants(&mut self, grants: Vec<SlotGrant>) -> VerdictList {
+        grants.into_iter().filter_map(|grant| self.take_grant(grant)).collect()
+    }
+
+    /// Adds up ended leases of local mode per workspace, target and upstream,
+    /// so a long loss of the dispatcher takes bounded memory.
+    pub fn merge_local_leases(&mut self) {
+        let mut merged: Vec<(LeaseId, HeldLease)> = Vec::new();
+        let local = |id: &LeaseId, lease: &HeldLease| id.term == LOCAL_TERM && lease.end.is_some();
+        if self.leases.iter().filter(|(id, lease)| local(id, lease)).count() <= LOCAL_ENDED_LIMIT {
+            return;
+        }
+        let changed_at = self.sequence + 1;
+        for (id, lease) in std::mem::take(&mut self.leases) {
+            let same = |held: &&mut (LeaseId, HeldLease)| {
+                local(&held.0, &held.1) && held.1.key == lease.key && held.1.route == lease.route
+            };
+            let ended = local(&id, &lease);
+            match merged.iter_mut().find(|held| ended && same(held)) {
+                Some((_, held)) => {
+                    held.meter.charge(lease.meter.charged());
+                    held.changed_at = changed_at;
+                }
+                None => merged.push((id, lease)),
+            }
+        }
+        self.leases = merged.into_iter().collect();
+    }
+
     /// Notes that a report got no answer.
     pub fn report_lost(&mut self, full: bool) {
         self.full_needed |= full;
--- /dev/null
+++ b/crates/router/src/local_mode.rs
@@ -0,0 +1,165 @@
+//! Dispatch by the router itself while no dispatcher answers.
+
+use crate::health_probe::HealthProbe;
+use crate::router_state::RouterState;
+use baobabfall_core::dispatch_messages::{BacklogEntry, LeaseUsage};
+use baobabfall_core::local_dispatcher::{LocalDispatcher, LocalSettings};
+use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_core::upstream_registry::{UpstreamAnnouncement, WorkTarget};
+use baobabfall_node::messages::StopKind;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Silence of the dispatcher after which local mode begins.
+pub const LOCAL_MODE_SILENCE: Duration = Duration::from_millis(700);
+/// How often local mode looks for free slots.
+const DISPATCH_INTERVAL: Duration = Duration::from_millis(5);
+/// How often the silence of the dispatcher is looked at.
+const WATCH_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Dispatch by the router itself while no dispatcher answers.
+#[derive(Debug)]
+pub struct LocalMode {
+    state: Arc<RouterState>,
+    probe: Arc<HealthProbe>,
+    active: AtomicBool,
+}
+
+impl LocalMode {
+    /// Local mode of one router, not active yet.
+    pub fn new(state: Arc<RouterState>) -> Arc<Self> {
+        Arc::new(Self { state, probe: HealthProbe::new(), active: AtomicBool::new(false) })
+    }
+
+    /// True while the router dispatches itself.
+    pub fn is_active(&self) -> bool {
+        self.active.load(Ordering::Relaxed)
+    }
+
+    fn is_lost(&self) -> bool {
+        self.state.dispatch.silence() >= LOCAL_MODE_SILENCE
+    }
+
+    /// Runs until the task is dropped.
+    pub async fn run(&self) {
+        let mut first_number = 1;
+        loop {
+            tokio::time::sleep(WATCH_INTERVAL).await;
+            if self.is_lost() && self.state.fleet.table().is_some() {
+                first_number = self.run_local(first_number).await;
+            }
+        }
+    }
+
+    /// Dispatches until the dispatcher answers again; returns the number of
+    /// the next local lease.
+    async fn run_local(&self, first_number: u64) -> u64 {
+        let Some(mut local) = self.begin(first_number) else { return first_number };
+        self.active.store(true, Ordering::Relaxed);
+        log::warn!("no dispatcher answers; local mode begins");
+        let begun = Instant::now();
+        let mut usable = Vec::new();
+        let mut revision = self.revision();
+        while self.is_lost() {
+            self.update_upstreams(&mut local, &mut usable);
+            if self.revision() != revision {
+                revision = self.revision();
+                if let Some(table) = self.state.fleet.table() {
+                    local.set_table(&table.table);
+                }
+            }
+            self.step(&mut local);
+            tokio::time::sleep(DISPATCH_INTERVAL).await;
+        }
+        self.active.store(false, Ordering::Relaxed);
+        self.probe.clear();
+        let seconds = begun.elapsed().as_secs();
+        log::info!(seconds = seconds; "a dispatcher answers; local mode ends");
+        local.next_number()
+    }
+
+    fn revision(&self) -> u64 {
+        self.state.fleet.table().map_or(0, |table| table.revision)
+    }
+
+    /// Slots whose use ended without an acknowledged report are still the
+    /// router's: the dispatcher does not know that they are free.
+    fn begin(&self, first_number: u64) -> Option<LocalDispatcher> {
+        let table = self.state.fleet.table()?;
+        let book = self.state.queue.book();
+        let usage: Vec<LeaseUsage> = book.lease_usage().collect();
+        let settings = LocalSettings {
+            lost_at: self.state.dispatch.last_answer(),
+            routers: book.routers(),
+            seed: name_seed(&self.state.options.identity.name),
+            first_number,
+            ..LocalSettings::default()
+        };
+        drop(book);
+        let held: Vec<LeaseUsage> =
+            usage.iter().map(|usage| LeaseUsage { end: None, ..usage.clone() }).collect();
+        Some(LocalDispatcher::new(settings, &table.table, &held))
+    }
+
+    /// Offers the upstreams that a recent health check found running.
+    fn update_upstreams(
+        &self,
+        local: &mut LocalDispatcher,
+        usable: &mut Vec<UpstreamAnnouncement>,
+    ) {
+        let (wanted, used) = self.demand();
+        let mut candidates = self.state.fleet.upstreams();
+        candidates.retain(|upstream| {
+            let needed = wanted.iter().any(|target| upstream.can_serve(target));
+            (needed || used.contains(&upstream.name))
+                && !self.state.fleet.is_stopping(StopKind::Upstream, &upstream.name)
+        });
+        self.probe.check_due(&candidates);
+        candidates.retain(|upstream| self.probe.is_good(upstream));
+        for upstream in &mut candidates {
+            // Load reports change with every announcement and play no part here.
+            upstream.sequence = 0;
+            upstream.running = None;
+        }
+        if candidates != *usable {
+            local.set_upstreams(&candidates);
+            *usable = candidates;
+        }
+    }
+
+    /// Targets that requests wait for and upstreams that requests run on.
+    fn demand(&self) -> (Vec<WorkTarget>, Vec<String>) {
+        let book = self.state.queue.book();
+        let waiting = book.backlog().filter(|entry| entry.queued > 0);
+        let wanted = waiting.map(|entry| entry.target).collect();
+        let running = book.lease_usage().filter(|usage| usage.end.is_none());
+        (wanted, running.map(|usage| usage.upstream).collect())
+    }
+
+    fn step(&self, local: &mut LocalDispatcher) {
+        let mut book = self.state.queue.book();
+        for usage in book.lease_usage() {
+            local.record_usage(&usage);
+        }
+        let entries: SortedMap<_, BacklogEntry> = book
+            .backlog()
+            .map(|entry| ((entry.workspace.clone(), entry.target.clone()), entry))
+            .collect();
+        for entry in entries.values() {
+            local.set_backlog(entry);
+        }
+        let grants = local.dispatch(self.state.dispatch.elapsed());
+        let verdicts = book.apply_local_grants(grants);
+        book.merge_local_leases();
+        drop(book);
+        local.forget_ended();
+        self.state.queue.deliver(verdicts);
+    }
+}
+
+fn name_seed(name: &str) -> u64 {
+    let hash = blake3::hash(name.as_bytes());
+    hash.as_bytes().first_chunk::<8>().map_or(0, |bytes| u64::from_le_bytes(*bytes))
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -131,7 +131,8 @@
     pub fn new(parts: RelayParts) -> Self {
         let meter = Arc::clone(&parts.lease.slot().meter);
         let gap_labels = [parts.record.model_label()];
-        Self {
+        let empty = parts.first.is_none() && parts.incoming.is_end_stream();
+        let mut relay = Self {
             gap_labels,
             record: parts.record,
             lease: parts.lease,
@@ -153,7 +154,11 @@
             cancel: parts.cancel,
             settlement: parts.settlement,
             metrics: parts.metrics,
+        };
+        if empty && relay.form != AnswerForm::Events {
+            relay.complete(true);
         }
+        relay
     }
 
     fn poll_next(&mut self, context: &mut Context<'_>) -> FramePoll {
@@ -196,6 +201,10 @@
         }
         if self.form != AnswerForm::Events {
             self.count_whole(&data);
+            // The server does not ask for the end of a body whose length it knows.
+            if matches!(&self.source, RelaySource::Body(body) if body.is_end_stream()) {
+                self.complete(true);
+            }
             return RelayStep::Emit(data);
         }
         let result = match self.scanner.feed(data) {
@@ -389,7 +398,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(full) => full.is_end_stream(),
-            Self::Stream(_) => false,
+            Self::Stream(stream) => matches!(stream.source, RelaySource::Ended),
         }
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -7,6 +7,7 @@
 use crate::error::RouterError;
 use crate::fleet_api;
 use crate::leader_link::LeaderLink;
+use crate::local_mode::LocalMode;
 use crate::options::{RouterListeners, RouterOptions};
 use crate::request_queue::SharedQueue;
 use crate::retry::RetryBooks;
@@ -46,6 +47,7 @@
     caller: SocketAddr,
     fleet: SocketAddr,
     state: Arc<RouterState>,
+    local: Arc<LocalMode>,
     servers: StopSender,
     abort: CancellationToken,
     done: CancellationToken,
@@ -66,6 +68,9 @@
         let (servers, signal) = stop_channel();
         let mut tasks = JoinSet::new();
         spawn_clients(&mut tasks, &state);
+        let local = LocalMode::new(Arc::clone(&state));
+        let runner = Arc::clone(&local);
+        tasks.spawn(async move { runner.run().await });
         let limits = state.options.server_limits();
         let caller_state = Arc::clone(&state);
         let caller_service = tower::service_fn(move |request: Request<Incoming>| {
@@ -89,7 +94,7 @@
         };
         tokio::spawn(supervisor.run(tasks, serving));
         log::info!(caller = caller.to_string(), fleet = fleet.to_string(); "router started");
-        Ok(RouterHandle { caller, fleet, state, servers, abort, done })
+        Ok(RouterHandle { caller, fleet, state, local, servers, abort, done })
     }
 }
 
@@ -109,6 +114,11 @@
         &self.state
     }
 
+    /// True while no dispatcher answers and the router dispatches itself.
+    pub fn is_local(&self) -> bool {
+        self.local.is_active()
+    }
+
     /// Begins a graceful stop.
     pub fn begin_stop(&self) {
         self.state.drain.request();
--- /dev/null
+++ b/crates/router/tests/lease_book.rs
@@ -0,0 +1,203 @@
+//! Tests of queues, grants and reports, without sockets.
+
+#![allow(clippy::unwrap_used)]
+
+use baobabfall_core::dispatch_messages::{
+    BacklogRefusal, DispatchAnswer, LeaseEnd, LeaseId, NodeIdentity, SlotGrant, UpstreamRoute,
+};
+use baobabfall_core::local_dispatcher::LOCAL_TERM;
+use baobabfall_core::upstream_registry::{UpstreamKind, WorkTarget};
+use baobabfall_router::lease_book::{
+    GrantedSlot, LeaseBook, QueueKey, QueueVerdict, WaitingRequest,
+};
+use quickcheck::{Arbitrary, Gen};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+fn key() -> QueueKey {
+    (WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() }, "team-a".to_owned())
+}
+
+fn identity() -> NodeIdentity {
+    NodeIdentity { name: "router-1".to_owned(), incarnation: 1 }
+}
+
+fn enqueue(book: &mut LeaseBook, avoid: Option<&str>) -> oneshot::Receiver<QueueVerdict> {
+    let (verdict, receiver) = oneshot::channel();
+    let number = book.next_number();
+    let avoid = avoid.map(str::to_owned);
+    let request = WaitingRequest { number, cost_hint: 5, prefix: None, avoid, verdict };
+    book.enqueue(&key(), request);
+    receiver
+}
+
+fn grant(term: u64, number: u64) -> SlotGrant {
+    let (target, workspace) = key();
+    let upstream = UpstreamRoute {
+        name: "engine-1".to_owned(),
+        incarnation: 1,
+        address: "127.0.0.1:9000".parse().unwrap(),
+        honours_fencing: false,
+        resume: false,
+        cancel: false,
+    };
+    SlotGrant { lease: LeaseId { term, number }, target, workspace, upstream }
+}
+
+fn answer(term: u64, acknowledged: u64, grants: Vec<SlotGrant>) -> DispatchAnswer {
+    let (resync, refusals) = (false, Vec::new());
+    DispatchAnswer { term, acknowledged, resync, grants, refusals, routers: 1 }
+}
+
+fn apply(book: &mut LeaseBook, answer: DispatchAnswer) {
+    for (sender, verdict) in book.apply_answer(answer).unwrap() {
+        sender.send(verdict).unwrap();
+    }
+}
+
+fn granted(receiver: &mut oneshot::Receiver<QueueVerdict>) -> Option<GrantedSlot> {
+    match receiver.try_recv() {
+        Ok(QueueVerdict::Granted(slot)) => Some(slot),
+        _ => None,
+    }
+}
+
+/// Guards against a slot that is used twice because its grant was doubled, and
+/// against grants of a leader that was replaced.
+#[test]
+fn apply_answer_repeated_or_older_grants_are_rejected() {
+    let mut book = LeaseBook::new();
+    let mut receivers: Vec<_> = (0..3).map(|_| enqueue(&mut book, None)).collect();
+    apply(&mut book, answer(4, 0, vec![grant(4, 1)]));
+    apply(&mut book, answer(4, 0, vec![grant(4, 1), grant(4, 2)]));
+    apply(&mut book, answer(4, 0, vec![grant(3, 9)]));
+    assert!(book.apply_answer(answer(3, 0, vec![grant(3, 9)])).is_none());
+    let numbers: Vec<Option<u64>> =
+        receivers.iter_mut().map(|r| granted(r).map(|slot| slot.lease.number)).collect();
+    assert_eq!(numbers, [Some(1), Some(2), None]);
+    assert_eq!(book.build_report(&identity(), "a", 0).received_grant, 2);
+}
+
+/// Guards against a slot that stays occupied by nobody.
+#[test]
+fn apply_answer_grant_without_request_is_returned() {
+    let mut book = LeaseBook::new();
+    let mut receiver = enqueue(&mut book, Some("engine-1"));
+    apply(&mut book, answer(4, 0, vec![grant(4, 1)]));
+    assert!(granted(&mut receiver).is_none(), "the request must avoid this upstream");
+    let report = book.build_report(&identity(), "a", 0);
+    assert_eq!(report.usage[0].end, Some(LeaseEnd::Unused));
+    assert_eq!(
+        (report.backlog[0].queued, report.backlog[0].avoid.as_deref()),
+        (1, Some("engine-1"))
+    );
+}
+
+/// Guards against a refusal that hits the requests which waited longest.
+#[test]
+fn apply_answer_refusal_keeps_the_oldest_requests() {
+    let mut book = LeaseBook::new();
+    let mut receivers: Vec<_> = (0..3).map(|_| enqueue(&mut book, None)).collect();
+    let (target, workspace) = key();
+    let refusal = BacklogRefusal { target, workspace, keep: 1, retry_after_ms: 700 };
+    apply(&mut book, DispatchAnswer { refusals: vec![refusal], ..answer(4, 0, vec![]) });
+    let refused: Vec<bool> = receivers
+        .iter_mut()
+        .map(|receiver| match receiver.try_recv() {
+            Ok(QueueVerdict::Refused(wait)) => wait == Duration::from_millis(700),
+            _ => false,
+        })
+        .collect();
+    assert_eq!(refused, [false, true, true]);
+    assert_eq!(book.queued_for(&key()), 1);
+}
+
+/// Guards against a lost report whose changes never reach the dispatcher.
+#[test]
+fn build_report_repeats_changes_until_acknowledged() {
+    let mut book = LeaseBook::new();
+    let _receiver = enqueue(&mut book, None);
+    let first = book.build_report(&identity(), "a", 0);
+    assert!(first.full, "the first report of an incarnation is full");
+    let second = book.build_report(&identity(), "a", 0);
+    assert_eq!((second.full, second.backlog.len(), second.sequence), (false, 1, 2));
+    apply(&mut book, answer(4, 2, vec![]));
+    let third = book.build_report(&identity(), "a", 0);
+    assert!(third.full && third.term == 4, "a new term needs a full report");
+    apply(&mut book, answer(4, 3, vec![grant(4, 1)]));
+    book.end_lease(LeaseId { term: 4, number: 1 }, LeaseEnd::Failed);
+    for _ in 0..2 {
+        let report = book.build_report(&identity(), "a", 0);
+        assert_eq!(report.usage[0].end, Some(LeaseEnd::Failed));
+        assert_eq!(report.backlog[0].queued, 0);
+    }
+    apply(&mut book, answer(4, 5, vec![]));
+    let last = book.build_report(&identity(), "a", 0);
+    assert!(last.usage.is_empty() && last.backlog.is_empty() && !book.is_changed());
+}
+
+/// Guards against the report of a lost full state that is never repeated.
+#[test]
+fn report_lost_full_report_is_sent_again() {
+    let mut book = LeaseBook::new();
+    assert!(book.build_report(&identity(), "a", 0).full);
+    book.report_lost(true);
+    assert!(book.build_report(&identity(), "a", 0).full);
+}
+
+/// Guards against the loss of service charged in a long local mode when its
+/// leases are added up.
+#[test]
+fn merge_local_leases_keeps_the_charge() {
+    let mut book = LeaseBook::new();
+    for number in 1..=600 {
+        let mut receiver = enqueue(&mut book, None);
+        for (sender, verdict) in book.apply_local_grants(vec![grant(LOCAL_TERM, number)]) {
+            sender.send(verdict).unwrap();
+        }
+        granted(&mut receiver).unwrap().meter.charge(10);
+        book.end_lease(LeaseId { term: LOCAL_TERM, number }, LeaseEnd::Finished);
+        book.merge_local_leases();
+    }
+    let usage: Vec<_> = book.lease_usage().collect();
+    assert!(usage.len() < 300, "{} leases are kept", usage.len());
+    assert_eq!(usage.iter().map(|usage| usage.charged).sum::<u64>(), 6000);
+}
+
+/// Guards against requests that overtake each other in a queue, are granted
+/// twice or are forgotten, for any order of arrival, departure and grant.
+#[test]
+fn enqueue_remove_grant_agrees_with_plain_list() {
+    let mut source = Gen::from_size_and_seed(60, 5);
+    let mut grants = 0;
+    for _ in 0..300 {
+        let mut book = LeaseBook::new();
+        let mut waiting: Vec<(u64, oneshot::Receiver<QueueVerdict>)> = Vec::new();
+        let (mut arrivals, mut number) = (0, 0);
+        for step in Vec::<u8>::arbitrary(&mut source) {
+            match step % 4 {
+                0 | 1 => {
+                    arrivals += 1;
+                    let receiver = enqueue(&mut book, None);
+                    waiting.push((arrivals, receiver));
+                }
+                2 if !waiting.is_empty() => {
+                    let (gone, _) = waiting.remove(usize::from(step) % waiting.len());
+                    assert!(book.remove(&key(), gone));
+                    assert!(!book.remove(&key(), gone));
+                }
+                _ => {
+                    number += 1;
+                    apply(&mut book, answer(1, 0, vec![grant(1, number)]));
+                    if !waiting.is_empty() {
+                        let (_, mut receiver) = waiting.remove(0);
+                        assert_eq!(granted(&mut receiver).unwrap().lease.number, number);
+                        grants += 1;
+                    }
+                }
+            }
+            assert_eq!(book.queued(), waiting.len());
+        }
+    }
+    assert!(grants > 500, "only {grants} grants were matched");
+}
