Router: tests of rejections and retries

Cause: Bad input, deadlines and retries had no test. Change: Adds tests of rejections, retry rules and the not-run statement. Conclusion: Rejections tell the truth in the tested cases.

--- /dev/null
+++ b/crates/router/tests/rejections.rs
@@ -0,0 +1,272 @@
+//! Tests of rejected requests and of retries: each must tell the truth about
+//! whether the request ran.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use http::Method;
+use support::fake_controller::FakeController;
+use support::fake_upstream::{FakeUpstream, Step, events, header_of, not_run, whole};
+use support::{Answer, STREAM_REQUEST, TestRouter, announcement, service_announcement, wait_for};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+const WHOLE_REQUEST: &str = r#"{"model":"small"}"#;
+
+struct TestFleet {
+    engines: Vec<FakeUpstream>,
+    service: FakeUpstream,
+    controller: FakeController,
+    router: TestRouter,
+}
+
+/// A router with two engines, each with its own scripts, and one service.
+async fn fleet(
+    first: Vec<Vec<Step>>,
+    second: Vec<Vec<Step>>,
+    service: Vec<Vec<Step>>,
+    limits: &str,
+) -> TestFleet {
+    let engines = vec![FakeUpstream::start(first).await, FakeUpstream::start(second).await];
+    let service = FakeUpstream::start(service).await;
+    let upstreams = vec![
+        announcement("engine-1", engines[0].address),
+        announcement("engine-2", engines[1].address),
+        service_announcement("cases-1", service.address),
+    ];
+    let controller = FakeController::start(upstreams).await;
+    let router = TestRouter::ready(&controller, limits).await;
+    for _ in 0..40 {
+        router.handle.state().retries.record_request("team-a");
+    }
+    TestFleet { engines, service, controller, router }
+}
+
+impl TestFleet {
+    /// Requests that any upstream received.
+    fn received(&self) -> usize {
+        let engines = self.engines.iter().map(|engine| engine.log().requests.len());
+        engines.sum::<usize>() + self.service.log().requests.len()
+    }
+}
+
+fn assert_rejected(answer: &Answer, status: u16, code: &str, not_run: bool) {
+    assert_eq!((answer.status.as_u16(), answer.code().as_str()), (status, code), "{answer:?}");
+    assert_eq!(answer.header("baobabfall-not-run"), not_run.to_string());
+    let body: serde_json::Value = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!(body["error"]["not_run"], not_run);
+    assert_eq!(body["error"]["request_id"], answer.header("baobabfall-request-id"));
+}
+
+/// Guards against bad input that is dispatched or answered without a stable
+/// code, and against a rejection that no counter shows.
+#[tokio::test]
+async fn bad_input_is_rejected_before_dispatch() {
+    let fleet = fleet(vec![], vec![], vec![], "request_size = \"32KiB\"").await;
+    let router = &fleet.router;
+    let chat = "/v1/chat/completions";
+    let large = format!(r#"{{"model":"small","prompt":"{}"}}"#, "x".repeat(40_000));
+    let post = Method::POST;
+    let key = ("authorization", "Bearer wrong");
+    let decisions = "/services/cases/decisions";
+    let cases: Vec<(Method, &str, Vec<(&str, &str)>, &str, u16, &str)> = vec![
+        (post.clone(), chat, vec![], "{", 400, "malformed_request"),
+        (post.clone(), chat, vec![], r#"{"stream":true}"#, 400, "malformed_request"),
+        (post.clone(), chat, vec![], r#"{"model":"large"}"#, 404, "unknown_model"),
+        (post.clone(), chat, vec![], &large, 413, "oversized_request"),
+        (post.clone(), "/services/none/x", vec![], "", 404, "unknown_service"),
+        (post.clone(), "/services/cases/a/../decisions", vec![], "", 400, "malformed_request"),
+        (post.clone(), "/services/cases/%64ecisions", vec![], "", 400, "malformed_request"),
+        (post.clone(), "/v2/none", vec![], "", 404, "not_found"),
+        (
+            post.clone(),
+            chat,
+            vec![("baobabfall-deadline-ms", "soon")],
+            WHOLE_REQUEST,
+            400,
+            "malformed_request",
+        ),
+        (post.clone(), decisions, vec![], "", 400, "key_required"),
+        (Method::GET, chat, vec![], "", 405, "method_not_allowed"),
+    ];
+    for (method, path, headers, body, status, code) in &cases {
+        let answer = router.call(method.clone(), path, headers, body).await;
+        assert_rejected(&answer, *status, code, true);
+    }
+    let request = http::Request::post(chat).header("host", "x").header(key.0, key.1);
+    let body = http_body_util::Full::new(bytes::Bytes::from_static(WHOLE_REQUEST.as_bytes()));
+    let response = support::send(router.handle.caller_address(), request.body(body).unwrap()).await;
+    assert_rejected(&Answer::read(response).await, 401, "unauthenticated", true);
+    assert_eq!(fleet.received(), 0);
+    let count = u64::try_from(cases.len()).unwrap() + 1;
+    assert_eq!(router.metric("baobabfall_requests_total", "outcome=\"refused_not_run\""), count);
+    assert_eq!(router.metric("baobabfall_refusals_total", ""), count);
+    let labels = router.metric("baobabfall_requests_total", "model=\"large\"");
+    assert_eq!(labels, 0, "names that the registry does not know must not become labels");
+}
+
+async fn raw(router: &TestRouter, request: &[u8]) -> String {
+    let mut stream = TcpStream::connect(router.handle.caller_address()).await.unwrap();
+    stream.write_all(request).await.unwrap();
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(support::PATIENCE, stream.read_to_end(&mut answer));
+    let _ = read.await.unwrap();
+    String::from_utf8(answer).unwrap()
+}
+
+/// Guards against requests whose end two readers see differently, header
+/// floods, invalid text and slow or truncated bodies.
+#[tokio::test]
+async fn malformed_http_is_rejected_before_dispatch() {
+    let fleet = fleet(vec![], vec![], vec![], "body_time = \"200ms\"").await;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         authorization: Bearer {}\r\n",
+        support::KEY
+    );
+    let flood: String = (0..200).map(|index| format!("x-{index}: y\r\n")).collect();
+    let cases: Vec<(Vec<u8>, &str)> = vec![
+        (format!("{head}content-length: 3\r\ncontent-length: 4\r\n\r\nabc").into(), " 400 "),
+        (
+            format!("{head}content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n")
+                .into(),
+            " 400 ",
+        ),
+        (format!("{head}{flood}\r\n").into(), " 431 "),
+        (
+            [format!("{head}content-length: 4\r\n\r\n").as_bytes(), &b"\"\xff\xfe\""[..]].concat(),
+            " 400 ",
+        ),
+        (format!("{head}content-length: 50\r\n\r\n{{").into(), " 408 "),
+    ];
+    for (request, status) in cases {
+        let answer = raw(&fleet.router, &request).await;
+        assert!(answer.lines().next().unwrap().contains(status), "{status}: {answer}");
+    }
+    assert_eq!(fleet.received(), 0);
+}
+
+/// Guards against a retry that is not made although the upstream said that the
+/// request did not run, or failed before the first token.
+#[tokio::test]
+async fn model_request_is_retried_at_another_upstream() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\
+                baobabfall-request-id: {id}\r\n\r\n";
+    let broken = vec![Step::Write(head.to_owned()), Step::Close];
+    let scripts = vec![not_run(), vec![Step::Close]];
+    let fleet = fleet(scripts, vec![events(2), broken], vec![], "").await;
+    for _ in 0..2 {
+        let answer = fleet.router.post("/v1/completions", &[], STREAM_REQUEST).await;
+        assert_eq!((answer.status.as_u16(), answer.complete), (200, true));
+        assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}", answer.body);
+    }
+    assert!(fleet.router.metric("baobabfall_retries_total", "") >= 2);
+    assert_eq!(fleet.router.metric("baobabfall_requests_total", "outcome=\"finished\""), 2);
+}
+
+/// Guards against retries beyond the budget, and against "not run" after an
+/// attempt that may have run although the last one did not.
+#[tokio::test]
+async fn exhausted_budget_after_open_attempt_claims_nothing() {
+    let scripts = || vec![vec![Step::Close], not_run(), not_run()];
+    let fleet = fleet(scripts(), scripts(), vec![], "attempts = 2").await;
+    let answer = fleet.router.post("/v1/completions", &[], WHOLE_REQUEST).await;
+    assert_eq!(answer.header("baobabfall-not-run"), "false", "{answer:?}");
+    assert_eq!(answer.code(), "upstream_failed");
+    assert_eq!(fleet.received(), 2);
+}
+
+/// Guards against a second run of a call that must not be repeated.
+#[tokio::test]
+async fn once_call_is_not_repeated_after_dispatch() {
+    let fleet = fleet(vec![], vec![], vec![vec![Step::Close], not_run()], "").await;
+    let answer = fleet.router.post("/services/cases/orders", &[], "{}").await;
+    assert_rejected(&answer, 502, "upstream_failed", false);
+    let answer = fleet.router.post("/services/cases/orders", &[], "{}").await;
+    assert_rejected(&answer, 503, "upstream_refused", true);
+    assert_eq!(fleet.service.log().requests.len(), 2);
+}
+
+/// Guards against an idempotent call that fails although a repetition is allowed.
+#[tokio::test]
+async fn idempotent_call_is_repeated_and_forwarded_with_its_query() {
+    let scripts = vec![vec![Step::Close], vec![Step::Write(whole(200, "{\"ok\":1}"))]];
+    let fleet = fleet(vec![], vec![], scripts, "").await;
+    let path = "/services/cases/status/7?full=yes";
+    let headers = [("baobabfall-fencing-token", "9.9"), ("x-note", "kept")];
+    let answer = fleet.router.call(Method::GET, path, &headers, "").await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "{\"ok\":1}"));
+    let log = fleet.service.log();
+    let head = &log.requests[1].0;
+    assert!(head.starts_with("GET /status/7?full=yes HTTP/1.1\r\n"), "{head}");
+    assert_eq!(header_of(head, "baobabfall-fencing-token"), "", "a caller may not set it");
+    assert_eq!(header_of(head, "x-note"), "kept");
+}
+
+/// Guards against a dead pooled connection that makes a call fail although no
+/// byte of it was written.
+#[tokio::test]
+async fn closed_upstream_is_reported_as_not_run() {
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = gone.local_addr().unwrap();
+    drop(gone);
+    let controller = FakeController::start(vec![service_announcement("cases-1", address)]).await;
+    let router = TestRouter::ready(&controller, "").await;
+    let answer = router.post("/services/cases/orders", &[], "{}").await;
+    assert_rejected(&answer, 503, "no_upstream", true);
+    assert!(answer.headers.contains_key("retry-after"));
+}
+
+/// Guards against a request that is held although its deadline passed, and
+/// against a place in the queue that a caller who left still holds.
+#[tokio::test]
+async fn waiting_requests_end_at_deadline_and_departure() {
+    let fleet = fleet(vec![], vec![], vec![], "").await;
+    fleet.controller.script().slots = 0;
+    let headers = [("baobabfall-deadline-ms", "60")];
+    let answer = fleet.router.post("/v1/completions", &headers, WHOLE_REQUEST).await;
+    assert_rejected(&answer, 503, "deadline_before_dispatch", true);
+    let state = fleet.router.handle.state();
+    let waiting = fleet.router.post("/v1/completions", &[], WHOLE_REQUEST);
+    tokio::select! {
+        _ = waiting => panic!("the request must wait"),
+        () = wait_for("queue", || state.queue.book().queued() == 1) => {}
+    }
+    wait_for("departure", || state.queue.book().queued() == 0).await;
+    let cancelled = || fleet.router.metric("baobabfall_requests_total", "outcome=\"cancelled\"");
+    wait_for("count", || cancelled() == 1).await;
+    assert_eq!(fleet.received(), 0);
+}
+
+/// Guards against a running request that outlives its deadline.
+#[tokio::test]
+async fn running_request_ends_at_deadline() {
+    let scripts = || vec![vec![Step::Hang]];
+    let fleet = fleet(scripts(), scripts(), vec![], "").await;
+    let headers = [("baobabfall-deadline-ms", "150")];
+    let answer = fleet.router.post("/v1/completions", &headers, WHOLE_REQUEST).await;
+    assert_rejected(&answer, 504, "deadline_after_dispatch", false);
+    let closed = || fleet.engines.iter().map(|engine| engine.log().closed).sum::<usize>();
+    wait_for("close", || closed() == 1).await;
+}
+
+/// Guards against a refusal of the dispatcher that leaves requests waiting.
+#[tokio::test]
+async fn refused_backlog_is_answered_at_once() {
+    let fleet = fleet(vec![], vec![], vec![], "").await;
+    let refusal = baobabfall_core::dispatch_messages::BacklogRefusal {
+        target: baobabfall_core::upstream_registry::WorkTarget {
+            kind: baobabfall_core::upstream_registry::UpstreamKind::Model,
+            name: "small".to_owned(),
+        },
+        workspace: "team-a".to_owned(),
+        keep: 0,
+        retry_after_ms: 2500,
+    };
+    fleet.controller.script().slots = 0;
+    fleet.controller.script().refusals = vec![refusal];
+    let answer = fleet.router.post("/v1/completions", &[], WHOLE_REQUEST).await;
+    assert_rejected(&answer, 429, "queue_full", true);
+    assert_eq!(answer.header("retry-after"), "3");
+}
