Router: tests of actions, stops, sync, local mode and settings

Cause: Protected actions, graceful stops, the first table and local mode had no test; limits.stop_running was not checked. Change: Adds the tests and the check.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -277,6 +277,9 @@
                 return fault(key, "0");
             }
         }
+        if self.stop_running.is_some_and(|time| time.0.is_zero() || time.0 > TIME_LIMIT) {
+            return fault("stop_running", "above 0 and up");
+        }
         if self.claim_time.0 >= Duration::from_secs(10) {
             let message = "it must be under 10s, the lease of a claim.";
             return Err(SettingsFault::new("limits.claim_time", message));
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -47,6 +47,7 @@
     pub outcomes: Vec<ActionReport>,
     pub forwarded: Vec<AnnounceMessage>,
     pub ended: Vec<(LeaseId, LeaseEnd, u64)>,
+    pub syncs: usize,
     granted: Vec<SlotGrant>,
     next_number: u64,
     next_upstream: usize,
@@ -83,6 +84,7 @@
             outcomes: Vec::new(),
             forwarded: Vec::new(),
             ended: Vec::new(),
+            syncs: 0,
             granted: Vec::new(),
             next_number: 0,
             next_upstream: 0,
@@ -171,6 +173,7 @@
             registry: (request.registry_version != version).then_some(view),
         }
     };
+    script.lock().unwrap().syncs += 1;
     let mut left = request.wait_ms;
     loop {
         let answer = build(&script.lock().unwrap());
--- a/crates/router/tests/support/fake_upstream.rs
+++ b/crates/router/tests/support/fake_upstream.rs
@@ -27,6 +27,8 @@
     pub connections: usize,
     /// Connections that the router closed.
     pub closed: usize,
+    /// What health checks are told.
+    pub leaving: bool,
     scripts: VecDeque<Vec<Step>>,
 }
 
@@ -83,7 +85,10 @@
             let mut log = log.lock().unwrap();
             log.requests.push((head, body));
             match health {
-                true => vec![Step::Write(whole(200, r#"{"incarnation":1,"leaving":false}"#))],
+                true => {
+                    let body = format!("{{\"incarnation\":1,\"leaving\":{}}}", log.leaving);
+                    vec![Step::Write(whole(200, &body))]
+                }
                 false => log.scripts.pop_front().unwrap_or_else(|| events(3)),
             }
         };
