Router: notice vanished upstreams and callers that do not read

Cause: A request waited for its deadline when its upstream vanished without closing connections, and a caller that read nothing held its slot for ever. Change: Checks the health of upstreams in use; gives up relays without any read for limits.caller_gap; bounds the queue of a workspace at the router; ignores leader hints of older terms. Conclusion: Neither case holds a slot any more.

--- a/crates/router/src/caller_api.rs
+++ b/crates/router/src/caller_api.rs
@@ -166,6 +166,18 @@
             .map_err(|refusal| Rejection::new(refusal.kind, refusal.message))
     }
 
+    /// The dispatcher bounds the queue of the whole fleet; a router alone that
+    /// exceeds the bound need not ask, also while no dispatcher answers.
+    fn check_queue(&self, target: &WorkTarget, row: &WorkspaceRow) -> Result<(), Rejection> {
+        let key = (target.clone(), row.name.clone());
+        let queued = self.state.queue.book().queued_for(&key);
+        if queued < usize::try_from(row.queue_length).unwrap_or(usize::MAX) {
+            return Ok(());
+        }
+        let message = "The queue of the workspace is full.";
+        Err(Rejection::after(ErrorKind::QueueFull, message, RETRY_AFTER))
+    }
+
     fn find_target(&mut self, kind: UpstreamKind, name: String) -> Result<WorkTarget, Rejection> {
         let target = WorkTarget { kind, name };
         if self.state.fleet.is_served(&target) {
@@ -193,6 +205,7 @@
             Rejection::new(ErrorKind::MalformedRequest, message)
         })?;
         let target = self.find_target(UpstreamKind::Model, fields.model)?;
+        self.check_queue(&target, row)?;
         let prompt_tokens = byte_count(&body) / BYTES_PER_TOKEN;
         let base_cost = prompt_tokens * UNITS_PER_PROMPT_TOKEN;
         let generated = fields.max_tokens.unwrap_or(0).saturating_mul(UNITS_PER_TOKEN);
@@ -222,6 +235,7 @@
         let target = self.find_target(UpstreamKind::Service, name)?;
         let class = self.service_class(&target.name, &parts.method, &path, &parts.headers, row)?;
         let body = self.read_body(body, &parts.headers, row, deadline).await?;
+        self.check_queue(&target, row)?;
         let cost = UNITS_PER_TOKEN + service_bytes_cost(byte_count(&body));
         let order = RequestOrder {
             key: (target, row.name.clone()),
--- a/crates/router/src/cancel_guard.rs
+++ b/crates/router/src/cancel_guard.rs
@@ -21,10 +21,9 @@
     pub fn disarm(&mut self) {
         self.target = None;
     }
-}
 
-impl Drop for CancelGuard {
-    fn drop(&mut self) {
+    /// Sends the cancellation now, if it is armed.
+    pub fn send(&mut self) {
         let Some((pool, route, request_id)) = self.target.take() else { return };
         let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
         if !pool.is_stopped() {
@@ -32,3 +31,9 @@
         }
     }
 }
+
+impl Drop for CancelGuard {
+    fn drop(&mut self) {
+        self.send();
+    }
+}
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -91,8 +91,15 @@
         let report = self.queue.book().build_report(&self.identity, &self.zone, wait_ms);
         let full = report.full;
         let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms.into());
+        let leader = self.link.leader();
         match self.link.call_leader(REPORT_PATH, &report, timeout).await {
-            Ok(answer) => self.apply(answer),
+            Ok(answer) => {
+                let applied = self.apply(answer);
+                if !applied {
+                    self.link.leader_failed(leader);
+                }
+                applied
+            }
             Err(error) => {
                 log::debug!("dispatch report not answered: {error}");
                 self.queue.book().report_lost(full);
--- a/crates/router/src/health_probe.rs
+++ b/crates/router/src/health_probe.rs
@@ -1,5 +1,7 @@
-//! Health checks of upstreams while no dispatcher answers.
+//! Health checks of upstreams: those in use for long, and all that may get
+//! work while no dispatcher answers.
 
+use baobabfall_core::dispatch_messages::UpstreamRoute;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use bytes::Bytes;
@@ -9,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -21,8 +24,46 @@
 /// How long a good check counts. With the interval and the time of a check it
 /// stays below the 3 s after which a leaving upstream gets no new work.
 const PROBE_LIFETIME: Duration = Duration::from_millis(2000);
+/// Unanswered checks in a row after which an upstream counts as dead.
+const DEAD_FAILURES: u32 = 3;
+/// How often a waiting request looks at the checks of its upstream.
+pub const LIVENESS_INTERVAL: Duration = Duration::from_millis(500);
 const ANSWER_LIMIT: usize = 16 << 10;
 
+/// An upstream to check.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProbeTarget {
+    /// Name of the upstream.
+    pub name: String,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl From<&UpstreamAnnouncement> for ProbeTarget {
+    fn from(upstream: &UpstreamAnnouncement) -> Self {
+        let UpstreamAnnouncement { name, incarnation, address, .. } = upstream;
+        Self { name: name.clone(), incarnation: *incarnation, address: *address }
+    }
+}
+
+impl From<&UpstreamRoute> for ProbeTarget {
+    fn from(route: &UpstreamRoute) -> Self {
+        let UpstreamRoute { name, incarnation, address, .. } = route;
+        Self { name: name.clone(), incarnation: *incarnation, address: *address }
+    }
+}
+
+/// What a check found.
+enum ProbeResult {
+    Healthy,
+    /// It runs, but takes no new work or does not say so in the known form.
+    Running,
+    Restarted,
+    Silent(String),
+}
+
 #[derive(Deserialize)]
 struct HealthAnswer {
     incarnation: u64,
@@ -35,6 +76,7 @@
     begun: Instant,
     running: bool,
     good: Option<Instant>,
+    failures: u32,
 }
 
 /// Results of health checks.
@@ -66,11 +108,23 @@
         })
     }
 
+    /// True when the upstream left several checks unanswered or restarted, so
+    /// that what it ran is lost.
+    pub fn is_dead(&self, name: &str, incarnation: u64) -> bool {
+        self.records().get(name).is_some_and(|record| {
+            record.incarnation == incarnation && record.failures >= DEAD_FAILURES
+        })
+    }
+
+    /// Waits until the upstream is dead.
+    pub async fn dead(&self, name: &str, incarnation: u64) {
+        while !self.is_dead(name, incarnation) {
+            tokio::time::sleep(LIVENESS_INTERVAL).await;
+        }
+    }
+
     /// Checks the upstreams that are due, beside the calling task.
-    pub fn check_due<'a>(
-        self: &Arc<Self>,
-        upstreams: impl IntoIterator<Item = &'a UpstreamAnnouncement>,
-    ) {
+    pub fn check_due(self: &Arc<Self>, upstreams: impl IntoIterator<Item = ProbeTarget>) {
         let now = Instant::now();
         for upstream in upstreams {
             let mut records = self.records();
@@ -83,39 +137,51 @@
                 continue;
             }
             let incarnation = upstream.incarnation;
-            let good = held.filter(|held| held.incarnation == incarnation).and_then(|h| h.good);
-            let record = ProbeRecord { incarnation, begun: now, running: true, good };
+            let held = held.filter(|held| held.incarnation == incarnation);
+            let good = held.and_then(|held| held.good);
+            let failures = held.map_or(0, |held| held.failures);
+            let record = ProbeRecord { incarnation, begun: now, running: true, good, failures };
             records.insert(upstream.name.clone(), record);
             drop(records);
-            let (probe, upstream) = (Arc::clone(self), upstream.clone());
+            let probe = Arc::clone(self);
             tokio::spawn(async move { probe.check(upstream, now).await });
         }
     }
 
     /// A good check counts from its beginning, when the answer was not given yet.
-    async fn check(&self, upstream: UpstreamAnnouncement, begun: Instant) {
+    async fn check(&self, upstream: ProbeTarget, begun: Instant) {
         let result = tokio::time::timeout(PROBE_TIMEOUT, ask(&upstream)).await;
-        let answer = result.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+        let result = result.unwrap_or_else(|_| ProbeResult::Silent("no answer in time".to_owned()));
         let mut records = self.records();
         let Some(record) = records.get_mut(&upstream.name) else { return };
         if record.incarnation != upstream.incarnation || record.begun != begun {
             return;
         }
         record.running = false;
-        match answer {
-            Ok(answer) if answer.incarnation == upstream.incarnation && !answer.leaving => {
-                record.good = Some(begun);
-            }
-            Ok(_) => record.good = None,
-            Err(reason) => {
-                record.good = None;
+        record.good = matches!(result, ProbeResult::Healthy).then_some(begun);
+        record.failures = match result {
+            ProbeResult::Healthy | ProbeResult::Running => 0,
+            ProbeResult::Restarted => DEAD_FAILURES,
+            ProbeResult::Silent(reason) => {
                 log::debug!(upstream = upstream.name.as_str(); "health check failed: {reason}");
+                record.failures.saturating_add(1)
             }
-        }
+        };
+    }
+}
+
+async fn ask(upstream: &ProbeTarget) -> ProbeResult {
+    match exchange(upstream).await {
+        Err(reason) => ProbeResult::Silent(reason),
+        Ok(body) => match serde_json::from_slice::<HealthAnswer>(&body) {
+            Ok(answer) if answer.incarnation != upstream.incarnation => ProbeResult::Restarted,
+            Ok(answer) if !answer.leaving => ProbeResult::Healthy,
+            _ => ProbeResult::Running,
+        },
     }
 }
 
-async fn ask(upstream: &UpstreamAnnouncement) -> Result<HealthAnswer, String> {
+async fn exchange(upstream: &ProbeTarget) -> Result<Bytes, String> {
     let stream = TcpStream::connect(upstream.address).await.map_err(|error| error.to_string())?;
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
@@ -128,8 +194,7 @@
     let exchange = async {
         let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
         let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
-        let bytes = body.map_err(|error| error.to_string())?.to_bytes();
-        serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+        Ok(body.map_err(|error| error.to_string())?.to_bytes())
     };
     let mut connection = std::pin::pin!(connection);
     let mut exchange = std::pin::pin!(exchange);
--- a/crates/router/src/leader_link.rs
+++ b/crates/router/src/leader_link.rs
@@ -25,6 +25,7 @@
 
 #[derive(Debug)]
 struct LinkState {
+    term: u64,
     leader: SocketAddr,
     clients: SortedMap<SocketAddr, Arc<PeerClient>>,
 }
@@ -33,7 +34,7 @@
     /// A link to controllers at `addresses`, of which there is at least one.
     pub fn new(addresses: Vec<SocketAddr>, token: CredentialFile, metrics: NodeMetrics) -> Self {
         let leader = addresses[0];
-        let state = Mutex::new(LinkState { leader, clients: SortedMap::new() });
+        let state = Mutex::new(LinkState { term: 0, leader, clients: SortedMap::new() });
         Self { addresses, state, token, metrics }
     }
 
@@ -47,9 +48,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner).leader
     }
 
-    /// Notes the leader that a controller named.
-    pub fn hint(&self, leader: SocketAddr) {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner).leader = leader;
+    /// Notes the leader that a controller named, unless an answer of a later
+    /// term named another one.
+    pub fn hint(&self, term: u64, leader: SocketAddr) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if term >= state.term {
+            (state.term, state.leader) = (term, leader);
+        }
     }
 
     /// Moves on to the next controller after `address` did not act as leader.
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -270,6 +270,12 @@
             .map(|(id, lease)| LeaseUsage { charged: lease.meter.charged(), ..lease.usage(*id) })
     }
 
+    /// Leases whose use has not ended, with the route of each.
+    pub fn running_routes(&self) -> impl Iterator<Item = (LeaseId, &UpstreamRoute)> {
+        let running = self.leases.iter().filter(|(_, lease)| lease.end.is_none());
+        running.map(|(id, lease)| (*id, &lease.route))
+    }
+
     /// Length of every queue.
     pub fn backlog(&self) -> impl Iterator<Item = BacklogEntry> {
         self.queues.iter().map(|(key, queue)| queue.entry(key))
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod options;
 pub mod process;
 pub mod relay;
+pub mod relay_watch;
 pub mod request_order;
 pub mod request_queue;
 pub mod request_record;
--- a/crates/router/src/local_mode.rs
+++ b/crates/router/src/local_mode.rs
@@ -1,6 +1,6 @@
 //! Dispatch by the router itself while no dispatcher answers.
 
-use crate::health_probe::HealthProbe;
+use crate::health_probe::ProbeTarget;
 use crate::router_state::RouterState;
 use baobabfall_core::dispatch_messages::{BacklogEntry, LeaseUsage};
 use baobabfall_core::local_dispatcher::{LocalDispatcher, LocalSettings};
@@ -23,14 +23,13 @@
 #[derive(Debug)]
 pub struct LocalMode {
     state: Arc<RouterState>,
-    probe: Arc<HealthProbe>,
     active: AtomicBool,
 }
 
 impl LocalMode {
     /// Local mode of one router, not active yet.
     pub fn new(state: Arc<RouterState>) -> Arc<Self> {
-        Arc::new(Self { state, probe: HealthProbe::new(), active: AtomicBool::new(false) })
+        Arc::new(Self { state, active: AtomicBool::new(false) })
     }
 
     /// True while the router dispatches itself.
@@ -74,7 +73,6 @@
             tokio::time::sleep(DISPATCH_INTERVAL).await;
         }
         self.active.store(false, Ordering::Relaxed);
-        self.probe.clear();
         let seconds = begun.elapsed().as_secs();
         log::info!(seconds = seconds; "a dispatcher answers; local mode ends");
         local.next_number()
@@ -116,8 +114,8 @@
             (needed || used.contains(&upstream.name))
                 && !self.state.fleet.is_stopping(StopKind::Upstream, &upstream.name)
         });
-        self.probe.check_due(&candidates);
-        candidates.retain(|upstream| self.probe.is_good(upstream));
+        self.state.probe.check_due(candidates.iter().map(ProbeTarget::from));
+        candidates.retain(|upstream| self.state.probe.is_good(upstream));
         for upstream in &mut candidates {
             // Load reports change with every announcement and play no part here.
             upstream.sequence = 0;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -6,7 +6,9 @@
 use crate::action_client::ActionSettlement;
 use crate::cancel_guard::CancelGuard;
 use crate::event_scanner::{EventScanner, completion_tokens_of};
+use crate::health_probe::{HealthProbe, LIVENESS_INTERVAL};
 use crate::lease_book::LeaseMeter;
+use crate::relay_watch::WatchedRelay;
 use crate::request_queue::SlotLease;
 use crate::request_record::RequestRecord;
 use crate::resume::{ResumePlan, ResumedStream};
@@ -46,7 +48,7 @@
     /// A complete body of the router itself.
     Whole(Full<Bytes>),
     /// The answer of an upstream.
-    Stream(Box<RelayStream>),
+    Stream(Arc<WatchedRelay>),
 }
 
 /// How the content of an answer is read.
@@ -87,6 +89,8 @@
     pub cancel: CancelGuard,
     /// Outcome of a protected action, to be reported.
     pub settlement: Option<ActionSettlement>,
+    /// Health checks of the upstream.
+    pub probe: Arc<HealthProbe>,
     /// Instruments.
     pub metrics: NodeMetrics,
 }
@@ -95,6 +99,7 @@
 enum RelaySource {
     Body(Incoming),
     Resuming(JoinHandle<Result<ResumedStream, String>>),
+    Broken(&'static str),
     Ended,
 }
 
@@ -120,6 +125,8 @@
     resume: Option<ResumePlan>,
     cancel: CancelGuard,
     settlement: Option<ActionSettlement>,
+    probe: Arc<HealthProbe>,
+    polls: u64,
     metrics: NodeMetrics,
     gap_labels: [KeyValue; 1],
 }
@@ -153,6 +160,8 @@
             resume: parts.resume,
             cancel: parts.cancel,
             settlement: parts.settlement,
+            probe: parts.probe,
+            polls: 0,
             metrics: parts.metrics,
         };
         if empty && relay.form != AnswerForm::Events {
@@ -161,10 +170,12 @@
         relay
     }
 
-    fn poll_next(&mut self, context: &mut Context<'_>) -> FramePoll {
+    pub(crate) fn poll_next(&mut self, context: &mut Context<'_>) -> FramePoll {
+        self.polls += 1;
         loop {
             let step = match &mut self.source {
                 RelaySource::Ended => return Poll::Ready(None),
+                RelaySource::Broken(reason) => RelayStep::Abort((*reason).to_owned()),
                 RelaySource::Body(incoming) => match self.first.take() {
                     Some(first) => self.on_data(first),
                     None => match Pin::new(incoming).poll_frame(context) {
@@ -188,7 +199,10 @@
                 RelayStep::Again => {}
                 RelayStep::Wait => return Poll::Pending,
                 RelayStep::Emit(bytes) => return Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                RelayStep::Abort(reason) => return Poll::Ready(Some(Err(RelayError(reason)))),
+                RelayStep::Abort(reason) => {
+                    self.source = RelaySource::Ended;
+                    return Poll::Ready(Some(Err(RelayError(reason))));
+                }
             }
         }
     }
@@ -332,21 +346,57 @@
     /// Checks deadline and silence while the upstream sends nothing.
     fn poll_timer(&mut self, context: &mut Context<'_>) -> RelayStep {
         loop {
-            let since = *self.waiting_since.get_or_insert_with(Instant::now);
-            let due = (since + self.answer_gap).min(self.deadline);
-            let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(due)));
+            let now = Instant::now();
+            let silent_at = *self.waiting_since.get_or_insert(now) + self.answer_gap;
+            let look_at = silent_at.min(self.deadline).min(now + LIVENESS_INTERVAL);
+            let timer =
+                self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(look_at)));
             if timer.as_mut().poll(context).is_pending() {
                 return RelayStep::Wait;
             }
-            let now = Instant::now();
             if now >= self.deadline {
                 return self.fail(ErrorKind::DeadlineAfterDispatch, "the deadline passed");
             }
-            if now >= due {
-                self.timer = None;
+            timer.as_mut().reset(look_at);
+            if now >= silent_at {
                 return self.on_break("the upstream is silent");
             }
-            timer.as_mut().reset(due);
+            let route = self.lease.route();
+            if self.probe.is_dead(&route.name, route.incarnation) {
+                return self.on_break("the upstream answers no health check");
+            }
+        }
+    }
+
+    /// Number of polls so far, or `None` once nothing is held any more.
+    pub(crate) fn polls(&self) -> Option<u64> {
+        match self.source {
+            RelaySource::Body(_) | RelaySource::Resuming(_) => Some(self.polls),
+            RelaySource::Broken(_) | RelaySource::Ended => None,
+        }
+    }
+
+    /// True once the answer must have ended.
+    pub(crate) fn is_overdue(&self, now: Instant) -> bool {
+        now >= self.deadline
+    }
+
+    /// Gives the answer up because the caller does not read it: the slot must
+    /// not wait for the caller.
+    pub(crate) fn abandon(&mut self) {
+        self.stop_resuming();
+        self.source = RelaySource::Broken("the caller did not read the answer");
+        self.connection = None;
+        self.settlement = None;
+        self.cancel.send();
+        self.lease.release(LeaseEnd::Finished);
+        self.record.count_answer("cancelled");
+        self.record.cancel();
+    }
+
+    fn stop_resuming(&self) {
+        if let RelaySource::Resuming(task) = &self.source {
+            task.abort();
         }
     }
 }
@@ -360,10 +410,8 @@
 
 impl Drop for RelayStream {
     fn drop(&mut self) {
-        if let RelaySource::Resuming(task) = &self.source {
-            task.abort();
-        }
-        if !matches!(self.source, RelaySource::Ended) {
+        self.stop_resuming();
+        if self.polls().is_some() {
             self.record.count_answer("cancelled");
         }
     }
@@ -391,14 +439,14 @@
             Self::Whole(full) => Pin::new(full)
                 .poll_frame(context)
                 .map(|frame| frame.map(|result| result.map_err(|never| match never {}))),
-            Self::Stream(stream) => stream.poll_next(context),
+            Self::Stream(relay) => relay.lock().poll_next(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(full) => full.is_end_stream(),
-            Self::Stream(stream) => matches!(stream.source, RelaySource::Ended),
+            Self::Stream(relay) => matches!(relay.lock().source, RelaySource::Ended),
         }
     }
 
--- a/crates/router/src/request_record.rs
+++ b/crates/router/src/request_record.rs
@@ -100,6 +100,12 @@
         self.count();
     }
 
+    /// Ends a request whose caller is gone.
+    pub fn cancel(&mut self) {
+        self.advance(LifeEvent::Cancel);
+        self.count();
+    }
+
     /// Ends a request that is answered from the record of an earlier one.
     pub fn refuse_known(&mut self) {
         self.advance(LifeEvent::Refuse);
@@ -165,8 +171,7 @@
 impl Drop for RequestRecord {
     fn drop(&mut self) {
         if !self.counted {
-            self.advance(LifeEvent::Cancel);
-            self.count();
+            self.cancel();
         }
     }
 }
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -291,8 +291,16 @@
         }
         lease.mark_used(self.order.base_cost);
         let mut cancel = CancelGuard::new(&self.state.pool, route, &self.call.request_id);
-        let result =
-            tokio::time::timeout_at(self.call.deadline, self.exchange(route, request)).await;
+        let exchange = async {
+            tokio::select! {
+                answer = self.exchange(route, request) => answer,
+                () = self.state.probe.dead(&route.name, route.incarnation) => {
+                    let reason = "the upstream answers no health check".to_owned();
+                    Err(ExchangeError::Sent(reason))
+                }
+            }
+        };
+        let result = tokio::time::timeout_at(self.call.deadline, exchange).await;
         match result {
             Ok(Ok(answer)) if self.is_not_run(&answer.response) => {
                 cancel.disarm();
@@ -433,6 +441,7 @@
             pool: Arc::clone(&self.state.pool),
             route: route.clone(),
             left: limits.resumptions,
+            made: 0,
         });
         let id = self.record.id.clone();
         let stream = RelayStream::new(RelayParts {
@@ -448,9 +457,11 @@
             resume,
             cancel,
             settlement,
+            probe: Arc::clone(&self.state.probe),
             metrics: self.state.metrics.clone(),
         });
-        let mut response = Response::new(RelayBody::Stream(Box::new(stream)));
+        let body = RelayBody::Stream(self.state.relays.watch(stream));
+        let mut response = Response::new(body);
         *response.status_mut() = parts.status;
         *response.headers_mut() = end_to_end_headers(&parts.headers);
         if form != AnswerForm::Events
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -12,8 +12,11 @@
 
 /// Header with the number of events that the caller has.
 pub const RESUME_HEADER: &str = "baobabfall-resume-from";
-/// Pause before each resumption, so that a failing upstream is not flooded.
+/// Pause before the first resumption; each later one waits four times as long,
+/// so an upstream that restarts its listener is met and not flooded.
 const RESUME_PAUSE: Duration = Duration::from_millis(10);
+const PAUSE_FACTOR: u32 = 4;
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// The rest of a stream.
 #[derive(Debug)]
@@ -35,6 +38,8 @@
     pub route: UpstreamRoute,
     /// Resumptions left.
     pub left: u32,
+    /// Resumptions made.
+    pub made: u32,
 }
 
 impl ResumePlan {
@@ -50,9 +55,11 @@
         deadline: Instant,
     ) -> Option<JoinHandle<Result<ResumedStream, String>>> {
         self.left = self.left.checked_sub(1)?;
+        let pause = RESUME_PAUSE.saturating_mul(PAUSE_FACTOR.saturating_pow(self.made));
+        self.made += 1;
         let plan = self.clone();
         Some(tokio::spawn(async move {
-            tokio::time::sleep(RESUME_PAUSE).await;
+            tokio::time::sleep(pause.min(PAUSE_LIMIT)).await;
             tokio::time::timeout_at(deadline, plan.run(position))
                 .await
                 .unwrap_or_else(|_| Err("the deadline passed".to_owned()))
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -6,15 +6,18 @@
 use crate::drain::{DrainPhase, DrainState};
 use crate::error::RouterError;
 use crate::fleet_api;
+use crate::health_probe::{HealthProbe, ProbeTarget};
 use crate::leader_link::LeaderLink;
 use crate::local_mode::LocalMode;
 use crate::options::{RouterListeners, RouterOptions};
+use crate::relay_watch::RelayWatch;
 use crate::request_queue::SharedQueue;
 use crate::retry::RetryBooks;
 use crate::router_state::RouterState;
 use crate::table_sync::TableSync;
 use crate::table_view::FleetView;
 use crate::upstream_pool::UpstreamPool;
+use baobabfall_core::dispatch_messages::LeaseId;
 use baobabfall_core::request_life::RequestLife;
 use baobabfall_node::http_server::serve;
 use baobabfall_node::messages::StopKind;
@@ -34,6 +37,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// How often idle connections are looked at.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// How often upstreams in use are looked at.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 /// How long the end of a graceful stop waits for the last reports.
 const LAST_REPORTS_TIME: Duration = Duration::from_secs(1);
 
@@ -162,6 +167,8 @@
         life,
         fleet: Arc::new(FleetView::new()),
         dispatch: Arc::new(dispatch),
+        probe: HealthProbe::new(),
+        relays: Arc::new(RelayWatch::new(settings.limits.caller_gap.0)),
         pool: UpstreamPool::new(settings.limits.connect_time.0, abort.clone()),
         actions: ActionClient::new(Arc::clone(&link), identity, claim_time),
         retries: RetryBooks::default(),
@@ -198,11 +205,34 @@
             pool.expire();
         }
     });
+    let relays = Arc::clone(&state.relays);
+    tasks.spawn(async move { relays.run().await });
+    tasks.spawn(watch_upstreams(Arc::clone(state)));
     for credential in [&state.options.process, &state.options.upstream, &state.options.metrics] {
         tasks.spawn(credential.clone().watch());
     }
 }
 
+/// Checks the upstreams on which a request runs for long, so that one that
+/// vanished without closing its connections is noticed.
+async fn watch_upstreams(state: Arc<RouterState>) {
+    let mut earlier: Vec<LeaseId> = Vec::new();
+    loop {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        let mut current = Vec::new();
+        let mut targets: Vec<ProbeTarget> = Vec::new();
+        for (lease, route) in state.queue.book().running_routes() {
+            current.push(lease);
+            let long = earlier.binary_search(&lease).is_ok();
+            if long && !targets.iter().any(|target| target.name == route.name) {
+                targets.push(ProbeTarget::from(route));
+            }
+        }
+        earlier = current;
+        state.probe.check_due(targets);
+    }
+}
+
 /// Carries out planned stops and the end of the process.
 struct Supervisor {
     state: Arc<RouterState>,
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -3,8 +3,10 @@
 use crate::action_client::ActionClient;
 use crate::dispatch_client::DispatchClient;
 use crate::drain::{DrainPhase, DrainState};
+use crate::health_probe::HealthProbe;
 use crate::leader_link::LeaderLink;
 use crate::options::RouterOptions;
+use crate::relay_watch::RelayWatch;
 use crate::request_queue::SharedQueue;
 use crate::request_record::RequestRecord;
 use crate::retry::RetryBooks;
@@ -33,6 +35,10 @@
     pub dispatch: Arc<DispatchClient>,
     /// Connections to upstreams.
     pub pool: Arc<UpstreamPool>,
+    /// Health checks of upstreams.
+    pub probe: Arc<HealthProbe>,
+    /// Answers that are being relayed.
+    pub relays: Arc<RelayWatch>,
     /// Claims and outcomes of protected actions.
     pub actions: Arc<ActionClient>,
     /// Retry budgets.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -12,6 +12,9 @@
 pub const REQUEST_SIZE_LIMIT: u64 = 1 << 30;
 /// Longest accepted time in `[limits]`.
 pub const TIME_LIMIT: Duration = Duration::from_secs(24 * 3600);
+/// Shortest `limits.caller_gap`: a relay that waits for its upstream is polled
+/// every 500 ms, which must never look like a stalled caller.
+const CALLER_GAP_MINIMUM: Duration = Duration::from_secs(2);
 const CONTROLLERS_LIMIT: usize = 9;
 
 /// All settings of a router.
@@ -102,6 +105,8 @@
     pub connect_time: TimeSpan,
     /// Longest silence of an upstream in the middle of an answer.
     pub answer_gap: TimeSpan,
+    /// Longest time in which a caller may read nothing of an answer.
+    pub caller_gap: TimeSpan,
     /// Dispatches of one request, retries included.
     pub attempts: u32,
     /// Resumptions of one broken stream.
@@ -131,6 +136,7 @@
             deadline_maximum: seconds(3600),
             connect_time: seconds(1),
             answer_gap: seconds(30),
+            caller_gap: seconds(30),
             attempts: 3,
             resumptions: 3,
             claim_time: seconds(2),
@@ -260,6 +266,7 @@
             ("deadline_maximum", self.deadline_maximum),
             ("connect_time", self.connect_time),
             ("answer_gap", self.answer_gap),
+            ("caller_gap", self.caller_gap),
             ("claim_time", self.claim_time),
         ];
         let bounded = [("stop_notice", self.stop_notice), ("stop_queue", self.stop_queue)];
@@ -280,6 +287,10 @@
         if self.stop_running.is_some_and(|time| time.0.is_zero() || time.0 > TIME_LIMIT) {
             return fault("stop_running", "above 0 and up");
         }
+        if self.caller_gap.0 < CALLER_GAP_MINIMUM {
+            let message = format!("it must be at least {} s.", CALLER_GAP_MINIMUM.as_secs());
+            return Err(SettingsFault::new("limits.caller_gap", message));
+        }
         if self.claim_time.0 >= Duration::from_secs(10) {
             let message = "it must be under 10s, the lease of a claim.";
             return Err(SettingsFault::new("limits.claim_time", message));
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -102,7 +102,7 @@
 
     fn apply_forward(&self, answer: SyncAnswer) {
         if let Some(leader) = answer.leader {
-            self.link.hint(leader);
+            self.link.hint(answer.term, leader);
         }
         if let Some(update) = &answer.table {
             self.apply_table(update);
--- a/crates/router/tests/rejections.rs
+++ b/crates/router/tests/rejections.rs
@@ -70,7 +70,8 @@
     let post = Method::POST;
     let key = ("authorization", "Bearer wrong");
     let decisions = "/services/cases/decisions";
-    let cases: Vec<(Method, &str, Vec<(&str, &str)>, &str, u16, &str)> = vec![
+    type BadCase<'a> = (Method, &'a str, Vec<(&'a str, &'a str)>, &'a str, u16, &'a str);
+    let cases: Vec<BadCase<'_>> = vec![
         (post.clone(), chat, vec![], "{", 400, "malformed_request"),
         (post.clone(), chat, vec![], r#"{"stream":true}"#, 400, "malformed_request"),
         (post.clone(), chat, vec![], r#"{"model":"large"}"#, 404, "unknown_model"),
@@ -270,3 +271,33 @@
     assert_rejected(&answer, 429, "queue_full", true);
     assert_eq!(answer.header("retry-after"), "3");
 }
+
+/// Guards against a queue of one workspace that grows without bound.
+#[tokio::test]
+async fn full_queue_is_refused_by_the_router_itself() {
+    let fleet = fleet(vec![], vec![], vec![], "").await;
+    fleet.controller.script().slots = 0;
+    let router = &fleet.router;
+    let book = || router.handle.state().queue.book();
+    let waiting = (0..50).map(|_| router.post("/v1/completions", &[], WHOLE_REQUEST));
+    let refused = async {
+        wait_for("queue", || book().queued() == 50).await;
+        router.post("/v1/completions", &[], WHOLE_REQUEST).await
+    };
+    let answer = tokio::select! {
+        _ = futures_util::future::join_all(waiting) => panic!("the requests must wait"),
+        answer = refused => answer,
+    };
+    assert_rejected(&answer, 429, "queue_full", true);
+}
+
+/// Guards against a request that waits for an upstream which vanished without
+/// closing its connections.
+#[tokio::test]
+async fn vanished_upstream_is_given_up_before_the_deadline() {
+    let fleet = fleet(vec![vec![Step::Hang]], vec![events(1)], vec![], "").await;
+    fleet.engines[0].log().mute = true;
+    let answer = fleet.router.post("/v1/completions", &[], STREAM_REQUEST).await;
+    assert!(answer.complete && answer.body.ends_with("data: [DONE]\n\n"), "{answer:?}");
+    assert_eq!(fleet.engines[1].log().work().len(), 1);
+}
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -43,6 +43,7 @@
         ("attempts = 3", "deadline = \"2h\"", "limits.deadline"),
         ("attempts = 3", "claim_time = \"10s\"", "limits.claim_time"),
         ("attempts = 3", "stop_running = \"0s\"", "limits.stop_running"),
+        ("attempts = 3", "caller_gap = \"1s\"", "limits.caller_gap"),
         ("attempts = 3", "patience = 3", "patience"),
         ("POST /decisions", "GET /decisions", "service.protected"),
         ("GET /status/*", "GET /st*tus", "service.idempotent"),
--- a/crates/router/tests/stream_relay.rs
+++ b/crates/router/tests/stream_relay.rs
@@ -9,7 +9,7 @@
 use support::fake_upstream::{
     END, FakeUpstream, Step, chunk, event, event_chunks, header_of, stream_head, whole,
 };
-use support::{STREAM_REQUEST, TestRouter, announcement, wait_for};
+use support::{Answer, STREAM_REQUEST, TestRouter, announcement, wait_for};
 
 /// Guards against a stream that is changed on its way, a request id that is
 /// lost, and a slot that is not settled with the cost of the events.
@@ -172,3 +172,20 @@
     assert_eq!(router.metric("baobabfall_requests_total", "outcome=\"finished\""), 1);
     assert_eq!(router.metric("baobabfall_requests_total", "outcome=\"cancelled\""), 0);
 }
+
+/// Guards against a slot that a caller holds for ever by not reading.
+#[tokio::test]
+async fn caller_that_does_not_read_loses_its_slot() {
+    let large = "x".repeat(64 << 10);
+    let text = chunk(&format!("data: {large}\n\n")).repeat(400);
+    let script = vec![Step::Write(format!("{}{text}", stream_head())), Step::Hang];
+    let upstream = FakeUpstream::start(vec![script]).await;
+    let controller = FakeController::start(vec![announcement("engine-1", upstream.address)]).await;
+    let router = TestRouter::ready(&controller, "caller_gap = \"2s\"").await;
+    let method = http::Method::POST;
+    let response = router.open(method, "/v1/completions", &[], STREAM_REQUEST).await;
+    wait_for("settlement", || !controller.script().ended.is_empty()).await;
+    assert_eq!(controller.script().ended[0].1, LeaseEnd::Finished);
+    assert_eq!(router.metric("baobabfall_requests_total", "outcome=\"cancelled\""), 1);
+    assert!(!Answer::read(response).await.complete, "the caller must see a broken answer");
+}
--- a/crates/router/tests/support/fake_upstream.rs
+++ b/crates/router/tests/support/fake_upstream.rs
@@ -29,6 +29,8 @@
     pub closed: usize,
     /// What health checks are told.
     pub leaving: bool,
+    /// Leaves health checks unanswered.
+    pub mute: bool,
     scripts: VecDeque<Vec<Step>>,
 }
 
@@ -85,6 +87,7 @@
             let mut log = log.lock().unwrap();
             log.requests.push((head, body));
             match health {
+                true if log.mute => vec![Step::Hang],
                 true => {
                     let body = format!("{{\"incarnation\":1,\"leaving\":{}}}", log.leaving);
                     vec![Step::Write(whole(200, &body))]
