--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -48,8 +48,17 @@
 
     /// Time since the dispatcher answered last, or since the start.
     pub fn silence(&self) -> Duration {
-        let answered = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
-        self.started.elapsed().saturating_sub(answered)
+        self.elapsed().saturating_sub(self.last_answer())
+    }
+
+    /// When the dispatcher answered last, since the start of the client.
+    pub fn last_answer(&self) -> Duration {
+        Duration::from_millis(self.answered_ms.load(Ordering::Relaxed))
+    }
+
+    /// Time since the start of the client.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
     }
 
     /// Keeps one long poll outstanding.
@@ -82,8 +91,15 @@
         let report = self.queue.book().build_report(&self.identity, &self.zone, wait_ms);
         let full = report.full;
         let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms.into());
+        let leader = self.link.leader();
         match self.link.call_leader(REPORT_PATH, &report, timeout).await {
-            Ok(answer) => self.apply(answer),
+            Ok(answer) => {
+                let applied = self.apply(answer);
+                if !applied {
+                    self.link.leader_failed(leader);
+                }
+                applied
+            }
             Err(error) => {
                 log::debug!("dispatch report not answered: {error}");
                 self.queue.book().report_lost(full);
--- a/crates/router/tests/support/fake_upstream.rs
+++ b/crates/router/tests/support/fake_upstream.rs
@@ -27,6 +27,10 @@
     pub connections: usize,
     /// Connections that the router closed.
     pub closed: usize,
+    /// What health checks are told.
+    pub leaving: bool,
+    /// Leaves health checks unanswered.
+    pub mute: bool,
     scripts: VecDeque<Vec<Step>>,
 }
 
@@ -83,7 +87,11 @@
             let mut log = log.lock().unwrap();
             log.requests.push((head, body));
             match health {
-                true => vec![Step::Write(whole(200, r#"{"incarnation":1,"leaving":false}"#))],
+                true if log.mute => vec![Step::Hang],
+                true => {
+                    let body = format!("{{\"incarnation\":1,\"leaving\":{}}}", log.leaving);
+                    vec![Step::Write(whole(200, &body))]
+                }
                 false => log.scripts.pop_front().unwrap_or_else(|| events(3)),
             }
         };
