Controller: tests of real groups and hostile input, fairness metric

Cause: the controller had no test of its own; a joining task outlived its controller; the gap was not exported. Change: tests control_group and hostile_input with real controllers on loopback; the joining task belongs to the controller; gauges of revision and fairness gap. Conclusion: lost leaders, lost disks, resent and racing edits and claims hold over sockets.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -28,6 +28,7 @@
 use baobabfall_node::stop_signal::{StopPhase, StopSender, StopSignal, stop_channel};
 use http::Request;
 use hyper::body::Incoming;
+use opentelemetry::KeyValue;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use std::convert::Infallible;
@@ -46,6 +47,8 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Routers that were silent for longer are not waited for by a new dispatcher.
 const EXPECTED_SILENCE: Duration = Duration::from_secs(3);
+/// Interval at which gauges are sampled.
+const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for requests in progress when the process stops.
 const STOP_GRACE: Duration = Duration::from_secs(5);
 
@@ -121,7 +124,7 @@
     })?;
     let clock = Instant::now();
     let metrics = NodeMetrics::new().map_err(ControllerError::Metrics)?;
-    let (driver, replica) = open_replica(&options, clock, address).await?;
+    let (driver, replica, identity) = open_replica(&options, clock, address).await?;
     let registry = RegistryService::new(clock, options.announcement_lapse);
     let tracker = NodeTracker::default();
     let dispatch = DispatchService::new(clock, replica.clone());
@@ -146,6 +149,12 @@
     let (stop, signal) = stop_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(until_draining(driver.run(), signal.clone()));
+    if replica.view().members.get(identity.id).is_none() {
+        let options = ControllerOptions::clone(&api.options);
+        let joining = join_group(options, replica.clone(), identity, address);
+        tasks.spawn(until_draining(joining, signal.clone()));
+    }
+    tasks.spawn(until_draining(record_metrics(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_leadership(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_clock(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_overdue(api.clone()), signal.clone()));
@@ -176,7 +185,7 @@
     options: &ControllerOptions,
     clock: Instant,
     address: SocketAddr,
-) -> Result<(ReplicaDriver<StdRng>, ReplicaHandle), ControllerError> {
+) -> Result<(ReplicaDriver<StdRng>, ReplicaHandle, ReplicaIdentity), ControllerError> {
     let folder = &options.settings.storage.folder;
     let storage_error = |kind, message: String| ControllerError::Storage { kind, message };
     let mut seed: StdRng = rand::make_rng();
@@ -211,10 +220,7 @@
     let configured = options.settings.peers.iter().map(|peer| (peer.name.clone(), peer.address));
     let peers = PeerLinks::new(options.process.clone(), configured);
     let (driver, replica) = ReplicaDriver::new(core, clock, state, storage, done, peers);
-    if replica.view().members.get(identity.id).is_none() {
-        tokio::spawn(join_group(options.clone(), replica.clone(), identity, address));
-    }
-    Ok((driver, replica))
+    Ok((driver, replica, identity))
 }
 
 /// Starts and ends the dispatcher with the leadership, and feeds it the table,
@@ -295,6 +301,23 @@
     }
 }
 
+/// Samples the fairness gap and the revision for the burn report.
+async fn record_metrics(api: ControlApi) {
+    let mut ticks = tokio::time::interval(METRICS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let revision = api.replica.state().history().revision();
+        api.metrics.table_revision.record(revision, &[]);
+        for view in operator_views::fairness(&api.operators) {
+            // Without two backlogged workspaces there is no gap to compare with a bound.
+            if view.backlogged >= 2 && view.bound > 0.0 {
+                let pool = KeyValue::new("pool", view.pool);
+                api.metrics.fairness_gap.record(view.gap / view.bound, &[pool]);
+            }
+        }
+    }
+}
+
 /// Keeps a copy of the leader's registry, so that a new leader knows the
 /// upstreams at once.
 async fn follow_leader(api: ControlApi) {
--- /dev/null
+++ b/crates/controller/tests/control_group.rs
@@ -0,0 +1,262 @@
+//! Tests of groups of real controllers on loopback.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod group_fixture;
+
+use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_node::http_client::{PeerClient, PeerError};
+use baobabfall_node::messages::{
+    ANNOUNCE_PATH, ActionClaim, ActionOutcome, ActionReport, CLAIM_PATH, ClaimAnswer, ClaimRequest,
+    NodeKind, OUTCOME_PATH, OutcomeRequest, SYNC_PATH, SyncAnswer, SyncRequest,
+};
+use baobabfall_node::operator_messages::{
+    ConflictView, EditAnswer, HISTORY_PATH, HistoryEntry, ROLLBACK_PATH, TABLE_PATH, TableRollback,
+    TableView,
+};
+use group_fixture::{CALL, GroupFixture, PROCESS, UPSTREAM, row_edit};
+use serde_json::{Value, json};
+
+fn refused(result: Result<EditAnswer, PeerError>) -> (ErrorKind, Vec<u8>) {
+    match result {
+        Err(PeerError::Refused { kind, body, .. }) => (kind, body.to_vec()),
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+/// Guards against an edit that takes effect twice, a racing edit that is
+/// merged silently, and an edit id that stands for two edits.
+#[tokio::test]
+async fn edit_table_resent_and_racing() {
+    let group = GroupFixture::start(1).await;
+    let first = group.put_row("e1", 0, "team-a", 3).await.unwrap();
+    assert_eq!((first.revision, first.repeated), (1, false));
+    let again = group.put_row("e1", 0, "team-a", 3).await.unwrap();
+    assert_eq!((again.revision, again.digest, again.repeated), (1, first.digest, true));
+    let (kind, body) = refused(group.put_row("e2", 0, "team-b", 1).await);
+    let conflict: ConflictView = serde_json::from_slice(&body).unwrap();
+    assert_eq!((kind, conflict.revision), (ErrorKind::RevisionConflict, 1));
+    assert_eq!(conflict.changes, row_edit("", 0, "team-a", 3).changes);
+    let (kind, _) = refused(group.put_row("e1", 1, "team-c", 1).await);
+    assert_eq!(kind, ErrorKind::EditReused);
+    let view: TableView = group.call_leader::<(), _>(TABLE_PATH, None).await.unwrap();
+    assert_eq!((view.revision, view.csv.lines().count()), (1, 2));
+}
+
+/// Guards against a rollback that reuses a revision and a history that loses
+/// who changed what.
+#[tokio::test]
+async fn rollback_makes_a_new_revision() {
+    let group = GroupFixture::start(1).await;
+    group.put_row("e1", 0, "team-a", 3).await.unwrap();
+    group.put_row("e2", 1, "team-a", 5).await.unwrap();
+    let rollback = TableRollback {
+        operator: "test".to_owned(),
+        edit_id: "e3".to_owned(),
+        base_revision: 2,
+        to_revision: 1,
+    };
+    let answer: EditAnswer = group.call_leader(ROLLBACK_PATH, Some(&rollback)).await.unwrap();
+    assert_eq!(answer.revision, 3);
+    let history: Vec<HistoryEntry> = group.call_leader::<(), _>(HISTORY_PATH, None).await.unwrap();
+    let ids: Vec<&str> = history.iter().map(|entry| entry.edit_id.as_str()).collect();
+    assert_eq!(ids, ["e1", "e2", "e3"]);
+    assert_eq!(history[2].changes, row_edit("", 0, "team-a", 3).changes);
+}
+
+/// Guards against an acknowledged edit that a lost leader takes along, and
+/// against a restart that returns to an earlier revision.
+#[tokio::test]
+async fn edit_table_survives_lost_leader_and_restart() {
+    let mut group = GroupFixture::start(3).await;
+    group.wait_for_voters(3).await;
+    for revision in 0..20 {
+        group.put_row(&format!("e{revision}"), revision, "team-a", 1).await.unwrap();
+    }
+    let leader = group.leader().await;
+    group.kill(leader).await;
+    let next = group.leader().await;
+    assert_ne!(next, leader);
+    let view: TableView = group.call_leader::<(), _>(TABLE_PATH, None).await.unwrap();
+    assert_eq!(view.revision, 20);
+    group.put_row("after", 20, "team-b", 1).await.unwrap();
+    group.restart(leader).await;
+    let handle = group.controllers[leader].as_ref().unwrap();
+    group.wait_for(|_| (handle.replica().state().history().revision() == 21).then_some(())).await;
+    for index in 0..3 {
+        group.kill(index).await;
+    }
+    for index in 0..3 {
+        group.restart(index).await;
+    }
+    let view: TableView = group.call_leader::<(), _>(TABLE_PATH, None).await.unwrap();
+    assert_eq!(view.revision, 21);
+}
+
+/// Guards against a first controller without its disk that founds a second
+/// group, and against a replaced replica that is counted under its old identity.
+#[tokio::test]
+async fn lost_disk_joins_the_group_again() {
+    let mut group = GroupFixture::start(3).await;
+    group.wait_for_voters(3).await;
+    group.put_row("e1", 0, "team-a", 3).await.unwrap();
+    group.kill(0).await;
+    group.lose_disk(0);
+    group.restart(0).await;
+    group.wait_for_voters(3).await;
+    let handle = group.controllers[0].as_ref().unwrap();
+    group.wait_for(|_| (handle.replica().state().history().revision() == 1).then_some(())).await;
+    // A second host is lost right after the repair; the repaired one must count.
+    let other = [1, 2].into_iter().find(|index| *index != 0).unwrap();
+    group.kill(other).await;
+    assert_eq!(group.put_row("e2", 1, "team-b", 1).await.unwrap().revision, 2);
+}
+
+fn sync_request(revision: u64) -> SyncRequest {
+    SyncRequest {
+        node: NodeIdentity { name: "router-1".to_owned(), incarnation: 1 },
+        kind: NodeKind::Router,
+        zone: "z0".to_owned(),
+        revision,
+        stops_version: 0,
+        registry_version: (0, 0),
+        in_progress: 0,
+        wait_ms: 0,
+    }
+}
+
+/// Guards against a follower whose answer passes as confirmed, and against a
+/// leader without quorum that confirms.
+#[tokio::test]
+async fn sync_is_confirmed_by_the_leader_with_quorum_only() {
+    let mut group = GroupFixture::start(3).await;
+    group.wait_for_voters(3).await;
+    group.put_row("e1", 0, "team-a", 3).await.unwrap();
+    let leader = group.leader().await;
+    for index in 0..3 {
+        let client = PeerClient::new(group.address(index));
+        let answer: SyncAnswer =
+            client.call(SYNC_PATH, PROCESS, &sync_request(0), CALL).await.unwrap();
+        assert_eq!(answer.confirmed, index == leader);
+    }
+    for index in (0..3).filter(|index| *index != leader) {
+        group.kill(index).await;
+    }
+    let handle = group.controllers[leader].as_ref().unwrap();
+    group.wait_for(|_| (!handle.replica().view().leads).then_some(())).await;
+    let client = PeerClient::new(group.address(leader));
+    let answer: SyncAnswer = client.call(SYNC_PATH, PROCESS, &sync_request(0), CALL).await.unwrap();
+    assert!(!answer.confirmed);
+    let edit = row_edit("e2", 1, "team-b", 1);
+    let result: Result<EditAnswer, _> =
+        client.call_json(TABLE_PATH, group_fixture::OPERATOR, Some(&edit), CALL).await;
+    let (kind, _) = refused(result);
+    assert!(matches!(kind, ErrorKind::NoQuorum | ErrorKind::NotLeader), "{kind:?}");
+}
+
+fn claim(key: &str, incarnation: u64) -> ActionClaim {
+    ActionClaim {
+        workspace: "team-a".to_owned(),
+        service: "cases".to_owned(),
+        path: "/decisions".to_owned(),
+        key: key.to_owned(),
+        digest: [1; 32],
+        router: NodeIdentity { name: "router-1".to_owned(), incarnation },
+    }
+}
+
+/// Today's key prefix by the clock that the log uses.
+fn today() -> String {
+    let seconds =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_secs();
+    // Civil date from days since 1970-01-01, by the usual shift of the year to March.
+    let days = i64::try_from(seconds / 86_400).unwrap() + 719_468;
+    let era = days / 146_097;
+    let day_of_era = days % 146_097;
+    let year_of_era =
+        (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let shifted = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * shifted + 2) / 5 + 1;
+    let month = if shifted < 10 { shifted + 3 } else { shifted - 9 };
+    let year = year_of_era + era * 400 + i64::from(month <= 2);
+    format!("{year:04}{month:02}{day:02}")
+}
+
+/// Guards against a second grant of a key over the wire: sent twice, from a
+/// restarted router, after a leader change.
+#[tokio::test]
+async fn claim_is_granted_once_over_leaders() {
+    let mut group = GroupFixture::start(3).await;
+    group.wait_for_voters(3).await;
+    let key = format!("{}-order-1", today());
+    let send = async |group: &GroupFixture, claims: Vec<ActionClaim>| -> Vec<ClaimAnswer> {
+        loop {
+            let client = PeerClient::new(group.address(group.leader().await));
+            let request = ClaimRequest { claims: claims.clone() };
+            if let Ok(answers) = client.call(CLAIM_PATH, PROCESS, &request, CALL).await {
+                return answers;
+            }
+        }
+    };
+    let answers = send(&group, vec![claim(&key, 1), claim(&key, 1)]).await;
+    let ClaimAnswer::Granted(token) = answers[0] else { panic!("{answers:?}") };
+    assert_eq!(answers[1], ClaimAnswer::Running);
+    let leader = group.leader().await;
+    group.kill(leader).await;
+    assert_eq!(send(&group, vec![claim(&key, 2)]).await, [ClaimAnswer::OutcomeUnknown]);
+    let other = format!("{}-order-2", today());
+    let answers = send(&group, vec![claim(&other, 2)]).await;
+    let ClaimAnswer::Granted(second) = answers[0] else { panic!("{answers:?}") };
+    assert!(second > token);
+    let outcome = ActionOutcome::Answered { status: 200, digest: [3; 32] };
+    let report = ActionReport {
+        workspace: "team-a".to_owned(),
+        service: "cases".to_owned(),
+        key: other.clone(),
+        token: second,
+        outcome,
+    };
+    let client = PeerClient::new(group.address(group.leader().await));
+    let request = OutcomeRequest { outcomes: vec![report] };
+    let () = client.call(OUTCOME_PATH, PROCESS, &request, CALL).await.unwrap();
+    assert_eq!(send(&group, vec![claim(&other, 2)]).await, [ClaimAnswer::Known(outcome)]);
+}
+
+fn announcement(incarnation: u64, sequence: u64) -> Value {
+    json!({
+        "name": "engine-1", "incarnation": incarnation, "sequence": sequence,
+        "address": "127.0.0.1:9", "kind": "model", "serves": ["m"], "zone": "z0", "concurrency": 4
+    })
+}
+
+/// Guards against an older incarnation that a late announcement revives, and
+/// against announcements that contradict themselves.
+#[tokio::test]
+async fn announce_stale_or_contradicting_is_refused() {
+    let group = GroupFixture::start(1).await;
+    let client = PeerClient::new(group.address(0));
+    let announce = async |body: Value| -> Result<Value, ErrorKind> {
+        client
+            .call_json(ANNOUNCE_PATH, UPSTREAM, Some(&body), CALL)
+            .await
+            .map_err(|error: PeerError| error.kind())
+    };
+    assert!(announce(announcement(5, 1)).await.is_ok());
+    assert_eq!(announce(announcement(4, 9)).await, Err(ErrorKind::StaleIncarnation));
+    assert_eq!(announce(announcement(5, 1)).await, Err(ErrorKind::StaleIncarnation));
+    let mut moved = announcement(5, 2);
+    moved["address"] = json!("127.0.0.1:10");
+    assert_eq!(announce(moved).await, Err(ErrorKind::InvalidAnnouncement));
+    let mut unknown = announcement(5, 3);
+    unknown["extra"] = json!(1);
+    assert_eq!(announce(unknown).await, Err(ErrorKind::MalformedRequest));
+    let withdrawal = json!({"name": "engine-1", "incarnation": 5});
+    let _: Value = client
+        .call_json("/upstreams/v1/withdraw", UPSTREAM, Some(&withdrawal), CALL)
+        .await
+        .unwrap();
+    assert_eq!(announce(announcement(5, 4)).await, Err(ErrorKind::StaleIncarnation));
+    assert!(announce(announcement(6, 1)).await.is_ok());
+}
