--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -241,7 +241,9 @@
     let members = api.replica.view().members;
     let names = |voting: bool| -> Vec<String> {
         let matching = members.iter().filter(|member| member.voting == voting);
-        matching.map(|member| member.identity.name.clone()).collect()
+        let mut names: Vec<String> = matching.map(|member| member.identity.name.clone()).collect();
+        names.sort_unstable();
+        names
     };
     MembersView { voters: names(true), learners: names(false) }
 }
--- a/crates/ctl/src/control_client.rs
+++ b/crates/ctl/src/control_client.rs
@@ -4,6 +4,7 @@
 use crate::options::CtlOptions;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_node::http_client::{PeerClient, PeerError};
+use baobabfall_node::operator_messages::{STATUS_PATH, StatusView};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
@@ -44,6 +45,26 @@
         Ok(self.exchange::<(), A>(path, None).await?)
     }
 
+    /// Status of the leader; without one, that of any controller that answers.
+    pub async fn status(&self) -> Result<StatusView, CtlError> {
+        let mut held: Result<StatusView, PeerError> = self.status_of(0).await;
+        for index in 1..self.peers.len() {
+            if held.as_ref().is_ok_and(|view| view.quorum) {
+                break;
+            }
+            match self.status_of(index).await {
+                Ok(view) if view.quorum || held.is_err() => held = Ok(view),
+                Ok(_) => {}
+                Err(error) => held = held.or(Err(error)),
+            }
+        }
+        Ok(held?)
+    }
+
+    async fn status_of(&self, index: usize) -> Result<StatusView, PeerError> {
+        self.peers[index].call_json::<(), _>(STATUS_PATH, &self.token, None, CALL_TIMEOUT).await
+    }
+
     /// Sends an edit; the same bytes go to each controller that is tried, so
     /// the edit id keeps it from taking effect twice.
     pub async fn post<Q: Serialize, A: DeserializeOwned>(
--- a/crates/ctl/src/table_commands.rs
+++ b/crates/ctl/src/table_commands.rs
@@ -10,8 +10,8 @@
 use baobabfall_core::workspace_table::{RowChange, TableFault, WorkspaceTable};
 use baobabfall_node::http_client::PeerError;
 use baobabfall_node::operator_messages::{
-    ConflictView, EditAnswer, HISTORY_PATH, HistoryEntry, ROLLBACK_PATH, STATUS_PATH, StatusView,
-    TABLE_PATH, TableEdit, TableRollback, TableView,
+    ConflictView, EditAnswer, HISTORY_PATH, HistoryEntry, ROLLBACK_PATH, TABLE_PATH, TableEdit,
+    TableRollback, TableView,
 };
 use baobabfall_node::units::parse_duration;
 use std::path::Path;
@@ -179,7 +179,7 @@
     let end = Instant::now() + timeout;
     let progress = Progress::new("in force at nodes");
     loop {
-        let status: StatusView = client.get(STATUS_PATH).await?;
+        let status = client.status().await?;
         let lagging: Vec<&str> = status
             .nodes
             .iter()
--- a/crates/ctl/src/view_commands.rs
+++ b/crates/ctl/src/view_commands.rs
@@ -5,13 +5,12 @@
 use crate::options::CtlOptions;
 use crate::output::{print, print_json, table_text};
 use baobabfall_node::operator_messages::{
-    FAIRNESS_PATH, FairnessView, STATUS_PATH, StatusView, UPSTREAMS_PATH, UpstreamView,
-    WORKSPACES_PATH, WorkspaceView,
+    FAIRNESS_PATH, FairnessView, UPSTREAMS_PATH, UpstreamView, WORKSPACES_PATH, WorkspaceView,
 };
 
 /// Shows leader, term, revision and nodes.
 pub async fn status(options: &CtlOptions) -> Result<(), CtlError> {
-    let view: StatusView = ControlClient::new(options)?.get(STATUS_PATH).await?;
+    let view = ControlClient::new(options)?.status().await?;
     if options.json {
         print_json(&view);
         return Ok(());
