Router: a stream that flows is alive whatever its health checks say

Change: Health checks count only while the upstream is silent, and the head of any answer shows that it runs.

--- a/crates/router/src/health_probe.rs
+++ b/crates/router/src/health_probe.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request};
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Collected, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
@@ -193,8 +193,9 @@
         .map_err(|error| error.to_string())?;
     let exchange = async {
         let response = sender.send_request(request).await.map_err(|error| error.to_string())?;
+        // The head of any answer shows that the upstream runs.
         let body = Limited::new(response.into_body(), ANSWER_LIMIT).collect().await;
-        Ok(body.map_err(|error| error.to_string())?.to_bytes())
+        Ok(body.map(Collected::to_bytes).unwrap_or_default())
     };
     let mut connection = std::pin::pin!(connection);
     let mut exchange = std::pin::pin!(exchange);
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -347,7 +347,8 @@
     fn poll_timer(&mut self, context: &mut Context<'_>) -> RelayStep {
         loop {
             let now = Instant::now();
-            let silent_at = *self.waiting_since.get_or_insert(now) + self.answer_gap;
+            let waiting_since = *self.waiting_since.get_or_insert(now);
+            let silent_at = waiting_since + self.answer_gap;
             let look_at = silent_at.min(self.deadline).min(now + LIVENESS_INTERVAL);
             let timer =
                 self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(look_at)));
@@ -362,7 +363,8 @@
                 return self.on_break("the upstream is silent");
             }
             let route = self.lease.route();
-            if self.probe.is_dead(&route.name, route.incarnation) {
+            let silent = now.duration_since(waiting_since) >= LIVENESS_INTERVAL;
+            if silent && self.probe.is_dead(&route.name, route.incarnation) {
                 return self.on_break("the upstream answers no health check");
             }
         }
--- a/crates/router/tests/drain_and_sync.rs
+++ b/crates/router/tests/drain_and_sync.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use baobabfall_node::messages::{AnnounceMessage, PlannedStop, StopKind};
+use baobabfall_router::table_view::{FleetView, TableView};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
 use support::fake_controller::FakeController;
@@ -178,3 +179,16 @@
     let status: serde_json::Value = serde_json::from_str(&status.body).unwrap();
     assert_eq!((status["name"].as_str(), status["revision"].as_u64()), (Some("router-1"), Some(1)));
 }
+
+/// Guards against an old table that replaces a newer one.
+#[test]
+fn set_table_only_moves_forward() {
+    let fleet = FleetView::new();
+    let view = |revision| TableView::new(revision, support::fake_controller::test_table());
+    let results = [4, 3, 4, 5].map(|revision| fleet.set_table(view(revision)));
+    assert_eq!(results, [true, false, false, true]);
+    assert_eq!(fleet.table().unwrap().revision, 5);
+    let table = fleet.table().unwrap();
+    assert_eq!(table.authenticate(support::KEY).unwrap().name, "team-a");
+    assert!(table.authenticate("wrong").is_none());
+}
--- a/crates/router/tests/stream_relay.rs
+++ b/crates/router/tests/stream_relay.rs
@@ -189,3 +189,29 @@
     assert_eq!(router.metric("baobabfall_requests_total", "outcome=\"cancelled\""), 1);
     assert!(!Answer::read(response).await.complete, "the caller must see a broken answer");
 }
+
+/// Guards against callers with HTTP/2 whose streams lose events or never end.
+#[tokio::test]
+async fn http2_callers_share_a_connection() {
+    let (_upstream, _controller, router) = relay_of(vec![]).await;
+    let stream = tokio::net::TcpStream::connect(router.handle.caller_address()).await.unwrap();
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (sender, connection) = hyper::client::conn::http2::handshake(executor, io).await.unwrap();
+    tokio::spawn(connection);
+    let calls = (0..8).map(|_| {
+        let mut sender = sender.clone();
+        async move {
+            let request = http::Request::post("http://router/v1/completions")
+                .header("authorization", format!("Bearer {}", support::KEY))
+                .body(http_body_util::Full::new(bytes::Bytes::from(STREAM_REQUEST)))
+                .unwrap();
+            Answer::read(sender.send_request(request).await.unwrap()).await
+        }
+    });
+    let expected = format!("{}{}{}{END}", event(0), event(1), event(2));
+    for answer in futures_util::future::join_all(calls).await {
+        assert_eq!((answer.complete, answer.body.as_str()), (true, expected.as_str()));
+    }
+    assert_eq!(router.metric("baobabfall_requests_total", "outcome=\"finished\""), 8);
+}
