Router: follow the leader for the registry, count refusals of the HTTP layer

Cause: Only the leader's sync answers carry the registry; a new leader lacks upstreams for a moment; requests that are not valid HTTP raised no counter. Change: Syncs with the leader and with the others only while it fails; keeps the former registry for one lifetime after a change of term; ignores older views; serve_observed in baobabfall-node reports refusals of the HTTP layer.

--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -58,11 +58,30 @@
 ///
 /// While draining, connections finish their requests and then close.
 pub async fn serve<S, B>(
+    listener: TcpListener,
+    service: S,
+    limits: ServerLimits,
+    signal: StopSignal,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
+    S: Clone + Send + 'static,
+    S::Future: Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    serve_observed(listener, service, limits, signal, || {}).await;
+}
+
+/// Serves like [`serve`] and calls `refused` for each request that the HTTP
+/// layer itself refused because it is not valid HTTP or its head is too large.
+pub async fn serve_observed<S, B, O>(
     listener: TcpListener,
     service: S,
     limits: ServerLimits,
     mut signal: StopSignal,
+    refused: O,
 ) where
+    O: Fn() + Clone + Send + 'static,
     S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
     S: Clone + Send + 'static,
     S::Future: Send + 'static,
@@ -92,11 +111,15 @@
         let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
         let connection = graceful.watch(connection);
         let mut ended = signal.clone();
+        let refused = refused.clone();
         tokio::spawn(async move {
             tokio::select! {
                 result = connection => {
                     if let Err(error) = result {
                         log::debug!("connection ended: {error}");
+                        if is_refusal(error.as_ref()) {
+                            refused();
+                        }
                     }
                 }
                 () = ended.reached(StopPhase::Stopped) => {}
@@ -111,6 +134,10 @@
     }
 }
 
+fn is_refusal(error: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
+    error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
+}
+
 async fn accept(
     listener: &TcpListener,
     permits: &Arc<Semaphore>,
--- a/crates/router/src/caller_api.rs
+++ b/crates/router/src/caller_api.rs
@@ -184,6 +184,10 @@
             self.record.set_model(&target.name);
             return Ok(target);
         }
+        if !self.state.fleet.has_registry() {
+            let message = "The router does not know the upstreams yet.";
+            return Err(Rejection::after(ErrorKind::NoUpstream, message, RETRY_AFTER));
+        }
         let (error, noun) = match kind {
             UpstreamKind::Model => (ErrorKind::UnknownModel, "model"),
             UpstreamKind::Service => (ErrorKind::UnknownService, "service"),
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -6,6 +6,7 @@
 use crate::leader_link::LeaderLink;
 use crate::request_queue::SharedQueue;
 use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity};
+use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_node::messages::REPORT_PATH;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -20,6 +21,8 @@
 const POLL_WAIT_MS: u32 = 200;
 /// Time in which a report must be answered, beyond the time it may be held.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a refusal that the next leader would repeat.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed report.
 const FAILURE_PAUSE: Duration = Duration::from_millis(25);
 
@@ -103,6 +106,10 @@
             Err(error) => {
                 log::debug!("dispatch report not answered: {error}");
                 self.queue.book().report_lost(full);
+                let kind = error.kind();
+                if !matches!(kind, ErrorKind::NotLeader | ErrorKind::PeerUnreachable) {
+                    tokio::time::sleep(REFUSAL_PAUSE).await;
+                }
                 false
             }
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -18,8 +18,9 @@
 use crate::table_view::FleetView;
 use crate::upstream_pool::UpstreamPool;
 use baobabfall_core::dispatch_messages::LeaseId;
+use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::request_life::RequestLife;
-use baobabfall_node::http_server::serve;
+use baobabfall_node::http_server::{serve, serve_observed};
 use baobabfall_node::messages::StopKind;
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
@@ -88,7 +89,16 @@
             async move { Ok::<_, Infallible>(fleet_api::handle(state, request).await) }
         });
         let mut serving = JoinSet::new();
-        serving.spawn(serve(listeners.caller, caller_service, limits, signal.clone()));
+        let metrics = state.metrics.clone();
+        let refused = move || metrics.count_refusal(ErrorKind::MalformedRequest.answer().code);
+        let caller_signal = signal.clone();
+        serving.spawn(serve_observed(
+            listeners.caller,
+            caller_service,
+            limits,
+            caller_signal,
+            refused,
+        ));
         serving.spawn(serve(listeners.fleet, fleet_service, limits, signal));
         let done = CancellationToken::new();
         let supervisor = Supervisor {
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -17,6 +17,11 @@
 const SYNC_WAIT_MS: u32 = 1000;
 /// Time in which a controller must answer, beyond the time it may hold.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// An answer that came sooner was not held for news.
+const SHORT_ANSWER: Duration = Duration::from_millis(50);
+/// Pause after an answer that was not held and brought nothing, as from a
+/// controller that lags behind this router.
+const IDLE_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a failed call and between attempts to get a first table.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -47,16 +52,23 @@
             }
         }
         let addresses = self.link.addresses();
-        let mut position = 0;
+        let (mut position, mut at_leader) = (0, true);
         loop {
             let begun = Instant::now();
-            let address = addresses[position % addresses.len()];
-            match self.ask(address, SYNC_WAIT_MS).await {
-                Some(answer) => self.apply_forward(answer),
-                None => position += 1,
-            }
-            if begun.elapsed() < FAILURE_PAUSE {
-                tokio::time::sleep(FAILURE_PAUSE).await;
+            // Only the leader knows the upstreams; another controller still has the table.
+            let address = if at_leader {
+                self.link.leader()
+            } else {
+                position += 1;
+                addresses[position % addresses.len()]
+            };
+            let answer = self.ask(address, SYNC_WAIT_MS).await;
+            let answered = answer.is_some();
+            let useful = answer.is_some_and(|answer| self.apply_forward(answer));
+            at_leader = answered || !at_leader;
+            let short = begun.elapsed() < SHORT_ANSWER;
+            if !useful && short {
+                tokio::time::sleep(if answered { IDLE_PAUSE } else { FAILURE_PAUSE }).await;
             }
         }
     }
@@ -100,35 +112,37 @@
         }
     }
 
-    fn apply_forward(&self, answer: SyncAnswer) {
+    /// Takes what is newer; true when anything was.
+    fn apply_forward(&self, answer: SyncAnswer) -> bool {
         if let Some(leader) = answer.leader {
             self.link.hint(answer.term, leader);
         }
-        if let Some(update) = &answer.table {
-            self.apply_table(update);
-        }
+        let mut useful = answer.table.is_some_and(|update| self.apply_table(&update));
         if let Some(stops) = answer.stops {
-            self.fleet.set_stops(stops);
+            useful |= self.fleet.set_stops(stops);
         }
         if let Some(registry) = answer.registry {
-            self.fleet.set_registry(registry);
+            useful |= self.fleet.set_registry(registry);
         }
+        useful
     }
 
-    fn apply_table(&self, update: &TableUpdate) {
+    fn apply_table(&self, update: &TableUpdate) -> bool {
         let held = self.fleet.table();
         let empty = WorkspaceTable::default();
         let (revision, table) =
             held.as_ref().map_or((0, &empty), |held| (held.revision, &held.table));
         let Some(next) = update.apply(revision, table) else {
             log::debug!("table update {} to {} does not fit", update.from, update.to);
-            return;
+            return false;
         };
-        if self.fleet.set_table(TableView::new(update.to, next)) {
+        let newer = self.fleet.set_table(TableView::new(update.to, next));
+        if newer {
             let age = Duration::from_millis(update.age_ms);
             self.metrics.edit_in_force.record(age.as_secs_f64(), &[]);
             self.metrics.table_revision.record(update.to, &[]);
             log::info!(revision = update.to; "workspace table in force");
         }
+        newer
     }
 }
--- a/crates/router/src/table_view.rs
+++ b/crates/router/src/table_view.rs
@@ -56,6 +56,7 @@
 pub struct FleetView {
     table: ArcSwapOption<TableView>,
     view: ArcSwap<RegistryView>,
+    former: ArcSwap<(Vec<UpstreamAnnouncement>, Instant)>,
     stops: ArcSwap<StopList>,
     local: Mutex<UpstreamRegistry>,
     started: Instant,
@@ -73,6 +74,7 @@
         Self {
             table: ArcSwapOption::empty(),
             view: ArcSwap::from_pointee(RegistryView { version: (0, 0), upstreams: Vec::new() }),
+            former: ArcSwap::from_pointee((Vec::new(), Instant::now())),
             stops: ArcSwap::from_pointee(StopList { version: 0, stops: Vec::new() }),
             local: Mutex::new(UpstreamRegistry::default()),
             started: Instant::now(),
@@ -99,9 +101,26 @@
         self.view.load_full()
     }
 
-    /// Replaces the registry.
-    pub fn set_registry(&self, view: RegistryView) {
-        self.view.store(Arc::new(view));
+    /// True once the controllers gave their registry.
+    pub fn has_registry(&self) -> bool {
+        self.view.load().version != (0, 0)
+    }
+
+    /// Replaces the registry unless a later one is held.
+    ///
+    /// A new leader may not have heard every upstream yet, so those of the
+    /// leader before stay known for one lifetime.
+    pub fn set_registry(&self, view: RegistryView) -> bool {
+        let held = self.view.load();
+        let newer = view.version > held.version;
+        if newer {
+            if view.version.0 > held.version.0 {
+                let until = Instant::now() + ANNOUNCEMENT_LIFETIME;
+                self.former.store(Arc::new((held.upstreams.clone(), until)));
+            }
+            self.view.store(Arc::new(view));
+        }
+        newer
     }
 
     /// Planned stops in force.
@@ -110,10 +129,12 @@
     }
 
     /// Replaces the planned stops unless later ones are held.
-    pub fn set_stops(&self, stops: StopList) {
-        if stops.version > self.stops.load().version {
+    pub fn set_stops(&self, stops: StopList) -> bool {
+        let newer = stops.version > self.stops.load().version;
+        if newer {
             self.stops.store(Arc::new(stops));
         }
+        newer
     }
 
     /// True when a stop of `name` is planned.
@@ -148,9 +169,16 @@
         })
     }
 
+    /// Upstreams of the leader before, while the present one may lack some.
+    fn upstreams_before(&self) -> Vec<UpstreamAnnouncement> {
+        let former = self.former.load();
+        if Instant::now() < former.1 { former.0.clone() } else { Vec::new() }
+    }
+
     /// True when an upstream can do the work.
     pub fn is_served(&self, target: &WorkTarget) -> bool {
         self.view.load().upstreams.iter().any(|upstream| upstream.can_serve(target))
+            || self.upstreams_before().iter().any(|upstream| upstream.can_serve(target))
             || self.local().live().any(|entry| entry.announcement.can_serve(target))
     }
 
@@ -163,7 +191,7 @@
     pub fn upstreams(&self) -> Vec<UpstreamAnnouncement> {
         let mut all: Vec<UpstreamAnnouncement> =
             self.local().live().map(|entry| entry.announcement.clone()).collect();
-        for upstream in &self.view.load().upstreams {
+        for upstream in self.view.load().upstreams.iter().chain(&self.upstreams_before()) {
             let known = all.iter().any(|held| held.name == upstream.name);
             if !known && !self.has_left(&upstream.name, upstream.incarnation) {
                 all.push(upstream.clone());
--- a/crates/router/src/upstream_pool.rs
+++ b/crates/router/src/upstream_pool.rs
@@ -31,6 +31,9 @@
 /// Time in which a cancellation must be answered.
 const CANCEL_TIME: Duration = Duration::from_secs(2);
 
+/// Bytes read ahead of the caller per connection; also the largest answer head.
+const BUFFER_LIMIT: usize = 64 << 10;
+
 type PoolKey = (String, u64);
 
 /// Why an exchange with an upstream failed.
@@ -166,7 +169,11 @@
         let connect = async {
             let stream = TcpStream::connect(route.address).await.map_err(|e| e.to_string())?;
             let _ = stream.set_nodelay(true);
-            http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())
+            http1::Builder::new()
+                .max_buf_size(BUFFER_LIMIT)
+                .handshake(TokioIo::new(stream))
+                .await
+                .map_err(|error| error.to_string())
         };
         let (sender, connection) = tokio::time::timeout(self.connect_time, connect)
             .await
--- a/crates/router/tests/rejections.rs
+++ b/crates/router/tests/rejections.rs
@@ -142,7 +142,10 @@
         (format!("{head}content-length: 50\r\n\r\n{{").into(), " 408 "),
     ];
     for (request, status) in cases {
+        let count = || fleet.router.metric("baobabfall_refusals_total", "");
+        let before = count();
         let answer = raw(&fleet.router, &request).await;
+        wait_for("count", || count() == before + 1).await;
         assert!(answer.lines().next().unwrap().contains(status), "{status}: {answer}");
     }
     assert_eq!(fleet.received(), 0);
