Router: report the first change at once

Cause: Every request waited 2 ms before its arrival was reported. Change: Changes within 2 ms after a report are collected; the first is sent at once. Measured: local fleet, debug build, machine load above 20, one status call at a time by curl: before 7.9 to 8.8 ms, after 3.6 to 8.6 ms. Conclusion: The wait is gone; the rest is the debug build and the load.

--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long changes are collected before a report.
+/// Least time between two reports of changes.
 const COALESCE_TIME: Duration = Duration::from_millis(2);
 /// How often charges of running streams are reported.
 const CHARGE_INTERVAL: Duration = Duration::from_millis(100);
@@ -73,18 +73,24 @@
         }
     }
 
-    /// Reports changes soon after they happen.
+    /// Reports the first change at once and those that follow within
+    /// [`COALESCE_TIME`] together.
     pub async fn run_changes(&self) {
+        let mut next_report = Instant::now();
         loop {
             let changed = tokio::time::timeout(CHARGE_INTERVAL, self.queue.changed()).await;
             if changed.is_ok() {
-                tokio::time::sleep(COALESCE_TIME).await;
+                tokio::time::sleep_until(next_report).await;
             }
             let needed = {
                 let book = self.queue.book();
                 book.is_changed() || book.has_new_charges()
             };
-            if needed && !self.report(0).await {
+            if !needed {
+                continue;
+            }
+            next_report = Instant::now() + COALESCE_TIME;
+            if !self.report(0).await {
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
