--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -6,13 +6,14 @@
 use crate::leader_link::LeaderLink;
 use crate::request_queue::SharedQueue;
 use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity};
+use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_node::messages::REPORT_PATH;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long changes are collected before a report.
+/// Least time between two reports of changes.
 const COALESCE_TIME: Duration = Duration::from_millis(2);
 /// How often charges of running streams are reported.
 const CHARGE_INTERVAL: Duration = Duration::from_millis(100);
@@ -20,6 +21,8 @@
 const POLL_WAIT_MS: u32 = 200;
 /// Time in which a report must be answered, beyond the time it may be held.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a refusal that the next leader would repeat.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed report.
 const FAILURE_PAUSE: Duration = Duration::from_millis(25);
 
@@ -70,18 +73,24 @@
         }
     }
 
-    /// Reports changes soon after they happen.
+    /// Reports the first change at once and those that follow within
+    /// [`COALESCE_TIME`] together.
     pub async fn run_changes(&self) {
+        let mut next_report = Instant::now();
         loop {
             let changed = tokio::time::timeout(CHARGE_INTERVAL, self.queue.changed()).await;
             if changed.is_ok() {
-                tokio::time::sleep(COALESCE_TIME).await;
+                tokio::time::sleep_until(next_report).await;
             }
             let needed = {
                 let book = self.queue.book();
                 book.is_changed() || book.has_new_charges()
             };
-            if needed && !self.report(0).await {
+            if !needed {
+                continue;
+            }
+            next_report = Instant::now() + COALESCE_TIME;
+            if !self.report(0).await {
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
@@ -103,6 +112,10 @@
             Err(error) => {
                 log::debug!("dispatch report not answered: {error}");
                 self.queue.book().report_lost(full);
+                let kind = error.kind();
+                if !matches!(kind, ErrorKind::NotLeader | ErrorKind::PeerUnreachable) {
+                    tokio::time::sleep(REFUSAL_PAUSE).await;
+                }
                 false
             }
         }
