Bench: load, answer check, baselines and the direct part of latency

Cause: experiments need load with a check of each answer, and baselines in the same run. Change: callers with keep-alive connections, closed loop with uneven spread and heavy tails, stream check, central queue and lone routers as baselines, gap measure, result table and JSON line; latency measures the direct way only.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,45 @@
+//! Load and experiments against the real baobabfall roles on loopback.
+
+pub mod answer_check;
+pub mod call_route;
+pub mod caller;
+pub mod central_queue;
+pub mod cli;
+pub mod error;
+pub mod experiment;
+pub mod gap_measure;
+pub mod latency;
+pub mod load;
+pub mod options;
+pub mod process_usage;
+pub mod role_thread;
+
+use cli::BaobabfallBench;
+use error::BenchError;
+use options::{BenchOptions, ExperimentName};
+
+/// Runs the experiment that the arguments name and prints its result.
+///
+/// Returns whether every target is met.
+pub fn run(arguments: BaobabfallBench) -> Result<bool, BenchError> {
+    let options = BenchOptions::build(arguments)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(options.worker_threads())
+        .enable_all()
+        .build()?;
+    let result = runtime.block_on(run_experiment(&options))?;
+    if options.json {
+        println!("{}", result.to_json_line());
+    } else {
+        print!("{}", result.to_table());
+    }
+    Ok(result.pass())
+}
+
+async fn run_experiment(
+    options: &BenchOptions,
+) -> Result<experiment::ExperimentResult, BenchError> {
+    match options.experiment {
+        ExperimentName::Latency => latency::run(options).await,
+    }
+}
