--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod cli;
 pub mod error;
 pub mod experiment;
+pub mod fleet;
+pub mod fleet_files;
 pub mod gap_measure;
 pub mod latency;
 pub mod load;
