Bench: add the experiments integrity and drain

Cause: wrong or short answers, false refusals and cut requests must be counted with the real roles. Change: a mixed load of streams, whole answers, lookups, actions and calls that must not be repeated; comparison of what callers were told with what the upstreams ran; planned stops of upstreams, routers and controllers in turn under load.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -154,6 +154,15 @@
         Ok(())
     }
 
+    /// Stops a controller gracefully.
+    pub async fn stop_controller(&mut self, index: usize) -> Result<(), BenchError> {
+        let slot = &mut self.controllers[index];
+        if let Some(handle) = slot.handle.take() {
+            slot.thread.run(handle.stop()).await?;
+        }
+        Ok(())
+    }
+
     /// Starts the router, again on other ports if it ran before.
     pub async fn start_router(&mut self, index: usize) -> Result<(), BenchError> {
         let options = self.files.router(index, &self.controller_addresses(), &self.plan.limits)?;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,16 +5,19 @@
 pub mod caller;
 pub mod central_queue;
 pub mod cli;
+pub mod drain;
 pub mod error;
 pub mod experiment;
 pub mod fleet;
 pub mod fleet_files;
 pub mod gap_measure;
+pub mod integrity;
 pub mod latency;
 pub mod load;
 pub mod options;
 pub mod process_usage;
 pub mod role_thread;
+pub mod scene;
 
 use cli::BaobabfallBench;
 use error::BenchError;
@@ -43,5 +46,7 @@
 ) -> Result<experiment::ExperimentResult, BenchError> {
     match options.experiment {
         ExperimentName::Latency => latency::run(options).await,
+        ExperimentName::Integrity => integrity::run(options).await,
+        ExperimentName::Drain => drain::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -25,6 +25,8 @@
 
 experiments! {
     Latency "latency",
+    Integrity "integrity",
+    Drain "drain",
 }
 
 /// What to run and how.
