--- a/crates/bench/tests/load.rs
+++ b/crates/bench/tests/load.rs
@@ -15,6 +15,7 @@
     let load = WorkspaceLoad { key: "k".to_owned(), callers: 4, costs };
     let mut plan = LoadPlan::new("test", 3, vec![load]);
     plan.model = "m".to_owned();
+    plan.prompt_bytes = 40;
     plan.calls = Some(calls);
     plan
 }
