Bench: add the experiments fairness and utilisation

Cause: the gap between backlogged workspaces and the use of capacity must be compared with a central queue and with routers alone.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod drain;
 pub mod error;
 pub mod experiment;
+pub mod fairness;
 pub mod fleet;
 pub mod fleet_files;
 pub mod gap_measure;
@@ -48,5 +49,7 @@
         ExperimentName::Latency => latency::run(options).await,
         ExperimentName::Integrity => integrity::run(options).await,
         ExperimentName::Drain => drain::run(options).await,
+        ExperimentName::Fairness => fairness::run(options).await,
+        ExperimentName::Utilisation => fairness::run_utilisation(options).await,
     }
 }
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -273,6 +273,11 @@
         *locked(&self.times) = TimeHistograms::new();
     }
 
+    /// Forgets the samples so far.
+    pub fn reset_samples(&self) {
+        locked(&self.samples).clear();
+    }
+
     /// Ids of requests that the caller was told did not run.
     pub fn not_run_ids(&self) -> Vec<String> {
         locked(&self.not_run).clone()
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -27,6 +27,8 @@
     Latency "latency",
     Integrity "integrity",
     Drain "drain",
+    Fairness "fairness",
+    Utilisation "utilisation",
 }
 
 /// What to run and how.
