Dispatcher: a late poll of an earlier incarnation gets no grants

Cause: a poll that was held while its router restarted took the grants of the router's successor. Change: the service asks is_current before it answers a report. Conclusion: grants reach the running incarnation only.

--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -121,6 +121,11 @@
                 let now = self.now();
                 let mut inner = self.lock();
                 let dispatcher = inner.dispatcher.as_mut().ok_or(ErrorKind::NotLeader)?;
+                // A poll of a router that restarted meanwhile must not take the grants of its
+                // successor.
+                if !dispatcher.is_current(&report.router) {
+                    return Err(ErrorKind::StaleIncarnation);
+                }
                 dispatcher.take_answer(now, &report.router.name)
             };
             let news = answer.resync || !answer.grants.is_empty() || !answer.refusals.is_empty();
