Bench: hide costs, separate baseline engines, draft failover, flood and control

Cause: requests declared their exact cost, although it is known only when they end; baselines used the announced engines, whose load reports then looked like overload to the dispatcher. Change: answers may be shorter than max_tokens, baselines have their own engines; drafts of failover, flood and control.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -31,6 +31,8 @@
         prompt_bytes: usize,
         /// Tokens of the answer.
         tokens: u64,
+        /// Most tokens that the request allows; the router sees this number only.
+        max_tokens: u64,
         /// Asks for a stream.
         stream: bool,
     },
@@ -187,9 +189,8 @@
 
     fn request(&self, address: SocketAddr, order: &CallOrder) -> Request<Full<Bytes>> {
         let (method, path, body) = match &order.kind {
-            CallKind::Chat { model, prompt_bytes, tokens, stream } => {
-                let body = chat_body(model, &order.request_id, *prompt_bytes, *tokens, *stream);
-                (Method::POST, "/v1/chat/completions", body)
+            chat @ CallKind::Chat { .. } => {
+                (Method::POST, "/v1/chat/completions", chat_body(chat, &order.request_id))
             }
             CallKind::Service { method, path, .. } => (method.clone(), path.as_str(), Bytes::new()),
         };
@@ -207,13 +208,17 @@
     }
 }
 
-fn chat_body(model: &str, id: &str, prompt_bytes: usize, tokens: u64, stream: bool) -> Bytes {
+fn chat_body(kind: &CallKind, id: &str) -> Bytes {
+    let CallKind::Chat { model, prompt_bytes, tokens, max_tokens, stream } = kind else {
+        return Bytes::new();
+    };
     let mut prompt = format!("{id} ");
     prompt.extend(std::iter::repeat_n('x', prompt_bytes.saturating_sub(prompt.len())));
     let body = serde_json::json!({
         "model": model,
         "messages": [{ "role": "user", "content": prompt }],
-        "max_tokens": tokens,
+        "max_tokens": max_tokens,
+        "stop_after": tokens,
         "stream": stream,
     });
     Bytes::from(body.to_string())
--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -6,7 +6,7 @@
 
     /// Runs one experiment with the real roles on loopback and simulated upstreams.
     ///
-    /// Experiments: latency.
+    /// Experiments: latency, integrity, drain, fairness, utilisation, flood, failover, control.
     ///
     /// Examples:
     ///   baobabfall-bench latency
--- a/crates/bench/src/drain.rs
+++ b/crates/bench/src/drain.rs
@@ -25,19 +25,16 @@
 const STOP_GRACE: Duration = Duration::from_secs(60);
 
 fn plan(options: &BenchOptions) -> ScenePlan {
-    let workspace = SceneWorkspace { weight: 1, concurrency: 64, callers: 10, costs: COSTS };
+    let workspace = SceneWorkspace::new(64, 10, COSTS);
+    let workspaces = vec![workspace; 4];
     ScenePlan {
-        seed: options.seed,
-        controllers: 3,
-        routers: options.sized(4, 11),
-        workspaces: vec![workspace; 4],
         limits: LIMITS.to_owned(),
         engines: 4,
         services: 3,
         slots: 16,
         token_interval: Duration::from_millis(5),
         service_time: Duration::from_millis(5),
-        record_executions: false,
+        ..ScenePlan::new(options.seed, options.sized(4, 11), workspaces)
     }
 }
 
--- a/crates/bench/src/fairness.rs
+++ b/crates/bench/src/fairness.rs
@@ -9,6 +9,7 @@
 use crate::load::{CostMix, LoadPlan, LoadTally, PROMPT_TOKEN_COST, start_closed_loop, to_float};
 use crate::options::BenchOptions;
 use crate::scene::{Scene, ScenePlan, SceneWorkspace};
+use baobabfall_standin::UpstreamHandle;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -19,7 +20,10 @@
 const PROMPT_TOKENS: f64 = 16.0;
 const ENGINES: usize = 9;
 const SLOTS: u32 = 8;
+/// Faster than real engines, so that a short run has many dispatches.
 const TOKEN_INTERVAL: Duration = Duration::from_millis(5);
+/// Pace of the engines that the design assumes; 26 ms between tokens is its target.
+const ENGINE_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval of the reports of running streams, of the bound in section 6.2 of the design.
 const REPORT_SECONDS: f64 = 0.1;
 /// Weights and callers of the workspaces; a few are large.
@@ -49,25 +53,18 @@
 const GAP_OF_CENTRAL: f64 = 1.25;
 const UTILISATION_OF_CENTRAL: f64 = 0.98;
 
-fn plan(options: &BenchOptions, routers: usize) -> ScenePlan {
+fn plan(options: &BenchOptions, routers: usize, token_interval: Duration) -> ScenePlan {
     let workspace = |(weight, callers): (u32, usize)| SceneWorkspace {
         weight,
-        concurrency: CONCURRENCY,
-        callers,
-        costs: COSTS,
+        ..SceneWorkspace::new(CONCURRENCY, callers, COSTS)
     };
+    let workspaces = WORKSPACES.into_iter().map(workspace).collect();
     ScenePlan {
-        seed: options.seed,
-        controllers: 3,
-        routers,
-        workspaces: WORKSPACES.into_iter().map(workspace).collect(),
         limits: "queue_wait = \"60s\"".to_owned(),
         engines: ENGINES,
-        services: 0,
         slots: SLOTS,
-        token_interval: TOKEN_INTERVAL,
-        service_time: Duration::ZERO,
-        record_executions: false,
+        token_interval,
+        ..ScenePlan::new(options.seed, routers, workspaces)
     }
 }
 
@@ -79,104 +76,147 @@
     rate: f64,
 }
 
-/// Figures of the fleet and of both baselines.
-#[derive(Clone, Copy, Debug)]
-struct ShareComparison {
-    fleet: ShareFigures,
-    central: ShareFigures,
-    lone: ShareFigures,
-}
-
 /// Runs the experiment `fairness`.
 pub async fn run(options: &BenchOptions) -> Result<ExperimentResult, BenchError> {
     let mut result = ExperimentResult::new("fairness", options.seed);
     for routers in [11, 22, 44] {
-        let shares = compare(options, routers).await?;
-        result.figure(format!("gap_{routers}"), shares.fleet.gap.gap, "tokens");
-        result.baseline(format!("gap_{routers}_central_queue"), shares.central.gap.gap, "tokens");
-        result.baseline(format!("gap_{routers}_lone_routers"), shares.lone.gap.gap, "tokens");
-        let name = format!("gap_{routers}_of_bound");
-        result.target(name, shares.fleet.gap.ratio, "ratio", TargetBound::AtMost(1.0));
-        let ratio = shares.fleet.gap.gap / shares.central.gap.gap;
-        let bound = TargetBound::AtMost(GAP_OF_CENTRAL);
-        result.target(format!("gap_{routers}_of_central_queue"), ratio, "ratio", bound);
+        let shares = ShareBench::start(options, routers, TOKEN_INTERVAL).await?;
+        let central = shares.measure("central", &shares.central(), true).await?;
+        let lone = shares.measure("lone", &shares.lone(), true).await?;
+        let hidden = shares.measure("hidden", &shares.fleet(), true).await?;
+        let declared = shares.measure("declared", &shares.fleet(), false).await?;
+        shares.scene.end().await?;
+        result.baseline(format!("gap_{routers}_central_queue"), central.gap.gap, "tokens");
+        result.baseline(format!("gap_{routers}_lone_routers"), lone.gap.gap, "tokens");
+        for (costs, figures) in [("hidden_costs", hidden), ("declared_costs", declared)] {
+            report_gap(&mut result, &format!("gap_{routers}_{costs}"), figures, central);
+        }
     }
     Ok(result)
 }
 
+fn report_gap(
+    result: &mut ExperimentResult,
+    name: &str,
+    fleet: ShareFigures,
+    central: ShareFigures,
+) {
+    result.figure(name, fleet.gap.gap, "tokens");
+    let bound = TargetBound::AtMost(1.0);
+    result.target(format!("{name}_of_bound"), fleet.gap.ratio, "ratio", bound);
+    let ratio = fleet.gap.gap / central.gap.gap;
+    let bound = TargetBound::AtMost(GAP_OF_CENTRAL);
+    result.target(format!("{name}_of_central_queue"), ratio, "ratio", bound);
+}
+
 /// Runs the experiment `utilisation`.
 pub async fn run_utilisation(options: &BenchOptions) -> Result<ExperimentResult, BenchError> {
     let mut result = ExperimentResult::new("utilisation", options.seed);
-    for routers in [11, 44] {
-        let shares = compare(options, routers).await?;
-        result.figure(format!("rate_{routers}"), shares.fleet.rate, "tokens/s");
-        result.baseline(format!("rate_{routers}_central_queue"), shares.central.rate, "tokens/s");
-        result.baseline(format!("rate_{routers}_lone_routers"), shares.lone.rate, "tokens/s");
-        let ratio = shares.fleet.rate / shares.central.rate;
+    for (routers, interval) in [(11, TOKEN_INTERVAL), (11, ENGINE_INTERVAL), (44, ENGINE_INTERVAL)]
+    {
+        let shares = ShareBench::start(options, routers, interval).await?;
+        let central = shares.measure("central", &shares.central(), true).await?;
+        let lone = shares.measure("lone", &shares.lone(), true).await?;
+        let fleet = shares.measure("fleet", &shares.fleet(), true).await?;
+        shares.scene.end().await?;
+        let name = format!("rate_{routers}_at_{}ms", interval.as_millis());
+        result.figure(&name, fleet.rate, "tokens/s");
+        result.baseline(format!("{name}_central_queue"), central.rate, "tokens/s");
+        result.baseline(format!("{name}_lone_routers"), lone.rate, "tokens/s");
         let bound = TargetBound::AtLeast(UTILISATION_OF_CENTRAL);
-        result.target(format!("rate_{routers}_of_central_queue"), ratio, "ratio", bound);
+        let ratio = fleet.rate / central.rate;
+        result.target(format!("{name}_of_central_queue"), ratio, "ratio", bound);
     }
     Ok(result)
 }
 
-async fn compare(options: &BenchOptions, routers: usize) -> Result<ShareComparison, BenchError> {
-    let scene = Scene::start(plan(options, routers)).await?;
-    let slots: Vec<UpstreamSlots> = scene
-        .engines
-        .iter()
-        .map(|engine| UpstreamSlots { address: engine.address(), slots: SLOTS })
-        .collect();
-    let shares: Vec<WorkspaceShare> = scene
-        .plan
-        .workspaces
-        .iter()
-        .map(|workspace| WorkspaceShare {
-            weight: f64::from(workspace.weight),
-            concurrency: workspace.concurrency,
-        })
-        .collect();
-    let central = CentralQueue::new(slots.clone(), &shares);
-    let central = measure(options, &scene.plan, "central", &central).await?;
-    let lone = LoneRouters::new(&slots, routers);
-    let lone = measure(options, &scene.plan, "lone", &lone).await?;
-    let fleet = AddressRoute::new(scene.fleet.caller_addresses());
-    let fleet = measure(options, &scene.plan, "fleet", &fleet).await?;
-    scene.end().await?;
-    Ok(ShareComparison { fleet, central, lone })
+/// One scene that is loaded in several ways.
+struct ShareBench {
+    options: BenchOptions,
+    scene: Scene,
+    baseline_engines: Vec<UpstreamHandle>,
+    token_interval: Duration,
 }
 
-async fn measure<R: CallRoute>(
-    options: &BenchOptions,
-    plan: &ScenePlan,
-    name: &str,
-    route: &R,
-) -> Result<ShareFigures, BenchError> {
-    let mut load = LoadPlan::new(format!("{name}-{}", plan.routers), options.seed, plan.loads());
-    load.routers = plan.routers;
-    load.prompt_bytes = PROMPT_BYTES;
-    load.ramp = WARM_UP.mul_f64(0.5);
-    let running = start_closed_loop(&load, route);
-    tokio::time::sleep(WARM_UP).await;
-    let (begin, tokens) = (Instant::now(), running.tally().tokens());
-    running.tally().reset_samples();
-    tokio::time::sleep(options.seconds(4, 60)).await;
-    let rate = to_float(running.tally().tokens() - tokens) / begin.elapsed().as_secs_f64();
-    let samples = running.tally().samples();
-    // Calls in progress are dropped; their service is of no interest.
-    let tally = running.stop(Duration::ZERO).await;
-    all_right(name, &tally)?;
-    let terms: Vec<BoundTerms> = plan
-        .workspaces
-        .iter()
-        .map(|workspace| BoundTerms {
-            weight: f64::from(workspace.weight),
-            concurrency: f64::from(workspace.concurrency),
-        })
-        .collect();
-    let largest = PROMPT_TOKENS * PROMPT_TOKEN_COST + to_float(COSTS.high);
-    let streamed = REPORT_SECONDS / TOKEN_INTERVAL.as_secs_f64();
-    let gap = measure_gap(&samples, &terms, largest + streamed);
-    Ok(ShareFigures { gap, rate })
+impl ShareBench {
+    async fn start(
+        options: &BenchOptions,
+        routers: usize,
+        token_interval: Duration,
+    ) -> Result<Self, BenchError> {
+        let scene = Scene::start(plan(options, routers, token_interval)).await?;
+        let mut baseline_engines = Vec::new();
+        for index in 0..ENGINES {
+            baseline_engines.push(scene.start_baseline_engine(index).await?);
+        }
+        Ok(Self { options: options.clone(), scene, baseline_engines, token_interval })
+    }
+
+    fn slots(&self) -> Vec<UpstreamSlots> {
+        let addresses = self.baseline_engines.iter().map(UpstreamHandle::address);
+        addresses.map(|address| UpstreamSlots { address, slots: SLOTS }).collect()
+    }
+
+    fn central(&self) -> CentralQueue {
+        let workspaces = self.scene.plan.workspaces.iter();
+        let shares: Vec<WorkspaceShare> = workspaces
+            .map(|workspace| WorkspaceShare {
+                weight: f64::from(workspace.weight),
+                concurrency: workspace.concurrency,
+            })
+            .collect();
+        CentralQueue::new(self.slots(), &shares)
+    }
+
+    fn lone(&self) -> LoneRouters {
+        LoneRouters::new(&self.slots(), self.scene.plan.routers)
+    }
+
+    fn fleet(&self) -> AddressRoute {
+        AddressRoute::new(self.scene.fleet.caller_addresses())
+    }
+
+    async fn measure<R: CallRoute>(
+        &self,
+        name: &str,
+        route: &R,
+        hide_costs: bool,
+    ) -> Result<ShareFigures, BenchError> {
+        let plan = &self.scene.plan;
+        let mut load = LoadPlan::new(name, self.options.seed, plan.loads());
+        load.routers = plan.routers;
+        load.prompt_bytes = PROMPT_BYTES;
+        load.hide_costs = hide_costs;
+        load.ramp = WARM_UP.mul_f64(0.5);
+        let running = start_closed_loop(&load, route);
+        tokio::time::sleep(WARM_UP).await;
+        let (begin, tokens) = (Instant::now(), running.tally().tokens());
+        running.tally().reset_samples();
+        tokio::time::sleep(self.options.seconds(3, 60)).await;
+        let rate = to_float(running.tally().tokens() - tokens) / begin.elapsed().as_secs_f64();
+        let samples = running.tally().samples();
+        // Calls in progress are dropped; their service is of no interest.
+        let tally = running.stop(Duration::ZERO).await;
+        all_right(name, &tally)?;
+        let gap = measure_gap(&samples, &bound_terms(plan), self.excess());
+        Ok(ShareFigures { gap, rate })
+    }
+
+    /// `L + r d` of the bound, in tokens.
+    fn excess(&self) -> f64 {
+        let largest = PROMPT_TOKENS * PROMPT_TOKEN_COST + to_float(COSTS.high);
+        largest + REPORT_SECONDS / self.token_interval.as_secs_f64()
+    }
+}
+
+/// Parts of the bound of every workspace of a scene.
+pub fn bound_terms(plan: &ScenePlan) -> Vec<BoundTerms> {
+    let workspaces = plan.workspaces.iter();
+    let terms = |workspace: &SceneWorkspace| BoundTerms {
+        weight: f64::from(workspace.weight),
+        concurrency: f64::from(workspace.concurrency),
+    };
+    workspaces.map(terms).collect()
 }
 
 fn all_right(name: &str, tally: &Arc<LoadTally>) -> Result<(), BenchError> {
--- a/crates/bench/src/integrity.rs
+++ b/crates/bench/src/integrity.rs
@@ -25,19 +25,16 @@
 const LIMITS: &str = "answer_gap = \"1s\"\nqueue_wait = \"30s\"";
 
 fn plan(options: &BenchOptions) -> ScenePlan {
-    let workspace = SceneWorkspace { weight: 1, concurrency: 64, callers: 16, costs: COSTS };
+    let workspace = SceneWorkspace::new(64, 16, COSTS);
+    let workspaces = vec![workspace; 4];
     ScenePlan {
-        seed: options.seed,
-        controllers: 3,
-        routers: 3,
-        workspaces: vec![workspace; 4],
         limits: LIMITS.to_owned(),
         engines: 4,
         services: 3,
         slots: 16,
-        token_interval: Duration::ZERO,
         service_time: Duration::from_millis(1),
         record_executions: true,
+        ..ScenePlan::new(options.seed, 3, workspaces)
     }
 }
 
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,12 +5,15 @@
 pub mod caller;
 pub mod central_queue;
 pub mod cli;
+pub mod control;
 pub mod drain;
 pub mod error;
 pub mod experiment;
+pub mod failover;
 pub mod fairness;
 pub mod fleet;
 pub mod fleet_files;
+pub mod flood;
 pub mod gap_measure;
 pub mod integrity;
 pub mod latency;
@@ -51,5 +54,8 @@
         ExperimentName::Drain => drain::run(options).await,
         ExperimentName::Fairness => fairness::run(options).await,
         ExperimentName::Utilisation => fairness::run_utilisation(options).await,
+        ExperimentName::Flood => flood::run(options).await,
+        ExperimentName::Failover => failover::run(options).await,
+        ExperimentName::Control => control::run(options).await,
     }
 }
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -118,6 +118,8 @@
     pub prompt_bytes: usize,
     /// Kinds of calls.
     pub mix: CallMix,
+    /// Every request allows the largest answer, so that its cost shows only when it ends.
+    pub hide_costs: bool,
     /// Time limit of each call.
     pub limit: Duration,
     /// Calls in total; no bound when absent.
@@ -139,6 +141,7 @@
             model: DEFAULT_MODEL.to_owned(),
             prompt_bytes: 64,
             mix: CallMix::Chat { stream: true },
+            hide_costs: false,
             limit: DEFAULT_LIMIT,
             calls: None,
             ramp: Duration::ZERO,
@@ -502,10 +505,12 @@
     }
 
     fn chat(&mut self, costs: CostMix, stream: bool) -> CallKind {
+        let tokens = costs.draw(&mut self.random);
         CallKind::Chat {
             model: self.plan.model.clone(),
             prompt_bytes: self.plan.prompt_bytes,
-            tokens: costs.draw(&mut self.random),
+            tokens,
+            max_tokens: if self.plan.hide_costs { costs.high } else { tokens },
             stream,
         }
     }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -29,6 +29,9 @@
     Drain "drain",
     Fairness "fairness",
     Utilisation "utilisation",
+    Flood "flood",
+    Failover "failover",
+    Control "control",
 }
 
 /// What to run and how.
--- a/crates/bench/src/scene.rs
+++ b/crates/bench/src/scene.rs
@@ -4,6 +4,7 @@
 use crate::fleet::{Fleet, FleetPlan, key_of, row_of};
 use crate::fleet_files::{SERVICE, zone_of};
 use crate::load::{CostMix, DEFAULT_MODEL, SERVICE_TOKENS, WorkspaceLoad};
+use baobabfall_core::workspace_table::WorkspaceRow;
 use baobabfall_node::node_metrics::start_incarnation;
 use baobabfall_standin::model_engine::{self, EngineOptions};
 use baobabfall_standin::plain_service::{self, ServiceOptions};
@@ -17,6 +18,8 @@
     pub weight: u32,
     /// Requests that may run at once.
     pub concurrency: u32,
+    /// Requests that may wait.
+    pub queue_length: u32,
     /// Callers that send one call after the other.
     pub callers: usize,
     /// Tokens of its requests.
@@ -63,7 +66,31 @@
     pub services: Vec<UpstreamHandle>,
 }
 
+impl SceneWorkspace {
+    /// A workspace of weight 1 whose queue has no bound.
+    pub const fn new(concurrency: u32, callers: usize, costs: CostMix) -> Self {
+        Self { weight: 1, concurrency, queue_length: 1_000_000, callers, costs }
+    }
+}
+
 impl ScenePlan {
+    /// A scene without upstreams, faults or records, with three controllers.
+    pub fn new(seed: u64, routers: usize, workspaces: Vec<SceneWorkspace>) -> Self {
+        Self {
+            seed,
+            controllers: 3,
+            routers,
+            workspaces,
+            limits: String::new(),
+            engines: 0,
+            services: 0,
+            slots: 8,
+            token_interval: Duration::ZERO,
+            service_time: Duration::ZERO,
+            record_executions: false,
+        }
+    }
+
     /// Load of the workspaces.
     pub fn loads(&self) -> Vec<WorkspaceLoad> {
         let load = |(index, workspace): (usize, &SceneWorkspace)| WorkspaceLoad {
@@ -75,8 +102,9 @@
     }
 
     fn fleet_plan(&self) -> FleetPlan {
-        let row = |(index, workspace): (usize, &SceneWorkspace)| {
-            row_of(index, workspace.weight, workspace.concurrency)
+        let row = |(index, workspace): (usize, &SceneWorkspace)| WorkspaceRow {
+            queue_length: workspace.queue_length,
+            ..row_of(index, workspace.weight, workspace.concurrency)
         };
         FleetPlan {
             controllers: self.controllers,
@@ -109,11 +137,24 @@
 
     /// Starts the engine with this index, under the same name as before and as a new incarnation.
     pub async fn start_engine(&self, index: usize) -> Result<UpstreamHandle, BenchError> {
+        Ok(model_engine::start(self.engine_options(index)).await?)
+    }
+
+    /// Starts an engine like the one with this index that the fleet does not know, for baselines.
+    ///
+    /// Work that reaches an announced engine around the fleet would look like overload to it.
+    pub async fn start_baseline_engine(&self, index: usize) -> Result<UpstreamHandle, BenchError> {
+        let mut options = self.engine_options(index);
+        options.upstream.announce = None;
+        Ok(model_engine::start(options).await?)
+    }
+
+    fn engine_options(&self, index: usize) -> EngineOptions {
         let mut options = EngineOptions::new(&format!("engine-{index}"), DEFAULT_MODEL);
         self.prepare(&mut options.upstream, index);
         options.knee = self.plan.slots;
         options.token_interval = self.plan.token_interval;
-        Ok(model_engine::start(options).await?)
+        options
     }
 
     /// Starts the service with this index; every third one ignores fencing tokens.
--- a/crates/standin/src/model_engine.rs
+++ b/crates/standin/src/model_engine.rs
@@ -93,6 +93,8 @@
     #[serde(default)]
     prompt: String,
     max_tokens: Option<u64>,
+    /// Length of the answer, when it is shorter than `max_tokens`.
+    stop_after: Option<u64>,
     #[serde(default)]
     stream: bool,
 }
@@ -195,7 +197,8 @@
         let prompt_bytes = prompt_bytes(&order);
         let prompt_tokens = tokens_of(prompt_bytes);
         let cached = self.cached_tokens(&order);
-        let to = order.max_tokens.unwrap_or(self.options.default_tokens);
+        let limit = order.max_tokens.unwrap_or(self.options.default_tokens);
+        let to = order.stop_after.map_or(limit, |length| length.min(limit));
         let plan = TokenPlan {
             seed: answer_seed(request_id),
             from: from.min(to),
