--- a/crates/ctl/src/table_commands.rs
+++ b/crates/ctl/src/table_commands.rs
@@ -10,8 +10,8 @@
 use baobabfall_core::workspace_table::{RowChange, TableFault, WorkspaceTable};
 use baobabfall_node::http_client::PeerError;
 use baobabfall_node::operator_messages::{
-    ConflictView, EditAnswer, HISTORY_PATH, HistoryEntry, ROLLBACK_PATH, STATUS_PATH, StatusView,
-    TABLE_PATH, TableEdit, TableRollback, TableView,
+    ConflictView, EditAnswer, HISTORY_PATH, HistoryEntry, ROLLBACK_PATH, TABLE_PATH, TableEdit,
+    TableRollback, TableView,
 };
 use baobabfall_node::units::parse_duration;
 use std::path::Path;
@@ -141,7 +141,7 @@
     let changes = held.diff(&next);
     if changes.is_empty() && apply.edit_id.is_none() {
         let answer = EditAnswer { revision: view.revision, digest: view.digest, repeated: false };
-        return report(options, &answer, "no change; the table in force is at revision");
+        return report(options, &answer, "nothing to apply: the file equals revision");
     }
     let edit =
         TableEdit { operator: options.operator.clone(), edit_id, base_revision: base, changes };
@@ -179,7 +179,7 @@
     let end = Instant::now() + timeout;
     let progress = Progress::new("in force at nodes");
     loop {
-        let status: StatusView = client.get(STATUS_PATH).await?;
+        let status = client.status().await?;
         let lagging: Vec<&str> = status
             .nodes
             .iter()
