Dispatcher: charge at most the mean cost at a grant

Cause: the whole declared cost was charged at the grant, seconds before the service was received. Ruled out: number of routers (the ratio was flat) and report lag (100 ms at 200 tokens/s is 20 tokens). Change: grant_charge caps the estimate at the mean cost of the pair; the excess is charged as it streams.

--- a/crates/core/src/cost_estimate.rs
+++ b/crates/core/src/cost_estimate.rs
@@ -66,6 +66,24 @@
         scaled.clamp(hint.div_ceil(HINT_FACTOR_LIMIT), hint.saturating_mul(HINT_FACTOR_LIMIT))
     }
 
+    /// Charge at the grant: the estimate, but at most the mean cost of the pair.
+    ///
+    /// Service is received while a request streams. A large cost that is
+    /// charged at once keeps its workspace from new grants before it received
+    /// that service, which widens the gap in received service.
+    ///
+    /// ```
+    /// use baobabfall_core::cost_estimate::CostEstimate;
+    /// let mut estimate = CostEstimate::new(100);
+    /// estimate.learn((0, 0), 1_000, 1_000);
+    /// assert_eq!(estimate.grant_charge((0, 0), 500), 500);
+    /// assert_eq!(estimate.grant_charge((0, 0), 9_000), 1_000);
+    /// ```
+    pub fn grant_charge(&self, pair: (usize, usize), hint: CostUnits) -> CostUnits {
+        let mean = self.learnt.get(&pair).map_or(FIRST_ESTIMATE, |learnt| learnt.mean_cost.max(1));
+        self.estimate(pair, hint).min(mean)
+    }
+
     /// Takes the settled cost of a request that was granted with `hint`. Once
     /// a pair has hints, costs without one are left out: they would distort
     /// the ratio.
--- a/crates/core/src/dispatch_fairness.rs
+++ b/crates/core/src/dispatch_fairness.rs
@@ -13,8 +13,8 @@
     pub backlogged: u32,
     /// Largest difference between the accounts of two backlogged workspaces.
     pub gap: f64,
-    /// Bound on the gap: `K L / w` of the two workspaces for which it is
-    /// largest, with K their running requests and L the largest running cost.
+    /// Bound on the gap: the sum of the two largest `(K + 1) L / w`, with K the
+    /// running requests of a workspace and L the largest running cost.
     pub bound: f64,
 }
 
@@ -45,8 +45,8 @@
             backlogged += 1;
             let (low, high) = range.unwrap_or((account.value, account.value));
             range = Some((low.min(account.value), high.max(account.value)));
-            let concurrent = f64::from(account.running.max(1));
-            terms.push(concurrent * tokens(largest_cost.into()) / f64::from(workspace.weight()));
+            let requests = f64::from(account.running) + 1.0;
+            terms.push(requests * tokens(largest_cost.into()) / f64::from(workspace.weight()));
         }
         terms.sort_by(|a, b| b.total_cmp(a));
         let gap = range.map_or(0, |(low, high)| high - low);
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -281,7 +281,7 @@
         if let Some(prefix) = next.prefix {
             self.prefixes.record(now, prefix, upstream);
         }
-        let estimate = self.costs.estimate((workspace, target), next.hint);
+        let estimate = self.costs.grant_charge((workspace, target), next.hint);
         let weight = self.workspaces[workspace].weight();
         let lease = self.next_lease();
         let record = LeaseRecord {
