Reports carry charges of running leases by number

Cause: Every charge repeated the names of its lease and every long poll repeated the charges: 25 streams cost 60 KB/s of control traffic. Change: DispatchReport.charges holds number and cost for leases of the dispatcher's term; long polls carry no new charges; an end carries its last charge.

--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -74,6 +74,7 @@
             full: self.sequence == 1,
             backlog,
             usage,
+            charges: vec![],
             received_grant: received,
             wait_ms: 0,
         };
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -47,6 +47,7 @@
         self.take_received(id, report.received_grant, &mut touched);
         self.take_backlog(id, report, &mut touched);
         self.take_usage(now, id, report, &mut touched);
+        self.take_charges(now, id, report, &mut touched);
         touched.sort_unstable();
         touched.dedup();
         for workspace in touched {
@@ -197,6 +198,21 @@
         self.routers[id].ended = ended;
     }
 
+    /// Takes the costs of leases of this term; one that is not known has ended.
+    fn take_charges(
+        &mut self,
+        now: Duration,
+        id: usize,
+        report: &DispatchReport,
+        touched: &mut Vec<usize>,
+    ) {
+        for &(number, charged) in &report.charges {
+            let lease = LeaseId { term: self.term, number };
+            self.charge_lease(now, id, lease, charged);
+            touched.extend(self.routers[id].leases.get(&lease).map(|record| record.workspace));
+        }
+    }
+
     fn take_charge(
         &mut self,
         now: Duration,
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -103,6 +103,10 @@
     pub backlog: Vec<BacklogEntry>,
     /// Changed or ended leases, or all of them.
     pub usage: Vec<LeaseUsage>,
+    /// Number and cost so far of running leases of this term. Most reports
+    /// carry nothing else, so they are a tenth of the size of the usage.
+    #[serde(default)]
+    pub charges: Vec<(u64, CostUnits)>,
     /// Highest grant number received in the dispatcher's term.
     pub received_grant: u64,
     /// How long the dispatcher may hold the answer for grants, in milliseconds.
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -75,6 +75,7 @@
 ///         avoid: None,
 ///     }],
 ///     usage: vec![],
+///     charges: vec![],
 ///     received_grant: 0,
 ///     wait_ms: 0,
 /// });
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -108,6 +108,7 @@
             full: std::mem::take(&mut self.full),
             backlog,
             usage,
+            charges: vec![],
             received_grant: self.received,
             wait_ms: 0,
         }
@@ -237,6 +238,7 @@
             full,
             backlog,
             usage: usage.collect(),
+            charges: vec![],
             received_grant: self.received,
             wait_ms: 200,
         }
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -110,6 +110,7 @@
     route: UpstreamRoute,
     meter: Arc<LeaseMeter>,
     reported_charge: CostUnits,
+    first_token_told: bool,
     end: Option<LeaseEnd>,
     changed_at: u64,
 }
@@ -212,6 +213,7 @@
             && held.end.is_none()
         {
             held.end = Some(end);
+            held.reported_charge = held.meter.charged();
             held.changed_at = changed_at;
         }
     }
@@ -239,11 +241,12 @@
         self.sequence += 1;
         let full = std::mem::take(&mut self.full_needed);
         let (sequence, since) = (self.sequence, self.acknowledged);
-        for lease in self.leases.values_mut() {
-            let charged = lease.meter.charged();
-            if charged != lease.reported_charge {
-                lease.reported_charge = charged;
-                lease.changed_at = sequence;
+        let mut charges = Vec::new();
+        let term = self.term;
+        for (id, lease) in self.leases.iter_mut() {
+            // A long poll repeats what is not acknowledged; new charges go with the changes.
+            if full || wait_ms == 0 {
+                lease.note_charge(*id, term, full, sequence, since, &mut charges);
             }
         }
         let backlog = self.queues.iter().filter(|(_, queue)| {
@@ -258,6 +261,7 @@
             full,
             backlog: backlog.map(|(key, queue)| queue.entry(key)).collect(),
             usage: usage.map(|(id, lease)| lease.usage(*id)).collect(),
+            charges,
             received_grant: self.received,
             wait_ms,
         }
@@ -367,7 +371,15 @@
         let end = request.is_none().then_some(LeaseEnd::Unused);
         let changed_at = self.sequence + 1;
         let route = grant.upstream;
-        let held = HeldLease { key, route, meter, reported_charge: 0, end, changed_at };
+        let held = HeldLease {
+            key,
+            route,
+            meter,
+            reported_charge: 0,
+            first_token_told: false,
+            end,
+            changed_at,
+        };
         self.leases.insert(grant.lease, held);
         request.map(|request| (request.verdict, QueueVerdict::Granted(slot)))
     }
@@ -414,6 +426,34 @@
 }
 
 impl HeldLease {
+    /// Notes the charge that a report carries. The dispatcher of the lease's
+    /// own term needs only the number; a lost charge is repaired by the next.
+    fn note_charge(
+        &mut self,
+        id: LeaseId,
+        term: u64,
+        full: bool,
+        sequence: u64,
+        since: u64,
+        charges: &mut Vec<(u64, CostUnits)>,
+    ) {
+        let charged = self.meter.charged();
+        if charged == self.reported_charge {
+            return;
+        }
+        self.reported_charge = charged;
+        let first_token = self.meter.first_token_ms().is_some();
+        let brief = id.term == term && self.end.is_none() && self.first_token_told == first_token;
+        self.first_token_told = first_token;
+        if brief && !full {
+            if self.changed_at <= since {
+                charges.push((id.number, charged));
+            }
+        } else {
+            self.changed_at = sequence;
+        }
+    }
+
     fn usage(&self, lease: LeaseId) -> LeaseUsage {
         LeaseUsage {
             lease,
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -201,3 +201,34 @@
     }
     assert!(grants > 500, "only {grants} grants were matched");
 }
+
+/// Guards against control traffic that repeats names for every charge, against
+/// an end that is reported without its last charge, and against a full report
+/// that lacks running leases.
+#[test]
+fn build_report_charges_go_by_number() {
+    let mut book = LeaseBook::new();
+    let mut receiver = enqueue(&mut book, None);
+    apply(&mut book, answer(4, 0, vec![grant(4, 1)]));
+    let slot = granted(&mut receiver).unwrap();
+    book.build_report(&identity(), "a", 0);
+    apply(&mut book, answer(4, 1, vec![]));
+    slot.meter.charge(10);
+    let poll = book.build_report(&identity(), "a", 200);
+    assert!(poll.usage.is_empty() && poll.charges.is_empty(), "a long poll repeats no charges");
+    let report = book.build_report(&identity(), "a", 0);
+    assert_eq!((report.usage.len(), report.charges), (0, vec![(1, 10)]));
+    assert!(book.build_report(&identity(), "a", 0).charges.is_empty());
+    slot.meter.charge(5);
+    slot.meter.set_first_token(Duration::from_millis(3));
+    let report = book.build_report(&identity(), "a", 0);
+    assert_eq!(report.usage[0].first_token_ms, Some(3), "the first token is told in full");
+    apply(&mut book, answer(4, report.sequence, vec![]));
+    slot.meter.charge(5);
+    book.end_lease(slot.lease, LeaseEnd::Finished);
+    let poll = book.build_report(&identity(), "a", 200);
+    assert_eq!((poll.usage[0].charged, poll.usage[0].end), (20, Some(LeaseEnd::Finished)));
+    apply(&mut book, DispatchAnswer { resync: true, ..answer(4, 0, vec![grant(4, 2)]) });
+    let full = book.build_report(&identity(), "a", 200);
+    assert_eq!((full.full, full.usage.len()), (true, 2));
+}
