Router: cancel at the upstream only by ids that the router chose

Cause: An id that a caller chose may belong to another workspace's request as well; its cancellation would end that request. Change: POST /cancel/{id} is sent for ids of the router only; the connection is closed in both cases. Conclusion: One workspace cannot cancel another one's request.

--- a/crates/router/src/caller_api.rs
+++ b/crates/router/src/caller_api.rs
@@ -47,12 +47,13 @@
     if request.uri().path() == "/healthz" {
         return health(&state, request.method());
     }
-    let id = request_id(request.headers());
-    let record = state.record(id);
-    let mut intake = Intake { state, record };
+    let given = given_id(request.headers());
+    let unique_id = given.is_none();
+    let record = state.record(given.unwrap_or_else(|| uuid::Uuid::new_v4().to_string()));
+    let mut intake = Intake { state, record, unique_id };
     match intake.prepare(request).await {
         Ok(Prepared::Run(order, call)) => {
-            let Intake { state, record } = intake;
+            let Intake { state, record, .. } = intake;
             RequestRun::new(state, *order, *call, record).run().await
         }
         Ok(Prepared::Models) => intake.models(),
@@ -69,12 +70,12 @@
     json_response(status, &json!({ "status": text })).map(RelayBody::Whole)
 }
 
-fn request_id(headers: &HeaderMap) -> String {
-    let given = headers.get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
-    let valid = |id: &&str| {
-        (1..=REQUEST_ID_LIMIT).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_graphic())
-    };
-    given.filter(valid).map_or_else(|| uuid::Uuid::new_v4().to_string(), str::to_owned)
+/// The request id that the caller chose, if it is acceptable.
+fn given_id(headers: &HeaderMap) -> Option<String> {
+    let given = headers.get(REQUEST_ID_HEADER)?.to_str().ok()?;
+    let valid = (1..=REQUEST_ID_LIMIT).contains(&given.len())
+        && given.bytes().all(|byte| byte.is_ascii_graphic());
+    valid.then(|| given.to_owned())
 }
 
 enum Prepared {
@@ -91,6 +92,7 @@
 struct Intake {
     state: Arc<RouterState>,
     record: RequestRecord,
+    unique_id: bool,
 }
 
 impl Intake {
@@ -304,7 +306,8 @@
     ) -> Prepared {
         self.state.retries.record_request(&order.key.1);
         let request_id = self.record.id.clone();
-        let call = UpstreamCall { method, path, headers, body, request_id, deadline };
+        let unique_id = self.unique_id;
+        let call = UpstreamCall { method, path, headers, body, request_id, unique_id, deadline };
         Prepared::Run(Box::new(order), Box::new(call))
     }
 
--- a/crates/router/src/cancel_guard.rs
+++ b/crates/router/src/cancel_guard.rs
@@ -1,5 +1,6 @@
 //! Cancels a request at its upstream unless it ended well.
 
+use crate::request_order::UpstreamCall;
 use crate::upstream_pool::UpstreamPool;
 use baobabfall_core::dispatch_messages::UpstreamRoute;
 use std::sync::Arc;
@@ -12,8 +13,13 @@
 
 impl CancelGuard {
     /// Arms the cancellation where the upstream understands it.
-    pub fn new(pool: &Arc<UpstreamPool>, route: &UpstreamRoute, request_id: &str) -> Self {
-        let target = route.cancel.then(|| (Arc::clone(pool), route.clone(), request_id.to_owned()));
+    ///
+    /// An id that the caller chose may also belong to a request of another
+    /// workspace, which must not be cancelled: then the upstream only sees
+    /// that the connection is closed.
+    pub fn new(pool: &Arc<UpstreamPool>, route: &UpstreamRoute, call: &UpstreamCall) -> Self {
+        let target = (route.cancel && call.unique_id)
+            .then(|| (Arc::clone(pool), route.clone(), call.request_id.clone()));
         Self { target }
     }
 
--- a/crates/router/src/request_order.rs
+++ b/crates/router/src/request_order.rs
@@ -61,6 +61,8 @@
     pub body: Bytes,
     /// Id of the request.
     pub request_id: String,
+    /// True when the router chose the id, so that no other request has it.
+    pub unique_id: bool,
     /// When the answer must have ended.
     pub deadline: Instant,
 }
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -290,7 +290,7 @@
             settlement.dispatched();
         }
         lease.mark_used(self.order.base_cost);
-        let mut cancel = CancelGuard::new(&self.state.pool, route, &self.call.request_id);
+        let mut cancel = CancelGuard::new(&self.state.pool, route, &self.call);
         let exchange = async {
             tokio::select! {
                 answer = self.exchange(route, request) => answer,
