Router: send claims again after a lost answer

Cause: Protected actions in flight at the loss of a leader were refused although the next leader could claim them. Change: Claims are sent again until they expire; running after a lost answer counts as lost, since the request was not dispatched.

--- a/crates/router/src/action_client.rs
+++ b/crates/router/src/action_client.rs
@@ -5,6 +5,7 @@
 
 use crate::leader_link::LeaderLink;
 use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_node::http_client::PeerError;
 use baobabfall_node::messages::{
     ActionClaim, ActionOutcome, ActionReport, CLAIM_PATH, ClaimAnswer, ClaimRequest, FencingToken,
     OUTCOME_PATH, OutcomeRequest,
@@ -24,7 +25,12 @@
 const CLAIM_LANES: usize = 2;
 /// Time in which outcomes must be acknowledged.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(2);
-/// Pause after a failed call.
+/// Time in which one call with claims must be answered, so that the next
+/// leader can be asked before the claims expire.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause before claims are sent again.
+const CLAIM_PAUSE: Duration = Duration::from_millis(25);
+/// Pause after a failed call with outcomes.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Why a claim got no answer; the action is never dispatched then.
@@ -37,6 +43,8 @@
 struct PendingClaim {
     claim: ActionClaim,
     expires: Instant,
+    /// True once an answer was lost, so that the claim may be committed.
+    lost: bool,
     answer: oneshot::Sender<ClaimResult>,
 }
 
@@ -85,7 +93,7 @@
         let (answer, receiver) = oneshot::channel();
         let expires = Instant::now() + self.claim_time;
         let lost = LostClaim { client: Arc::clone(self), claim: Some(claim.clone()) };
-        self.claims().push(PendingClaim { claim, expires, answer });
+        self.claims().push(PendingClaim { claim, expires, lost: false, answer });
         self.claims_added.notify_one();
         let result = receiver.await;
         // From here on the answer is known, or the lane reported the claim as lost.
@@ -118,54 +126,65 @@
         claims.drain(..count).collect()
     }
 
-    /// A refusal without quorum proves that the claims were not committed, so
-    /// they may be sent again; a lost answer proves nothing.
+    /// Sends claims again until they are answered or expire: a claim that was
+    /// committed before is answered as running and never granted twice.
     async fn send_claims(&self, batch: Vec<PendingClaim>) {
-        let request =
-            ClaimRequest { claims: batch.iter().map(|pending| pending.claim.clone()).collect() };
+        let claims = batch.iter().map(|pending| pending.claim.clone()).collect();
+        let request = ClaimRequest { claims };
         let expires = batch.iter().map(|pending| pending.expires).min();
         let left = expires
             .map_or(Duration::ZERO, |expires| expires.saturating_duration_since(Instant::now()));
-        let answers: Result<Vec<ClaimAnswer>, _> = if left.is_zero() {
-            return fail_claims(batch, "no controller answered in time");
-        } else {
-            self.link.call_leader(CLAIM_PATH, &request, left).await
-        };
+        let call = self.link.call_leader(CLAIM_PATH, &request, left.min(CLAIM_TIMEOUT));
+        let answers: Result<Vec<ClaimAnswer>, PeerError> = call.await;
         match answers {
             Ok(answers) if answers.len() == batch.len() => {
                 for (pending, answer) in batch.into_iter().zip(answers) {
-                    if let Err(Ok(ClaimAnswer::Granted(token))) = pending.answer.send(Ok(answer)) {
-                        self.report(&pending.claim, token, ActionOutcome::NotRun);
-                    }
+                    self.answer_claim(pending, answer);
                 }
             }
             Ok(answers) => {
                 let reason = format!("{} answers to {} claims", answers.len(), batch.len());
-                self.lose_claims(batch, &reason);
+                self.retry_claims(batch, &reason, true).await;
             }
-            Err(error) if error.kind().answer().not_run && is_refusal(&error) => {
-                self.retry_claims(batch, &error.to_string()).await;
+            Err(error) => {
+                let lost = !matches!(error, PeerError::Refused { .. });
+                self.retry_claims(batch, &error.to_string(), lost).await;
             }
-            Err(error) => self.lose_claims(batch, &error.to_string()),
         }
     }
 
-    async fn retry_claims(&self, batch: Vec<PendingClaim>, reason: &str) {
-        tokio::time::sleep(FAILURE_PAUSE / 4).await;
-        let now = Instant::now();
-        let (kept, expired): (Vec<_>, Vec<_>) =
-            batch.into_iter().partition(|pending| pending.expires > now);
-        fail_claims(expired, reason);
-        self.claims().extend(kept);
+    /// "Running" after a lost answer may be the lost claim itself; the request
+    /// was not dispatched in either case.
+    fn answer_claim(&self, pending: PendingClaim, answer: ClaimAnswer) {
+        let open = matches!(answer, ClaimAnswer::Running | ClaimAnswer::OutcomeUnknown);
+        if pending.lost && open {
+            return self.lose_claim(pending, "the answer to an earlier claim was lost");
+        }
+        if let Err(Ok(ClaimAnswer::Granted(token))) = pending.answer.send(Ok(answer)) {
+            self.report(&pending.claim, token, ActionOutcome::NotRun);
+        }
     }
 
-    /// The claims may have been committed: the leader is told that they were
-    /// never dispatched, and the callers that they did not run.
-    fn lose_claims(&self, batch: Vec<PendingClaim>, reason: &str) {
-        for pending in &batch {
-            self.report(&pending.claim, FencingToken::default(), ActionOutcome::NotRun);
+    async fn retry_claims(&self, batch: Vec<PendingClaim>, reason: &str, lost: bool) {
+        tokio::time::sleep(CLAIM_PAUSE).await;
+        let now = Instant::now();
+        for mut pending in batch {
+            pending.lost |= lost;
+            if pending.expires > now {
+                self.claims().push(pending);
+            } else if pending.lost {
+                self.lose_claim(pending, reason);
+            } else {
+                let _ = pending.answer.send(Err(ClaimLost(reason.to_owned())));
+            }
         }
-        fail_claims(batch, reason);
+    }
+
+    /// The claim may have been committed: the leader is told that it was never
+    /// dispatched, and the caller that the request did not run.
+    fn lose_claim(&self, pending: PendingClaim, reason: &str) {
+        self.report(&pending.claim, FencingToken::default(), ActionOutcome::NotRun);
+        let _ = pending.answer.send(Err(ClaimLost(reason.to_owned())));
     }
 
     fn report(&self, claim: &ActionClaim, token: FencingToken, outcome: ActionOutcome) {
@@ -206,16 +225,6 @@
     }
 }
 
-fn is_refusal(error: &baobabfall_node::http_client::PeerError) -> bool {
-    matches!(error, baobabfall_node::http_client::PeerError::Refused { .. })
-}
-
-fn fail_claims(batch: Vec<PendingClaim>, reason: &str) {
-    for pending in batch {
-        let _ = pending.answer.send(Err(ClaimLost(reason.to_owned())));
-    }
-}
-
 /// Withdraws a claim whose caller left before its answer.
 struct LostClaim {
     client: Arc<ActionClient>,
--- a/crates/router/tests/protected_actions.rs
+++ b/crates/router/tests/protected_actions.rs
@@ -97,7 +97,7 @@
 #[tokio::test]
 async fn lost_claim_is_never_dispatched_and_settled_as_not_run() {
     let fleet = fleet(vec![], "claim_time = \"150ms\"").await;
-    fleet.controller.script().lose_claims = true;
+    fleet.controller.script().lose_claims = usize::MAX;
     let answer = fleet.decide().await;
     assert_eq!((answer.status.as_u16(), answer.code().as_str()), (503, "no_quorum"));
     assert_eq!(answer.header("baobabfall-not-run"), "true");
@@ -105,6 +105,26 @@
     assert!(fleet.upstream.log().requests.is_empty());
 }
 
+/// Guards against an action that fails although the next leader would grant
+/// it, and against "running" for a claim that this router itself lost.
+#[tokio::test]
+async fn claim_after_lost_answer_is_sent_again() {
+    let fleet = fleet(vec![vec![Step::Write(whole(200, "{}"))]], "").await;
+    fleet.controller.script().lose_claims = 1;
+    assert_eq!(fleet.decide().await.status, 200);
+    assert_eq!(fleet.controller.script().claims.len(), 2);
+    fleet.controller.script().lose_claims = 1;
+    let token = FencingToken { term: 3, number: 9 };
+    fleet.controller.script().claim_answers =
+        vec![ClaimAnswer::Granted(token), ClaimAnswer::Running];
+    let answer = fleet.decide().await;
+    assert_eq!(
+        (answer.code().as_str(), answer.header("baobabfall-not-run")),
+        ("no_quorum", "true")
+    );
+    assert_eq!(fleet.upstream.log().requests.len(), 1);
+}
+
 /// Guards against a second dispatch, and against a claim that "not run" or
 /// "answered" is recorded where the outcome is open.
 #[tokio::test]
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -41,7 +41,7 @@
     /// Grants to send besides those for the backlog.
     pub extra_grants: Vec<SlotGrant>,
     pub claim_answers: Vec<ClaimAnswer>,
-    pub lose_claims: bool,
+    pub lose_claims: usize,
     pub reports: Vec<DispatchReport>,
     pub claims: Vec<ClaimRequest>,
     pub outcomes: Vec<ActionReport>,
@@ -78,7 +78,7 @@
             refusals: Vec::new(),
             extra_grants: Vec::new(),
             claim_answers: Vec::new(),
-            lose_claims: false,
+            lose_claims: 0,
             reports: Vec::new(),
             claims: Vec::new(),
             outcomes: Vec::new(),
@@ -286,7 +286,9 @@
             };
             answers.push(next);
         }
-        (script.lose_claims, answers)
+        let lose = script.lose_claims > 0;
+        script.lose_claims = script.lose_claims.saturating_sub(1);
+        (lose, answers)
     };
     if lose {
         std::future::pending::<()>().await;
