Router: refuse HTTP/1.0, header floods and invalid text with stable codes

Cause: Moderate header floods were refused without a stable code, an HTTP/1.0 caller cannot see a broken answer, and invalid UTF-8 in fields that the router ignores reached the upstream. Change: Checks headers, version and text before anything else. Conclusion: These requests get a 4xx with a code and are not dispatched.

--- a/crates/router/src/caller_api.rs
+++ b/crates/router/src/caller_api.rs
@@ -16,7 +16,7 @@
 use baobabfall_node::http_server::{REQUEST_ID_HEADER, json_response, presented_token, read_body};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Version};
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::json;
@@ -98,6 +98,7 @@
 impl Intake {
     async fn prepare(&mut self, request: Request<Incoming>) -> Result<Prepared, Rejection> {
         let route = route_of(&request)?;
+        self.check_head(&request)?;
         if let Some(kind) = self.state.refusal() {
             let message = match kind {
                 ErrorKind::Stopping => "The router is stopping; send the request to another one.",
@@ -107,7 +108,6 @@
         }
         let table = self.state.fleet.table();
         let row = self.authenticate(table.as_deref(), request.headers())?;
-        check_framing(request.headers())?;
         let deadline = self.deadline(request.headers())?;
         match route {
             Route::Models => Ok(Prepared::Models),
@@ -118,6 +118,23 @@
         }
     }
 
+    fn check_head(&self, request: &Request<Incoming>) -> Result<(), Rejection> {
+        let headers = request.headers();
+        let refuse = |message: &str| Err(Rejection::new(ErrorKind::MalformedRequest, message));
+        if request.version() == Version::HTTP_10 {
+            // Its callers could not tell a broken answer from a whole one.
+            return refuse("HTTP/1.0 is not accepted; use HTTP/1.1 or HTTP/2.");
+        }
+        if headers.len() > self.state.options.settings.limits.headers {
+            return refuse("The request has too many headers.");
+        }
+        let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+        if lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING)) {
+            return refuse("The request states its length twice.");
+        }
+        Ok(())
+    }
+
     fn authenticate<'t>(
         &mut self,
         table: Option<&'t TableView>,
@@ -206,10 +223,7 @@
     ) -> Result<Prepared, Rejection> {
         let (parts, body) = request.into_parts();
         let body = self.read_body(body, &parts.headers, row, deadline).await?;
-        let fields: ModelFields = serde_json::from_slice(&body).map_err(|error| {
-            let message = format!("The JSON body is not accepted: {error}.");
-            Rejection::new(ErrorKind::MalformedRequest, message)
-        })?;
+        let fields = model_fields(&body)?;
         let target = self.find_target(UpstreamKind::Model, fields.model)?;
         self.check_queue(&target, row)?;
         let prompt_tokens = byte_count(&body) / BYTES_PER_TOKEN;
@@ -326,6 +340,17 @@
     }
 }
 
+/// Reads the fields that the router needs; the text of all others is checked
+/// too, since an upstream may refuse it after dispatch.
+fn model_fields(body: &[u8]) -> Result<ModelFields, Rejection> {
+    let refuse = |error: String| {
+        let message = format!("The JSON body is not accepted: {error}.");
+        Rejection::new(ErrorKind::MalformedRequest, message)
+    };
+    let text = std::str::from_utf8(body).map_err(|error| refuse(error.to_string()))?;
+    serde_json::from_str(text).map_err(|error| refuse(error.to_string()))
+}
+
 fn route_of(request: &Request<Incoming>) -> Result<Route, Rejection> {
     let path = request.uri().path();
     let (route, method) = match path {
@@ -367,17 +392,6 @@
     })
 }
 
-/// Requests whose length is stated twice could be read differently upstream.
-fn check_framing(headers: &HeaderMap) -> Result<(), Rejection> {
-    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
-    let chunked = headers.contains_key(TRANSFER_ENCODING);
-    if lengths > 1 || (lengths == 1 && chunked) {
-        let message = "The request states its length twice.";
-        return Err(Rejection::new(ErrorKind::MalformedRequest, message));
-    }
-    Ok(())
-}
-
 fn byte_count(bytes: &Bytes) -> u64 {
     u64::try_from(bytes.len()).unwrap_or(u64::MAX)
 }
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -59,7 +59,8 @@
         ServerLimits {
             connections: limits.connections,
             header_timeout: limits.header_time.0,
-            headers: limits.headers,
+            // Up to twice the limit the caller gets a refusal with a stable code.
+            headers: 2 * limits.headers,
             header_bytes: u32::try_from(limits.header_size.0).unwrap_or(u32::MAX),
             ..ServerLimits::default()
         }
--- a/crates/router/tests/rejections.rs
+++ b/crates/router/tests/rejections.rs
@@ -126,7 +126,10 @@
          authorization: Bearer {}\r\n",
         support::KEY
     );
-    let flood: String = (0..200).map(|index| format!("x-{index}: y\r\n")).collect();
+    let flood = |count: usize| -> String { (0..count).map(|n| format!("x-{n}: y\r\n")).collect() };
+    let old = format!("{head}\r\n").replace("HTTP/1.1", "HTTP/1.0");
+    let text = [&br#"{"model":"small","prompt":""#[..], b"\xff\"}"].concat();
+    let length = format!("content-length: {}\r\n\r\n", text.len());
     let cases: Vec<(Vec<u8>, &str)> = vec![
         (format!("{head}content-length: 3\r\ncontent-length: 4\r\n\r\nabc").into(), " 400 "),
         (
@@ -134,11 +137,10 @@
                 .into(),
             " 400 ",
         ),
-        (format!("{head}{flood}\r\n").into(), " 431 "),
-        (
-            [format!("{head}content-length: 4\r\n\r\n").as_bytes(), &b"\"\xff\xfe\""[..]].concat(),
-            " 400 ",
-        ),
+        (format!("{head}{}\r\n", flood(80)).into(), " 400 "),
+        (format!("{head}{}\r\n", flood(200)).into(), " 431 "),
+        (old.into(), " 400 "),
+        ([head.as_bytes(), length.as_bytes(), &text].concat(), " 400 "),
         (format!("{head}content-length: 50\r\n\r\n{{").into(), " 408 "),
     ];
     for (request, status) in cases {
