--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -129,7 +129,11 @@
     let tracker = NodeTracker::default();
     let dispatch = DispatchService::new(clock, replica.clone());
     let operators = OperatorApi {
-        name: options.settings.node.name.clone(),
+        identity: NodeIdentity {
+            name: options.settings.node.name.clone(),
+            incarnation: start_incarnation(),
+        },
+        zone: options.settings.node.zone.clone(),
         replica: replica.clone(),
         dispatch: dispatch.clone(),
         registry: registry.clone(),
@@ -321,10 +325,7 @@
 /// Keeps a copy of the leader's registry, so that a new leader knows the
 /// upstreams at once.
 async fn follow_leader(api: ControlApi) {
-    let node = NodeIdentity {
-        name: api.options.settings.node.name.clone(),
-        incarnation: start_incarnation(),
-    };
+    let node = api.operators.identity.clone();
     let mut version = (0, 0);
     let mut client: Option<PeerClient> = None;
     loop {
--- a/crates/controller/src/operator_api.rs
+++ b/crates/controller/src/operator_api.rs
@@ -35,8 +35,10 @@
 /// Answers operators.
 #[derive(Clone, Debug)]
 pub struct OperatorApi {
-    /// Name of this controller.
-    pub name: String,
+    /// This controller.
+    pub identity: NodeIdentity,
+    /// Its availability zone.
+    pub zone: String,
     /// The replicated log.
     pub replica: ReplicaHandle,
     /// The dispatcher.
--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -18,7 +18,7 @@
     let members = members(api);
     let state = api.replica.state();
     StatusView {
-        controller: api.name.clone(),
+        controller: api.identity.name.clone(),
         leader: view.leader.as_ref().map(|leader| leader.name.clone()),
         term: view.term,
         quorum: view.leads,
@@ -26,11 +26,30 @@
         committed: view.committed,
         voters: members.voters,
         learners: members.learners,
-        nodes: api.tracker.views(),
+        nodes: nodes_with_self(api, state.history().revision()),
         unresolved_actions: u64::try_from(state.ledger().unresolved().count()).unwrap_or(u64::MAX),
     }
 }
 
+/// Nodes that sync here, and this controller itself, which syncs with nobody
+/// while it leads.
+fn nodes_with_self(api: &OperatorApi, revision: u64) -> Vec<NodeView> {
+    let mut nodes = api.tracker.views();
+    nodes.retain(|node| node.name != api.identity.name);
+    nodes.push(NodeView {
+        name: api.identity.name.clone(),
+        kind: "controller".to_owned(),
+        zone: api.zone.clone(),
+        incarnation: api.identity.incarnation,
+        revision,
+        revision_age_ms: 0,
+        silent_ms: 0,
+        in_progress: 0,
+    });
+    nodes.sort_by(|a, b| a.name.cmp(&b.name));
+    nodes
+}
+
 /// The table of a revision that is kept; revision 0 is the empty table.
 pub fn table(api: &OperatorApi, revision: u64) -> Option<TableView> {
     let state = api.replica.state();
--- a/crates/router/src/request_order.rs
+++ b/crates/router/src/request_order.rs
@@ -122,9 +122,12 @@
     }
 
     /// Checks that an answer belongs to this request.
+    ///
+    /// Upstreams need not echo the id: one connection carries one request at a
+    /// time and is closed when a request on it is abandoned.
     pub fn check_answer<B>(&self, response: &Response<B>) -> Result<(), String> {
         let echoed = response.headers().get(REQUEST_ID_HEADER);
-        if echoed.is_some_and(|value| value.as_bytes() == self.request_id.as_bytes()) {
+        if echoed.is_none_or(|value| value.as_bytes() == self.request_id.as_bytes()) {
             return Ok(());
         }
         Err("the answer carries another request id".to_owned())
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -244,7 +244,8 @@
                 reject(ErrorKind::MalformedRequest, message)
             }
             Err(ClaimLost(reason)) => {
-                let message = format!("The action could not be claimed: {reason}.");
+                let message =
+                    format!("The action could not be claimed: {}.", reason.trim_end_matches('.'));
                 let rejection = Rejection::after(ErrorKind::NoQuorum, message, RETRY_AFTER);
                 Err(ClaimEnd::Reject(rejection))
             }
