--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -182,7 +182,8 @@
             if !known && (repeated || !self.adopt_lease(now, id, usage)) {
                 continue;
             }
-            self.take_charge(now, id, usage, touched);
+            self.charge_lease(now, id, usage.lease, usage.charged, known);
+            self.take_first_token(now, id, usage, touched);
             if !known {
                 self.cap_adopted(now, id, usage.lease);
             }
@@ -208,19 +209,18 @@
     ) {
         for &(number, charged) in &report.charges {
             let lease = LeaseId { term: self.term, number };
-            self.charge_lease(now, id, lease, charged);
+            self.charge_lease(now, id, lease, charged, true);
             touched.extend(self.routers[id].leases.get(&lease).map(|record| record.workspace));
         }
     }
 
-    fn take_charge(
+    fn take_first_token(
         &mut self,
         now: Duration,
         id: usize,
         usage: &LeaseUsage,
         touched: &mut Vec<usize>,
     ) {
-        self.charge_lease(now, id, usage.lease, usage.charged);
         let Some(record) = self.routers[id].leases.get_mut(&usage.lease) else { return };
         touched.push(record.workspace);
         let Some(millis) = usage.first_token_ms.filter(|_| !record.first_token) else { return };
