One place for durations, wall clock and the types of claims and stops

Change: node::units holds millis, wall_clock_ms, to_float and the parser; messages re-export the types of the core.

--- a/crates/controller/src/action_service.rs
+++ b/crates/controller/src/action_service.rs
@@ -4,10 +4,9 @@
 use baobabfall_core::action_ledger::{self as ledger, ActionKey};
 use baobabfall_core::control_command::{ControlAnswer, ControlCommand};
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_node::messages::{
-    ActionClaim, ActionOutcome, ActionReport, ClaimAnswer, FencingToken,
-};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use baobabfall_node::messages::{ActionClaim, ActionOutcome, ActionReport, ClaimAnswer};
+use baobabfall_node::units::wall_clock_ms;
+use std::time::Duration;
 
 /// How often overdue claims are looked for.
 pub const OVERDUE_INTERVAL: Duration = Duration::from_secs(1);
@@ -42,8 +41,7 @@
         let (mut outcomes, mut releases) = (Vec::new(), Vec::new());
         for report in reports {
             let key = ActionKey::new(&report.workspace, &report.service, &report.key);
-            let token =
-                ledger::FencingToken { term: report.token.term, number: report.token.number };
+            let token = report.token;
             match report.outcome {
                 ActionOutcome::Answered { status, digest } => {
                     let outcome = ledger::ActionOutcome { status, digest };
@@ -68,9 +66,8 @@
     /// action becomes "outcome unknown" without further traffic.
     pub async fn settle_overdue(&self) {
         let deadline = self.replica.state().ledger().next_deadline_ms();
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
-        if self.replica.view().leads && deadline.is_some_and(|deadline| deadline <= now) {
+        if self.replica.view().leads && deadline.is_some_and(|deadline| deadline <= wall_clock_ms())
+        {
             let _ = self.replica.propose(ControlCommand::Blank).await;
         }
     }
@@ -95,9 +92,7 @@
 
 fn shown_answer(answer: ledger::ClaimAnswer) -> ClaimAnswer {
     match answer {
-        ledger::ClaimAnswer::Granted(token) => {
-            ClaimAnswer::Granted(FencingToken { term: token.term, number: token.number })
-        }
+        ledger::ClaimAnswer::Granted(token) => ClaimAnswer::Granted(token),
         ledger::ClaimAnswer::Running => ClaimAnswer::Running,
         ledger::ClaimAnswer::Known(outcome) => ClaimAnswer::Known(ActionOutcome::Answered {
             status: outcome.status,
--- a/crates/controller/src/node_tracker.rs
+++ b/crates/controller/src/node_tracker.rs
@@ -3,6 +3,7 @@
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_node::messages::{NodeKind, SyncRequest};
 use baobabfall_node::operator_messages::NodeView;
+use baobabfall_node::units::millis;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -125,7 +126,3 @@
             .collect()
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/controller/src/operator_api.rs
+++ b/crates/controller/src/operator_api.rs
@@ -17,7 +17,6 @@
 use baobabfall_node::http_server::{
     BodyRefusal, ErrorBody, FullResponse, error_response, json_response, read_json,
 };
-use baobabfall_node::messages::StopKind;
 use baobabfall_node::operator_messages::{
     ACTIONS_PATH, ActionResolution, ConflictView, EditAnswer, FAIRNESS_PATH, HISTORY_PATH,
     MEMBERS_PATH, MemberEdit, NODES_PATH, NodeRemoval, ROLLBACK_PATH, STATUS_PATH, STOPS_PATH,
@@ -27,7 +26,6 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Largest message of an operator in bytes; a table of 10,000 rows has 3 MiB.
 const OPERATOR_MESSAGE_LIMIT: usize = 8 << 20;
@@ -192,7 +190,7 @@
 
     async fn edit_stop(&self, edit: StopEdit) -> OperatorResult {
         let identity = generated_identity(edit.operator);
-        let target = StopTarget { kind: stop_kind(edit.kind), name: edit.name };
+        let target = StopTarget { kind: edit.kind, name: edit.name };
         let command = match edit.announce {
             true => {
                 ControlCommand::AnnounceStop { edit: identity, target, limit_ms: edit.limit_ms }
@@ -245,26 +243,10 @@
     EditIdentity { operator, id: uuid::Uuid::new_v4().to_string() }
 }
 
-fn stop_kind(kind: StopKind) -> baobabfall_core::control_command::StopKind {
-    use baobabfall_core::control_command::StopKind as Stored;
-    match kind {
-        StopKind::Host => Stored::Host,
-        StopKind::Upstream => Stored::Upstream,
-        StopKind::Router => Stored::Router,
-        StopKind::Controller => Stored::Controller,
-    }
-}
-
 async fn message<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, OperatorRefusal> {
     Ok(read_json(request, OPERATOR_MESSAGE_LIMIT).await?)
 }
 
-/// Wall clock in milliseconds since the Unix epoch.
-pub fn wall_clock_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl OperatorRefusal {
     fn response(&self) -> FullResponse {
         match self {
--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -1,16 +1,15 @@
 //! Views that operators read.
 
-use crate::operator_api::{OperatorApi, wall_clock_ms};
-use crate::sync_service::shown_kind;
+use crate::operator_api::OperatorApi;
 use baobabfall_core::action_ledger::ActionKey;
-use baobabfall_core::control_command::{PlannedStop, StopKind as StoredKind, StopTarget};
+use baobabfall_core::control_command::{PlannedStop, StopKind, StopTarget};
 use baobabfall_core::table_history::RowEdit;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
-use baobabfall_node::messages::FencingToken;
 use baobabfall_node::operator_messages::{
     ActionView, FairnessView, HistoryEntry, MembersView, NodeView, StatusView, StopView, TableView,
     UpstreamView, WorkspaceView,
 };
+use baobabfall_node::units::wall_clock_ms;
 
 /// State of the control plane as this controller sees it.
 pub fn status(api: &OperatorApi) -> StatusView {
@@ -189,11 +188,11 @@
     stop: &PlannedStop,
 ) -> StopView {
     let in_progress = match target.kind {
-        StoredKind::Upstream | StoredKind::Host => running_at(api, &target.name),
-        StoredKind::Router => {
+        StopKind::Upstream | StopKind::Host => running_at(api, &target.name),
+        StopKind::Router => {
             nodes.iter().find(|node| node.name == target.name).map_or(0, |node| node.in_progress)
         }
-        StoredKind::Controller => 0,
+        StopKind::Controller => 0,
     };
     let passed = stop
         .limit_ms
@@ -204,7 +203,7 @@
         (_, false) => "draining",
     };
     StopView {
-        kind: shown_kind(target.kind),
+        kind: target.kind,
         name: target.name.clone(),
         operator: stop.operator.clone(),
         time_ms: stop.announced_ms,
@@ -248,7 +247,7 @@
             service: key.service.to_string(),
             path: record.holder.path.to_string(),
             key: key.key.to_string(),
-            token: FencingToken { term: record.token.term, number: record.token.number },
+            token: record.token,
             router: record.holder.router.name.clone(),
             time_ms: record.holder.claimed_ms,
         })
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -10,9 +10,10 @@
 use baobabfall_core::replica_members::{MemberChange, ReplicaIdentity, ReplicaMembers};
 use baobabfall_core::replica_messages::{ReplicaMessage, SnapshotData};
 use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_node::units::wall_clock_ms;
 use rand::Rng;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, MissedTickBehavior};
 
@@ -175,11 +176,6 @@
     next_number: u64,
 }
 
-fn wall_clock_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl<R: Rng + Send + 'static> ReplicaDriver<R> {
     /// Builds the driver and the handle to it.
     pub fn new(
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -3,14 +3,12 @@
 use crate::node_tracker::NodeTracker;
 use crate::registry_service::RegistryService;
 use crate::replica_driver::ReplicaHandle;
-use baobabfall_core::control_command;
 use baobabfall_core::table_history::DifferenceContent;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
-use baobabfall_node::messages::{
-    PlannedStop, StopKind, StopList, SyncAnswer, SyncRequest, TableUpdate,
-};
+use baobabfall_node::messages::{PlannedStop, StopList, SyncAnswer, SyncRequest, TableUpdate};
+use baobabfall_node::units::wall_clock_ms;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Longest time for which an answer is held.
@@ -77,10 +75,7 @@
             stops: state
                 .stops()
                 .keys()
-                .map(|target| PlannedStop {
-                    kind: shown_kind(target.kind),
-                    name: target.name.clone(),
-                })
+                .map(|target| PlannedStop { kind: target.kind, name: target.name.clone() })
                 .collect(),
         });
         drop(state);
@@ -101,28 +96,16 @@
             DifferenceContent::Whole(table) => (0, whole(&table)),
         };
         let accepted = state.history().revisions().next_back().map_or(0, |entry| entry.time_ms);
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
         TableUpdate {
             from,
             to: difference.revision,
             changes,
             digest: difference.digest,
-            age_ms: now.saturating_sub(accepted),
+            age_ms: wall_clock_ms().saturating_sub(accepted),
         }
     }
 }
 
-/// Kind of a stop as messages carry it.
-pub fn shown_kind(kind: control_command::StopKind) -> StopKind {
-    match kind {
-        control_command::StopKind::Host => StopKind::Host,
-        control_command::StopKind::Upstream => StopKind::Upstream,
-        control_command::StopKind::Router => StopKind::Router,
-        control_command::StopKind::Controller => StopKind::Controller,
-    }
-}
-
 fn whole(table: &WorkspaceTable) -> Vec<RowChange> {
     table.rows().values().map(|row| RowChange::Put { row: row.clone() }).collect()
 }
--- a/crates/node/src/json_log.rs
+++ b/crates/node/src/json_log.rs
@@ -1,11 +1,11 @@
 //! Logger that writes one JSON object per line.
 
+use crate::units::wall_clock_ms;
 use log::kv::{Error as KvError, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
 use simplelog::{Config, SharedLogger};
 use std::io::Write;
 use std::sync::Mutex;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Writes log records as JSON lines with time, level, target, message, fields.
 pub struct JsonLogger<W> {
@@ -45,9 +45,8 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let mut line = serde_json::Map::new();
-        line.insert("time_ms".into(), u64::try_from(time.as_millis()).unwrap_or(u64::MAX).into());
+        line.insert("time_ms".into(), wall_clock_ms().into());
         line.insert("level".into(), record.level().as_str().into());
         line.insert("target".into(), record.target().into());
         line.insert("message".into(), record.args().to_string().into());
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -1,5 +1,7 @@
 //! Messages between processes, other than those of dispatch and the log.
 
+pub use baobabfall_core::action_ledger::FencingToken;
+pub use baobabfall_core::control_command::StopKind;
 use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
@@ -97,20 +99,6 @@
     }
 }
 
-/// What a planned stop concerns.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum StopKind {
-    /// Every process of a host.
-    Host,
-    /// One upstream.
-    Upstream,
-    /// One router.
-    Router,
-    /// One controller.
-    Controller,
-}
-
 /// A planned stop as nodes see it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlannedStop {
@@ -189,17 +177,6 @@
     pub router: NodeIdentity,
 }
 
-/// Number that upstreams compare; it only grows.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct FencingToken {
-    /// Term of the leader that committed the claim.
-    pub term: u64,
-    /// Index of the claim in the log.
-    pub number: u64,
-}
-
 /// Answer to one claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -1,11 +1,12 @@
 //! Metrics of a process in the Prometheus text format.
 
+use crate::units::wall_clock_ms;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Bucket bounds of the time to the first token, in seconds; 1.9 is the target.
 const FIRST_TOKEN_BOUNDS: [f64; 12] =
@@ -119,6 +120,5 @@
 /// A host's clock must not run backwards across a restart by more than the
 /// time the restart takes.
 pub fn start_incarnation() -> u64 {
-    let now: Duration = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+    wall_clock_ms()
 }
--- a/crates/node/src/units.rs
+++ b/crates/node/src/units.rs
@@ -2,10 +2,17 @@
 
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-const DURATION_UNITS: [(&str, f64); 6] =
-    [("ms", 1e-3), ("us", 1e-6), ("s", 1.0), ("m", 60.0), ("h", 3600.0), ("d", 86400.0)];
+const DURATION_UNITS: [(&str, f64); 7] = [
+    ("ms", 1e-3),
+    ("us", 1e-6),
+    ("s", 1.0),
+    ("m", 60.0),
+    ("min", 60.0),
+    ("h", 3600.0),
+    ("d", 86400.0),
+];
 const SIZE_UNITS: [(&str, u64); 4] =
     [("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30), ("B", 1)];
 /// Longest accepted duration: ten years.
@@ -23,14 +30,14 @@
 ///
 /// ```
 /// use baobabfall_node::units::parse_duration;
-/// use std::time::Duration;
+/// use std::time::{Duration, SystemTime, UNIX_EPOCH};
 /// assert_eq!(parse_duration("1.5s"), Ok(Duration::from_millis(1500)));
 /// assert!(parse_duration("15").is_err());
 /// ```
 pub fn parse_duration(text: &str) -> Result<Duration, String> {
     let refuse = || {
         format!(
-            "{text:?} is not a duration such as \"250ms\", \"1.5s\", \"10m\", \"2h\" or \"30d\""
+            "{text:?} is not a duration; accepted is a positive number with one of the units us, ms, s, min, h, d, such as \"1.9s\""
         )
     };
     let split = text.find(|c: char| c.is_ascii_alphabetic()).ok_or_else(refuse)?;
@@ -44,6 +51,23 @@
     Ok(Duration::from_secs_f64(seconds))
 }
 
+/// Milliseconds of a duration, at most `u64::MAX`.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Wall clock in milliseconds since 1970, UTC; zero when it is set earlier.
+pub fn wall_clock_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, millis)
+}
+
+/// Nearest float of a count; exact up to 2^53.
+pub fn to_float(count: u64) -> f64 {
+    let high = u32::try_from(count >> 32).unwrap_or(u32::MAX);
+    let low = u32::try_from(count & 0xffff_ffff).unwrap_or(u32::MAX);
+    f64::from(high) * 4_294_967_296.0 + f64::from(low)
+}
+
 /// Parses a size with a unit.
 ///
 /// ```
