Metrics: one list of outcome and completeness labels

Cause: the burn report refused every scrape of a router ("complete" is unknown), found by recording a running local fleet. Change: the label values stand in node_metrics; router and report use them; answers that a caller abandoned are counted by their request's outcome only. Test parse_text_reads_the_scrape_of_a_process reads a real scrape.

--- a/crates/burn/src/node_scrape.rs
+++ b/crates/burn/src/node_scrape.rs
@@ -28,10 +28,7 @@
     MetricFamily::EditInForce,
     MetricFamily::FairnessGap,
 ];
-/// Outcomes of `baobabfall_requests_total`, in value order.
-pub const OUTCOMES: [&str; 4] = ["finished", "refused_not_run", "outcome_unknown", "cancelled"];
-/// Kinds of completeness of `baobabfall_answers_total`, in value order.
-pub const COMPLETENESS: [&str; 3] = ["whole", "broken_with_error", "short"];
+pub use baobabfall_node::node_metrics::{COMPLETENESS, OUTCOMES};
 /// The fairness gap ratio is held in this fraction of one.
 pub const RATIO_SCALE: f64 = 1_000_000.0;
 
--- a/crates/burn/tests/metric_text.rs
+++ b/crates/burn/tests/metric_text.rs
@@ -136,3 +136,31 @@
     std::fs::write(&file, "").unwrap();
     assert_eq!(last_time(&file).unwrap(), None);
 }
+
+/// Guards against label values and names that routers export and the report
+/// does not know: the scrape of a process must be readable.
+#[test]
+fn parse_text_reads_the_scrape_of_a_process() {
+    use baobabfall_node::node_metrics::{AnswerCompleteness, NodeMetrics, OUTCOMES};
+    use opentelemetry::KeyValue;
+    let metrics = NodeMetrics::new().unwrap();
+    let labels = [KeyValue::new("workspace", "team-a"), KeyValue::new("model", "m")];
+    for outcome in OUTCOMES {
+        let [workspace, model] = labels.clone();
+        metrics.requests.add(1, &[workspace, model, KeyValue::new("outcome", outcome)]);
+    }
+    for completeness in
+        [AnswerCompleteness::Whole, AnswerCompleteness::BrokenWithError, AnswerCompleteness::Short]
+    {
+        let [workspace, model] = labels.clone();
+        let label = KeyValue::new("completeness", completeness.label());
+        metrics.answers.add(1, &[workspace, model, label]);
+    }
+    metrics.first_token.record(0.5, &labels);
+    metrics.token_gap.record(0.02, &labels[1..]);
+    metrics.edit_in_force.record(0.1, &[]);
+    metrics.fairness_gap.record(0.3, &[KeyValue::new("pool", "models")]);
+    let text = String::from_utf8(metrics.scrape()).unwrap();
+    let scrape = parse(&text).unwrap();
+    assert_eq!(scrape.len(), 6, "{text}");
+}
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -16,6 +16,33 @@
 /// Bucket bounds of the time until an edit is in force, in seconds; 2 and 12 are the targets.
 const EDIT_BOUNDS: [f64; 8] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 12.0];
 
+/// Values of the label `outcome` of `baobabfall_requests_total`.
+pub const OUTCOMES: [&str; 4] = ["finished", "refused_not_run", "outcome_unknown", "cancelled"];
+/// Values of the label `completeness` of `baobabfall_answers_total`.
+pub const COMPLETENESS: [&str; 3] = ["whole", "broken_with_error", "short"];
+
+/// How an answer that was begun ended towards its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerCompleteness {
+    /// Every byte that the upstream framed.
+    Whole,
+    /// Broken off so that the caller can tell.
+    BrokenWithError,
+    /// Shorter than framed and not told to the caller.
+    Short,
+}
+
+impl AnswerCompleteness {
+    /// Value of the label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Whole => COMPLETENESS[0],
+            Self::BrokenWithError => COMPLETENESS[1],
+            Self::Short => COMPLETENESS[2],
+        }
+    }
+}
+
 /// Instruments that every role shares, and the registry that is scraped.
 #[derive(Clone, Debug)]
 pub struct NodeMetrics {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -17,6 +17,7 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::request_life::LifeEvent;
 use baobabfall_node::http_server::error_body;
+use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::node_metrics::NodeMetrics;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -321,7 +322,7 @@
             settlement.answered();
         }
         self.lease.release(LeaseEnd::Finished);
-        self.record.count_answer("complete");
+        self.record.count_answer(AnswerCompleteness::Whole);
         self.record.finish();
         RelayStep::Again
     }
@@ -331,7 +332,7 @@
         self.connection = None;
         self.settlement = None;
         self.lease.release(LeaseEnd::Failed);
-        self.record.count_answer("incomplete");
+        self.record.count_answer(AnswerCompleteness::BrokenWithError);
         let kind = self.record.reject(kind);
         log::warn!(
             request_id = self.record.id.as_str(), upstream = self.lease.route().name.as_str();
@@ -392,7 +393,6 @@
         self.settlement = None;
         self.cancel.send();
         self.lease.release(LeaseEnd::Finished);
-        self.record.count_answer("cancelled");
         self.record.cancel();
     }
 
@@ -413,9 +413,6 @@
 impl Drop for RelayStream {
     fn drop(&mut self) {
         self.stop_resuming();
-        if self.polls().is_some() {
-            self.record.count_answer("cancelled");
-        }
     }
 }
 
--- a/crates/router/src/request_record.rs
+++ b/crates/router/src/request_record.rs
@@ -2,7 +2,7 @@
 
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::request_life::{LifeEvent, LifeStatement, RequestLife};
-use baobabfall_node::node_metrics::NodeMetrics;
+use baobabfall_node::node_metrics::{AnswerCompleteness, NodeMetrics};
 use opentelemetry::KeyValue;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -121,9 +121,9 @@
     }
 
     /// Counts the completeness of an answer whose head was relayed.
-    pub fn count_answer(&self, completeness: &'static str) {
+    pub fn count_answer(&self, completeness: AnswerCompleteness) {
         let mut labels = self.labels().to_vec();
-        labels.push(KeyValue::new("completeness", completeness));
+        labels.push(KeyValue::new("completeness", completeness.label()));
         self.metrics.answers.add(1, &labels);
     }
 
