Local mode at once when the leader is known to be gone; short field names

Change: A broken connection or a NotLeader answer ends the wait after 60 ms; a silent leader still has 700 ms. Dispatch messages have short field names on the wire; leases that the dispatcher granted are not listed back to it.

--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -1,5 +1,8 @@
 //! Messages between routers and the dispatcher.
 //!
+//! Names of fields are short on the wire, because a busy router sends each
+//! some hundred times a second.
+//!
 //! Reports carry absolute values and a sequence number, so doubled and
 //! reordered ones have no effect and lost ones are repaired by the next.
 
@@ -27,8 +30,10 @@
 )]
 pub struct LeaseId {
     /// Term of the dispatcher that granted it.
+    #[serde(rename = "t")]
     pub term: u64,
     /// Number within the term, from 1.
+    #[serde(rename = "n")]
     pub number: u64,
 }
 
@@ -36,16 +41,22 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BacklogEntry {
     /// What the requests ask for.
+    #[serde(rename = "t")]
     pub target: WorkTarget,
     /// Workspace that sent them.
+    #[serde(rename = "w")]
     pub workspace: String,
     /// Number of waiting requests; zero clears the entry.
+    #[serde(rename = "q")]
     pub queued: u32,
     /// Cost hint of the first request in the queue.
+    #[serde(rename = "c")]
     pub cost_hint: CostUnits,
     /// Hash of the first request's prompt prefix, if it has one.
+    #[serde(rename = "p")]
     pub prefix: Option<u64>,
     /// Upstream that the first request must avoid after a failed attempt.
+    #[serde(rename = "a")]
     pub avoid: Option<String>,
 }
 
@@ -67,20 +78,28 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseUsage {
     /// The lease.
+    #[serde(rename = "l")]
     pub lease: LeaseId,
     /// Upstream and incarnation that the slot belongs to.
+    #[serde(rename = "u")]
     pub upstream: String,
     /// Incarnation of the upstream.
+    #[serde(rename = "i")]
     pub incarnation: u64,
     /// What the request asks for.
+    #[serde(rename = "t")]
     pub target: WorkTarget,
     /// Workspace that is charged.
+    #[serde(rename = "w")]
     pub workspace: String,
     /// Cost so far, never falling.
+    #[serde(rename = "c")]
     pub charged: CostUnits,
     /// Time to the first token in milliseconds, once known.
+    #[serde(rename = "f")]
     pub first_token_ms: Option<u32>,
     /// Set once the slot is free again; repeated until acknowledged.
+    #[serde(rename = "e")]
     pub end: Option<LeaseEnd>,
 }
 
@@ -88,28 +107,37 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchReport {
     /// Reporting router.
+    #[serde(rename = "r")]
     pub router: NodeIdentity,
     /// Availability zone of the router.
+    #[serde(rename = "z")]
     pub zone: String,
     /// Highest term of an answer that the router has seen, zero before the
     /// first. A report only counts at the dispatcher of this term, because a
     /// delta refers to what that dispatcher acknowledged.
+    #[serde(rename = "t")]
     pub term: u64,
     /// Grows with each report of one incarnation, from 1.
+    #[serde(rename = "s")]
     pub sequence: u64,
     /// True when the report lists the whole backlog and every held lease.
+    #[serde(rename = "f")]
     pub full: bool,
     /// Changed backlog entries, or all of them.
+    #[serde(rename = "b")]
     pub backlog: Vec<BacklogEntry>,
     /// Changed or ended leases, or all of them.
+    #[serde(rename = "u")]
     pub usage: Vec<LeaseUsage>,
     /// Number and cost so far of running leases of this term. Most reports
     /// carry nothing else, so they are a tenth of the size of the usage.
-    #[serde(default)]
+    #[serde(default, rename = "c")]
     pub charges: Vec<(u64, CostUnits)>,
     /// Highest grant number received in the dispatcher's term.
+    #[serde(rename = "g")]
     pub received_grant: u64,
     /// How long the dispatcher may hold the answer for grants, in milliseconds.
+    #[serde(rename = "w")]
     pub wait_ms: u32,
 }
 
@@ -117,16 +145,22 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRoute {
     /// Name of the upstream.
+    #[serde(rename = "n")]
     pub name: String,
     /// Its incarnation.
+    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Where to connect to.
+    #[serde(rename = "a")]
     pub address: SocketAddr,
     /// It refuses orders with an older fencing token.
+    #[serde(rename = "f")]
     pub honours_fencing: bool,
     /// Broken streams can be resumed by position.
+    #[serde(rename = "r")]
     pub resume: bool,
     /// `POST /cancel/{request_id}` is understood.
+    #[serde(rename = "c")]
     pub cancel: bool,
 }
 
@@ -134,12 +168,16 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotGrant {
     /// Identity of the lease.
+    #[serde(rename = "l")]
     pub lease: LeaseId,
     /// What the request must ask for.
+    #[serde(rename = "t")]
     pub target: WorkTarget,
     /// Workspace whose request runs.
+    #[serde(rename = "w")]
     pub workspace: String,
     /// Where it runs.
+    #[serde(rename = "u")]
     pub upstream: UpstreamRoute,
 }
 
@@ -160,15 +198,21 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchAnswer {
     /// Term of the dispatcher.
+    #[serde(rename = "t")]
     pub term: u64,
     /// Highest report sequence applied for this router.
+    #[serde(rename = "a")]
     pub acknowledged: u64,
     /// True when the router must send a full report next.
+    #[serde(rename = "s")]
     pub resync: bool,
     /// Grants that the router has not acknowledged, by number.
+    #[serde(rename = "g")]
     pub grants: Vec<SlotGrant>,
     /// Requests to refuse.
+    #[serde(rename = "f")]
     pub refusals: Vec<BacklogRefusal>,
     /// Number of routers known to the dispatcher.
+    #[serde(rename = "r")]
     pub routers: u32,
 }
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -13,6 +13,13 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Silence of the dispatcher after which it counts as lost.
+pub const LOST_SILENCE: Duration = Duration::from_millis(700);
+/// The same when the leader is known to be gone: waiting longer would leave
+/// slots idle, of which 90% must serve until the next leader grants.
+const REFUSED_SILENCE: Duration = Duration::from_millis(60);
+/// A failure that comes sooner is no timeout.
+const REFUSAL_TIME: Duration = Duration::from_millis(400);
 /// Least time between two reports of changes.
 const COALESCE_TIME: Duration = Duration::from_millis(2);
 /// How often charges of running streams are reported.
@@ -35,6 +42,7 @@
     zone: String,
     started: Instant,
     answered_ms: AtomicU64,
+    refused_ms: AtomicU64,
 }
 
 impl DispatchClient {
@@ -46,7 +54,15 @@
         zone: String,
     ) -> Self {
         let started = Instant::now();
-        Self { queue, link, identity, zone, started, answered_ms: AtomicU64::new(0) }
+        Self {
+            queue,
+            link,
+            identity,
+            zone,
+            started,
+            answered_ms: AtomicU64::new(0),
+            refused_ms: AtomicU64::new(0),
+        }
     }
 
     /// Time since the dispatcher answered last, or since the start.
@@ -54,6 +70,15 @@
         self.elapsed().saturating_sub(self.last_answer())
     }
 
+    /// True when no dispatcher answers: after a long silence, or after a short
+    /// one when the leader's connection broke or it said that it does not lead.
+    pub fn is_lost(&self) -> bool {
+        let answered = self.answered_ms.load(Ordering::Relaxed);
+        let refused = answered > 0 && self.refused_ms.load(Ordering::Relaxed) > answered;
+        let limit = if refused { REFUSED_SILENCE } else { LOST_SILENCE };
+        self.silence() >= limit
+    }
+
     /// When the dispatcher answered last, since the start of the client.
     pub fn last_answer(&self) -> Duration {
         Duration::from_millis(self.answered_ms.load(Ordering::Relaxed))
@@ -64,6 +89,10 @@
         self.started.elapsed()
     }
 
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Keeps one long poll outstanding.
     pub async fn run_poll(&self) {
         loop {
@@ -101,6 +130,7 @@
         let full = report.full;
         let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms.into());
         let leader = self.link.leader();
+        let sent = Instant::now();
         match self.link.call_leader(REPORT_PATH, &report, timeout).await {
             Ok(answer) => {
                 let applied = self.apply(answer);
@@ -115,6 +145,8 @@
                 let kind = error.kind();
                 if !matches!(kind, ErrorKind::NotLeader | ErrorKind::PeerUnreachable) {
                     tokio::time::sleep(REFUSAL_PAUSE).await;
+                } else if sent.elapsed() < REFUSAL_TIME {
+                    self.refused_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
                 }
                 false
             }
@@ -127,8 +159,7 @@
             log::warn!(term = term; "dispatch answer of an older term rejected");
             return false;
         };
-        let elapsed = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.answered_ms.fetch_max(elapsed, Ordering::Relaxed);
+        self.answered_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
         self.queue.deliver(verdicts);
         if resync {
             self.queue.notify();
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -369,7 +369,9 @@
         };
         let request = self.pop_for(&key, &grant.upstream.name);
         let end = request.is_none().then_some(LeaseEnd::Unused);
-        let changed_at = self.sequence + 1;
+        // The dispatcher knows the leases that it granted.
+        let known = grant.lease.term == self.term && end.is_none();
+        let changed_at = if known { 0 } else { self.sequence + 1 };
         let route = grant.upstream;
         let held = HeldLease {
             key,
--- a/crates/router/src/local_mode.rs
+++ b/crates/router/src/local_mode.rs
@@ -12,8 +12,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Silence of the dispatcher after which local mode begins.
-pub const LOCAL_MODE_SILENCE: Duration = Duration::from_millis(700);
 /// How often local mode looks for free slots.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(5);
 /// How often the silence of the dispatcher is looked at.
@@ -38,7 +36,7 @@
     }
 
     fn is_lost(&self) -> bool {
-        self.state.dispatch.silence() >= LOCAL_MODE_SILENCE
+        self.state.dispatch.is_lost()
     }
 
     /// Runs until the task is dropped.
