--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -1,16 +1,15 @@
 //! Views that operators read.
 
-use crate::operator_api::{OperatorApi, wall_clock_ms};
-use crate::sync_service::shown_kind;
+use crate::operator_api::OperatorApi;
 use baobabfall_core::action_ledger::ActionKey;
-use baobabfall_core::control_command::{PlannedStop, StopKind as StoredKind, StopTarget};
+use baobabfall_core::control_command::{PlannedStop, StopKind, StopTarget};
 use baobabfall_core::table_history::RowEdit;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
-use baobabfall_node::messages::FencingToken;
 use baobabfall_node::operator_messages::{
     ActionView, FairnessView, HistoryEntry, MembersView, NodeView, StatusView, StopView, TableView,
     UpstreamView, WorkspaceView,
 };
+use baobabfall_node::units::wall_clock_ms;
 
 /// State of the control plane as this controller sees it.
 pub fn status(api: &OperatorApi) -> StatusView {
@@ -18,7 +17,7 @@
     let members = members(api);
     let state = api.replica.state();
     StatusView {
-        controller: api.name.clone(),
+        controller: api.identity.name.clone(),
         leader: view.leader.as_ref().map(|leader| leader.name.clone()),
         term: view.term,
         quorum: view.leads,
@@ -26,11 +25,30 @@
         committed: view.committed,
         voters: members.voters,
         learners: members.learners,
-        nodes: api.tracker.views(),
+        nodes: nodes_with_self(api, state.history().revision()),
         unresolved_actions: u64::try_from(state.ledger().unresolved().count()).unwrap_or(u64::MAX),
     }
 }
 
+/// Nodes that sync here, and this controller itself, which syncs with nobody
+/// while it leads.
+fn nodes_with_self(api: &OperatorApi, revision: u64) -> Vec<NodeView> {
+    let mut nodes = api.tracker.views();
+    nodes.retain(|node| node.name != api.identity.name);
+    nodes.push(NodeView {
+        name: api.identity.name.clone(),
+        kind: "controller".to_owned(),
+        zone: api.zone.clone(),
+        incarnation: api.identity.incarnation,
+        revision,
+        revision_age_ms: 0,
+        silent_ms: 0,
+        in_progress: 0,
+    });
+    nodes.sort_by(|a, b| a.name.cmp(&b.name));
+    nodes
+}
+
 /// The table of a revision that is kept; revision 0 is the empty table.
 pub fn table(api: &OperatorApi, revision: u64) -> Option<TableView> {
     let state = api.replica.state();
@@ -170,11 +188,11 @@
     stop: &PlannedStop,
 ) -> StopView {
     let in_progress = match target.kind {
-        StoredKind::Upstream | StoredKind::Host => running_at(api, &target.name),
-        StoredKind::Router => {
+        StopKind::Upstream | StopKind::Host => running_at(api, &target.name),
+        StopKind::Router => {
             nodes.iter().find(|node| node.name == target.name).map_or(0, |node| node.in_progress)
         }
-        StoredKind::Controller => 0,
+        StopKind::Controller => 0,
     };
     let passed = stop
         .limit_ms
@@ -185,7 +203,7 @@
         (_, false) => "draining",
     };
     StopView {
-        kind: shown_kind(target.kind),
+        kind: target.kind,
         name: target.name.clone(),
         operator: stop.operator.clone(),
         time_ms: stop.announced_ms,
@@ -229,7 +247,7 @@
             service: key.service.to_string(),
             path: record.holder.path.to_string(),
             key: key.key.to_string(),
-            token: FencingToken { term: record.token.term, number: record.token.number },
+            token: record.token,
             router: record.holder.router.name.clone(),
             time_ms: record.holder.claimed_ms,
         })
