Bench: report the slots that the dispatcher uses

Cause: utilisation was low at 20 ms between tokens, and the figures did not show why. Change: utilisation reports running requests and learnt slots.

--- a/crates/bench/src/fairness.rs
+++ b/crates/bench/src/fairness.rs
@@ -9,6 +9,7 @@
 use crate::load::{CostMix, LoadPlan, LoadTally, PROMPT_TOKEN_COST, start_closed_loop, to_float};
 use crate::options::BenchOptions;
 use crate::scene::{Scene, ScenePlan, SceneWorkspace};
+use baobabfall_node::operator_messages::{UPSTREAMS_PATH, UpstreamView};
 use baobabfall_standin::UpstreamHandle;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +75,8 @@
     gap: GapFigures,
     /// Tokens per second of all workspaces.
     rate: f64,
+    /// Requests that the engines of the fleet ran at the end.
+    running: u32,
 }
 
 /// Runs the experiment `fairness`.
@@ -118,8 +121,11 @@
         let central = shares.measure("central", &shares.central(), true).await?;
         let lone = shares.measure("lone", &shares.lone(), true).await?;
         let fleet = shares.measure("fleet", &shares.fleet(), true).await?;
+        let slots = shares.learnt_slots().await?;
         shares.scene.end().await?;
         let name = format!("rate_{routers}_at_{}ms", interval.as_millis());
+        result.figure(format!("{name}_running"), f64::from(fleet.running), "requests");
+        result.figure(format!("{name}_learnt_slots"), f64::from(slots), "slots");
         result.figure(&name, fleet.rate, "tokens/s");
         result.baseline(format!("{name}_central_queue"), central.rate, "tokens/s");
         result.baseline(format!("{name}_lone_routers"), lone.rate, "tokens/s");
@@ -195,11 +201,20 @@
         tokio::time::sleep(self.options.seconds(3, 60)).await;
         let rate = to_float(running.tally().tokens() - tokens) / begin.elapsed().as_secs_f64();
         let samples = running.tally().samples();
+        let engines = self.scene.engines.iter();
+        let in_engines = engines.map(|engine| engine.state().running()).sum();
         // Calls in progress are dropped; their service is of no interest.
         let tally = running.stop(Duration::ZERO).await;
         all_right(name, &tally)?;
         let gap = measure_gap(&samples, &bound_terms(plan), self.excess());
-        Ok(ShareFigures { gap, rate })
+        Ok(ShareFigures { gap, rate, running: in_engines })
+    }
+
+    /// Slots that the dispatcher uses, of 72 announced ones.
+    async fn learnt_slots(&self) -> Result<u32, BenchError> {
+        let views: Vec<UpstreamView> =
+            self.scene.fleet.operate::<(), _>(UPSTREAMS_PATH, None).await?;
+        Ok(views.iter().map(|view| view.slots).sum())
     }
 
     /// `L + r d` of the bound, in tokens.
