Bench: add actions, config, recovery and slopes, and a test of the fleet

Change: protected actions with kills and resends, time until an edit is in force, restart after 100,000 changed rows, time of one dispatch decision; restarts of controllers are tried for 10 s; a test sends 200 mixed calls through two routers and one controller.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -6,7 +6,8 @@
 
     /// Runs one experiment with the real roles on loopback and simulated upstreams.
     ///
-    /// Experiments: latency, integrity, drain, fairness, utilisation, flood, failover, control.
+    /// Experiments: latency, integrity, drain, fairness, utilisation, flood, failover, control,
+    /// config, recovery, actions, slopes.
     ///
     /// Examples:
     ///   baobabfall-bench latency
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -21,6 +21,8 @@
 
 /// Time in which the fleet must become ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Time in which a controller must start again.
+const RESTART_LIMIT: Duration = Duration::from_secs(10);
 /// Pause between two looks.
 const READY_PAUSE: Duration = Duration::from_millis(20);
 /// Time for one operator call.
@@ -137,12 +139,22 @@
     }
 
     /// Starts the controller again on its address and data folder.
+    ///
+    /// The storage thread of a killed controller may hold the folder for a moment longer.
     pub async fn restart_controller(&mut self, index: usize) -> Result<(), BenchError> {
-        let options = self.files.controller(index, &self.controller_addresses())?;
-        let slot = &mut self.controllers[index];
-        let start = async move { controller::start(options).await.map_err(fleet_error) };
-        slot.handle = Some(slot.thread.run(start).await??);
-        Ok(())
+        let end = Instant::now() + RESTART_LIMIT;
+        loop {
+            let options = self.files.controller(index, &self.controller_addresses())?;
+            let start = async move { controller::start(options).await };
+            match self.controllers[index].thread.run(start).await? {
+                Ok(handle) => {
+                    self.controllers[index].handle = Some(handle);
+                    return Ok(());
+                }
+                Err(error) if Instant::now() > end => return Err(fleet_error(error)),
+                Err(_) => tokio::time::sleep(READY_PAUSE).await,
+            }
+        }
     }
 
     /// Drops everything of a controller at once.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,10 +1,12 @@
 //! Load and experiments against the real baobabfall roles on loopback.
 
+pub mod actions;
 pub mod answer_check;
 pub mod call_route;
 pub mod caller;
 pub mod central_queue;
 pub mod cli;
+pub mod config;
 pub mod control;
 pub mod drain;
 pub mod error;
@@ -20,8 +22,10 @@
 pub mod load;
 pub mod options;
 pub mod process_usage;
+pub mod recovery;
 pub mod role_thread;
 pub mod scene;
+pub mod slopes;
 
 use cli::BaobabfallBench;
 use error::BenchError;
@@ -57,5 +61,9 @@
         ExperimentName::Flood => flood::run(options).await,
         ExperimentName::Failover => failover::run(options).await,
         ExperimentName::Control => control::run(options).await,
+        ExperimentName::Config => config::run(options).await,
+        ExperimentName::Recovery => recovery::run(options).await,
+        ExperimentName::Actions => actions::run(options).await,
+        ExperimentName::Slopes => slopes::run(options).await,
     }
 }
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -124,6 +124,8 @@
     pub limit: Duration,
     /// Calls in total; no bound when absent.
     pub calls: Option<u64>,
+    /// Times that a call is sent again, with the same id and key, until its answer is complete.
+    pub resends: u32,
     /// Time over which callers start, so that they do not connect all at once.
     pub ramp: Duration,
     /// Records first tokens, gaps and delays; off where the recording itself would cost too much.
@@ -144,6 +146,7 @@
             hide_costs: false,
             limit: DEFAULT_LIMIT,
             calls: None,
+            resends: 0,
             ramp: Duration::ZERO,
             record_times: false,
         }
@@ -231,6 +234,7 @@
     times: Mutex<TimeHistograms>,
     counts: Mutex<VerdictCounts>,
     not_run: Mutex<Vec<String>>,
+    complete_actions: Mutex<Vec<String>>,
     samples: Mutex<Vec<ServiceSample>>,
 }
 
@@ -252,6 +256,7 @@
             times: Mutex::new(TimeHistograms::new()),
             counts: Mutex::default(),
             not_run: Mutex::default(),
+            complete_actions: Mutex::default(),
             samples: Mutex::default(),
         }
     }
@@ -286,6 +291,11 @@
         locked(&self.not_run).clone()
     }
 
+    /// Ids of protected actions that were acknowledged to the caller.
+    pub fn complete_actions(&self) -> Vec<String> {
+        locked(&self.complete_actions).clone()
+    }
+
     /// Samples of the service, one per [`SAMPLE_INTERVAL`].
     pub fn samples(&self) -> Vec<ServiceSample> {
         locked(&self.samples).clone()
@@ -317,6 +327,10 @@
         if report.verdict == CallVerdict::NotRun {
             locked(&self.not_run).push(order.request_id.clone());
         }
+        let is_action = matches!(order.kind, CallKind::Service { key: Some(_), .. });
+        if is_action && report.verdict == CallVerdict::Complete {
+            locked(&self.complete_actions).push(order.request_id.clone());
+        }
     }
 }
 
@@ -374,6 +388,11 @@
         &self.tally
     }
 
+    /// True once no caller has a call to send.
+    pub fn is_finished(&self) -> bool {
+        self.tally.left.load(Ordering::Acquire) <= 0
+    }
+
     /// Waits until the bounded number of calls has ended.
     pub async fn finished(mut self) -> Arc<LoadTally> {
         while self.callers.join_next().await.is_some() {}
@@ -477,9 +496,12 @@
         while self.tally.take_call() {
             number += 1;
             let order = self.order(number, load.costs);
-            let report = self.send(&mut client, &order, router).await;
-            self.tally.record(&order, &report);
-            if report.verdict != CallVerdict::Complete {
+            for _ in 0..=self.plan.resends {
+                let report = self.send(&mut client, &order, router).await;
+                self.tally.record(&order, &report);
+                if report.verdict == CallVerdict::Complete {
+                    break;
+                }
                 // A load balancer would choose another router after a failure.
                 router = draw_router(&mut self.random, self.plan.routers);
                 let pause = REFUSAL_PAUSE.mul_f64(self.random.random::<f64>());
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -32,6 +32,10 @@
     Flood "flood",
     Failover "failover",
     Control "control",
+    Config "config",
+    Recovery "recovery",
+    Actions "actions",
+    Slopes "slopes",
 }
 
 /// What to run and how.
