Claims carry an attempt number; first token counts from the grant; removed controllers stay out

(2) A claim whose answer was lost left its key as outcome unknown. (3) A removed controller added itself again after a restart; any holder of the process credential could become a voter. Change: (1) LeaseMeter counts from the grant. (2) ActionClaim.attempt goes to the ledger, which gives a resent claim its token and lets a given-up one be released by its attempt. (3) only a replica that never held a log asks to join, and only names of the leader's settings are added. Tests build_report_charges_go_by_number, release_by_attempt_after_a_lost_answer, removed_controller_stays_out_and_stranger_is_refused.

--- a/crates/controller/src/action_service.rs
+++ b/crates/controller/src/action_service.rs
@@ -47,7 +47,11 @@
                     let outcome = ledger::ActionOutcome { status, digest };
                     outcomes.push(ledger::OutcomeReport { key, token, outcome });
                 }
-                ActionOutcome::NotRun => releases.push(ledger::ReleaseReport { key, token }),
+                ActionOutcome::NotRun => {
+                    let Some(router) = report.router else { continue };
+                    let attempt = report.attempt;
+                    releases.push(ledger::ReleaseReport { key, token, router, attempt });
+                }
                 // The claim becomes "outcome unknown" when its lease ends, and a later answer may
                 // still settle it.
                 ActionOutcome::Unknown => {}
@@ -83,9 +87,9 @@
         key: ActionKey::new(&claim.workspace, &claim.service, &claim.key),
         body_digest: claim.digest,
         router: claim.router,
-        // A random number never equals that of another attempt, so a claim that is sent twice is
-        // answered as running and never granted twice.
-        attempt: rand::random(),
+        // A claim without a number is of no known attempt: a random one never equals another, so
+        // it is answered as running when it is sent twice.
+        attempt: if claim.attempt == 0 { rand::random() } else { claim.attempt },
         path: claim.path.into(),
     }
 }
--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -131,7 +131,8 @@
             }
             JOIN_PATH => match read_message::<JoinRequest>(request).await {
                 Ok(join) => {
-                    log_result(accept_join(&self.replica, join).await, |()| message_response(&()))
+                    let joined = accept_join(&self.options, &self.replica, join).await;
+                    log_result(joined, |()| message_response(&()))
                 }
                 Err(refusal) => refusal.response(),
             },
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -124,7 +124,8 @@
     })?;
     let clock = Instant::now();
     let metrics = NodeMetrics::new().map_err(ControllerError::Metrics)?;
-    let (driver, replica, identity) = open_replica(&options, clock, address).await?;
+    let OpenedReplica { driver, replica, identity, joins } =
+        open_replica(&options, clock, address).await?;
     let registry = RegistryService::new(clock, options.announcement_lapse);
     let tracker = NodeTracker::default();
     let dispatch = DispatchService::new(clock, replica.clone());
@@ -153,7 +154,7 @@
     let (stop, signal) = stop_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(until_draining(driver.run(), signal.clone()));
-    if replica.view().members.get(identity.id).is_none() {
+    if joins {
         let options = ControllerOptions::clone(&api.options);
         let joining = join_group(options, replica.clone(), identity, address);
         tasks.spawn(until_draining(joining, signal.clone()));
@@ -185,11 +186,20 @@
     }
 }
 
+/// A replica whose storage is open and whose driver is not started yet.
+struct OpenedReplica {
+    driver: ReplicaDriver<StdRng>,
+    replica: ReplicaHandle,
+    identity: ReplicaIdentity,
+    /// True when it has to ask the group to be added.
+    joins: bool,
+}
+
 async fn open_replica(
     options: &ControllerOptions,
     clock: Instant,
     address: SocketAddr,
-) -> Result<(ReplicaDriver<StdRng>, ReplicaHandle, ReplicaIdentity), ControllerError> {
+) -> Result<OpenedReplica, ControllerError> {
     let folder = &options.settings.storage.folder;
     let storage_error = |kind, message: String| ControllerError::Storage { kind, message };
     let mut seed: StdRng = rand::make_rng();
@@ -211,6 +221,7 @@
         false => ControlState::from_snapshot(&stored.snapshot.bytes)
             .map_err(|error| storage_error(error.kind(), error.to_string()))?,
     };
+    let holds_log = stored.snapshot.meta.index > 0 || !stored.entries.is_empty();
     let core = ReplicaCore::new(
         clock.elapsed(),
         ReplicaOptions::new(identity.clone()),
@@ -224,7 +235,10 @@
     let configured = options.settings.peers.iter().map(|peer| (peer.name.clone(), peer.address));
     let peers = PeerLinks::new(options.process.clone(), configured);
     let (driver, replica) = ReplicaDriver::new(core, clock, state, storage, done, peers);
-    Ok((driver, replica, identity))
+    // A replica that holds a log and is no member was removed by an operator, or is being caught
+    // up by the leader; only one that never held anything asks to be added.
+    let joins = !holds_log && replica.view().members.get(identity.id).is_none();
+    Ok(OpenedReplica { driver, replica, identity, joins })
 }
 
 /// Starts and ends the dispatcher with the leadership, and feeds it the table,
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -2,6 +2,7 @@
 
 use crate::options::ControllerOptions;
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
+use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::replica_members::{MemberChange, ReplicaIdentity, ReplicaMembers};
 use baobabfall_node::http_client::PeerClient;
 use serde::{Deserialize, Serialize};
@@ -126,10 +127,19 @@
 }
 
 /// Adds a replica on the leader; repeated requests have no further effect.
+///
+/// Only names of the leader's settings are added, so that a controller with
+/// the settings of another site does not become a voter.
 pub async fn accept_join(
+    options: &ControllerOptions,
     replica: &ReplicaHandle,
     request: JoinRequest,
 ) -> Result<(), ReplicaRefusal> {
+    let mut peers = options.settings.peers.iter();
+    if !peers.any(|peer| peer.name == request.identity.name) {
+        let message = format!("{} is not among the peers of the leader.", request.identity.name);
+        return Err(ReplicaRefusal { kind: ErrorKind::Forbidden, message });
+    }
     replica.confirm_read().await?;
     if replica.view().members.get(request.identity.id).is_some() {
         return Ok(());
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -73,8 +73,8 @@
 pub struct StorageSection {
     /// Data folder; it must exist.
     pub folder: PathBuf,
-    /// True for a controller that joins a running group, such as one that
-    /// replaces a host whose disk is lost.
+    /// True for a controller that must never found a group, even when it is the
+    /// first of the peers and its folder is empty.
     #[serde(default)]
     pub join: bool,
 }
@@ -131,7 +131,7 @@
                 }
             }
         }
-        if !self.storage.join && !self.peers.iter().any(|peer| peer.name == self.node.name) {
+        if !self.peers.iter().any(|peer| peer.name == self.node.name) {
             let message = format!("{} must be among the peers.", self.node.name);
             return refuse("peers.name", message);
         }
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -4,16 +4,18 @@
 
 mod group_fixture;
 
+use baobabfall_controller::membership::{JOIN_PATH, JoinRequest};
 use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::replica_members::ReplicaIdentity;
 use baobabfall_node::http_client::{PeerClient, PeerError};
 use baobabfall_node::messages::{
     ANNOUNCE_PATH, ActionClaim, ActionOutcome, ActionReport, CLAIM_PATH, ClaimAnswer, ClaimRequest,
     NodeKind, OUTCOME_PATH, OutcomeRequest, SYNC_PATH, SyncAnswer, SyncRequest,
 };
 use baobabfall_node::operator_messages::{
-    ConflictView, EditAnswer, HISTORY_PATH, HistoryEntry, ROLLBACK_PATH, TABLE_PATH, TableRollback,
-    TableView,
+    ConflictView, EditAnswer, HISTORY_PATH, HistoryEntry, MEMBERS_PATH, MembersView, ROLLBACK_PATH,
+    TABLE_PATH, TableRollback, TableView,
 };
 use group_fixture::{CALL, GroupFixture, PROCESS, UPSTREAM, row_edit};
 use serde_json::{Value, json};
@@ -113,6 +115,31 @@
     assert_eq!(group.put_row("e2", 1, "team-b", 1).await.unwrap().revision, 2);
 }
 
+/// Guards against a removed controller that adds itself again after a restart,
+/// and against a stranger that becomes a voter.
+#[tokio::test]
+async fn removed_controller_stays_out_and_stranger_is_refused() {
+    let mut group = GroupFixture::start(3).await;
+    group.wait_for_voters(3).await;
+    let leader = group.leader().await;
+    let removed = (leader + 1) % 3;
+    let edit = json!({"operator": "test", "name": format!("c{removed}")});
+    let _: Value = group.call_leader(MEMBERS_PATH, Some(&edit)).await.unwrap();
+    group.kill(removed).await;
+    group.restart(removed).await;
+    let stranger = JoinRequest {
+        identity: ReplicaIdentity { name: "stranger".to_owned(), id: 99 },
+        address: group.address(removed),
+    };
+    let client = PeerClient::new(group.address(leader));
+    let joined: Result<(), _> = client.call(JOIN_PATH, PROCESS, &stranger, CALL).await;
+    assert_eq!(joined.unwrap_err().kind(), ErrorKind::Forbidden);
+    // A replica that asked to join would be added within a few attempts of 250 ms.
+    tokio::time::sleep(std::time::Duration::from_millis(1500)).await;
+    let members: MembersView = group.call_leader::<(), _>(MEMBERS_PATH, None).await.unwrap();
+    assert_eq!((members.voters.len(), members.learners.len()), (2, 0), "{members:?}");
+}
+
 fn sync_request(revision: u64) -> SyncRequest {
     SyncRequest {
         node: NodeIdentity { name: "router-1".to_owned(), incarnation: 1 },
@@ -163,6 +190,7 @@
         key: key.to_owned(),
         digest: [1; 32],
         router: NodeIdentity { name: "router-1".to_owned(), incarnation },
+        attempt: 0,
     }
 }
 
@@ -217,6 +245,8 @@
         key: other.clone(),
         token: second,
         outcome,
+        router: None,
+        attempt: 0,
     };
     let client = PeerClient::new(group.address(group.leader().await));
     let request = OutcomeRequest { outcomes: vec![report] };
--- a/crates/core/src/action_ledger.rs
+++ b/crates/core/src/action_ledger.rs
@@ -99,8 +99,12 @@
 pub struct ReleaseReport {
     /// The action.
     pub key: ActionKey,
-    /// Token of the claim.
+    /// Token of the claim; zero when its answer was lost.
     pub token: FencingToken,
+    /// Router that claimed it.
+    pub router: NodeIdentity,
+    /// Attempt under which it claimed it.
+    pub attempt: u64,
 }
 
 /// What an operator found out.
@@ -468,11 +472,16 @@
         let Some(record) = self.get(&report.key) else {
             return OutcomeAnswer::Refused(ErrorKind::NotFound);
         };
-        if record.token != report.token || CHART.step(record.phase, "release").is_err() {
+        let holder = record.holder.router == report.router
+            && record.holder.attempt == report.attempt
+            && report.token == FencingToken::default();
+        let held = record.token == report.token || holder;
+        if !held || CHART.step(record.phase, "release").is_err() {
             return OutcomeAnswer::Refused(ErrorKind::StaleToken);
         }
         let deadline = record.holder.claimed_ms + CLAIM_LEASE_MS + CLAIM_MARGIN_MS;
-        self.running.remove(&(deadline, report.token.number));
+        let number = record.token.number;
+        self.running.remove(&(deadline, number));
         let shard = report.key.issue_day().map(|day| report.key.shard(day));
         if let Some(records) = shard.and_then(|shard| self.shards.get_mut(&shard))
             && records.remove(&report.key).is_some()
--- a/crates/core/tests/control_state.rs
+++ b/crates/core/tests/control_state.rs
@@ -346,6 +346,27 @@
     assert_eq!(answer, ControlAnswer::Claims(vec![ClaimAnswer::Granted(token)]));
 }
 
+/// Guards against a key that stays locked when the answer to its claim was
+/// lost and the router gave it up.
+#[test]
+fn release_by_attempt_after_a_lost_answer() {
+    let mut ledger = ledger();
+    let first = claim("20261203-a", 1, 1);
+    ledger.claim(1, &first);
+    let release = ReleaseReport {
+        key: first.key,
+        token: FencingToken::default(),
+        router: router(1),
+        attempt: 1,
+    };
+    let other = ReleaseReport { router: router(2), ..release.clone() };
+    assert_eq!(ledger.release(&other), OutcomeAnswer::Refused(ErrorKind::StaleToken));
+    assert_eq!(ledger.release(&release), OutcomeAnswer::Recorded);
+    let second = ledger.claim(1, &claim("20261203-a", 1, 2));
+    assert_eq!(second, ClaimAnswer::Granted(FencingToken { term: 1, number: 2 }));
+    assert_eq!(ledger.next_deadline_ms(), Some(DAY_START + CLAIM_LEASE_MS + CLAIM_MARGIN_MS));
+}
+
 /// Guards against a key that stays locked after its action was not sent, and
 /// against a release that frees a claim which may have run.
 #[test]
@@ -355,7 +376,12 @@
     let ClaimAnswer::Granted(first) = ledger.claim(1, &claim("20261203-a", 1, 1)) else {
         panic!("the key is free")
     };
-    let release = |token| ReleaseReport { key: claim("20261203-a", 1, 1).key, token };
+    let release = |token| ReleaseReport {
+        key: claim("20261203-a", 1, 1).key,
+        token,
+        router: router(1),
+        attempt: 1,
+    };
     assert_eq!(ledger.release(&release(first)), OutcomeAnswer::Recorded);
     let ClaimAnswer::Granted(second) = ledger.claim(1, &claim("20261203-a", 1, 2)) else {
         panic!("the key is free again")
@@ -364,6 +390,8 @@
     let stale = OutcomeAnswer::Refused(ErrorKind::StaleToken);
     assert_eq!(ledger.release(&release(first)), stale);
     assert_eq!(ledger.claim(1, &claim("20261203-a", 1, 3)), ClaimAnswer::Running);
+    let unknown = FencingToken::default();
+    assert_eq!(ledger.release(&release(unknown)), stale, "attempt 2 holds the claim");
     let outcome = ActionOutcome { status: 200, digest: [2; 32] };
     let key = release(second).key;
     ledger.record_outcome(&OutcomeReport { key, token: second, outcome });
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -175,6 +175,10 @@
     pub digest: [u8; 32],
     /// Router that will dispatch it.
     pub router: NodeIdentity,
+    /// Number of the attempt, from 1 and never reused by this incarnation; a
+    /// claim that is sent again under its number gets the same token.
+    #[serde(default)]
+    pub attempt: u64,
 }
 
 /// Answer to one claim.
@@ -213,10 +217,16 @@
     pub service: String,
     /// Idempotency key.
     pub key: String,
-    /// Token of the claim.
+    /// Token of the claim; zero when its answer was lost.
     pub token: FencingToken,
     /// What happened.
     pub outcome: ActionOutcome,
+    /// Router that claimed it.
+    #[serde(default)]
+    pub router: Option<NodeIdentity>,
+    /// Number of the attempt.
+    #[serde(default)]
+    pub attempt: u64,
 }
 
 /// How a protected action ended.
--- a/crates/router/src/action_client.rs
+++ b/crates/router/src/action_client.rs
@@ -11,6 +11,7 @@
     OUTCOME_PATH, OutcomeRequest,
 };
 use serde::de::IgnoredAny;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -53,6 +54,7 @@
 pub struct ActionClient {
     link: Arc<LeaderLink>,
     router: NodeIdentity,
+    attempts: AtomicU64,
     claims: Mutex<Vec<PendingClaim>>,
     claims_added: Notify,
     outcomes: Mutex<Vec<ActionReport>>,
@@ -66,6 +68,7 @@
         Arc::new(Self {
             link,
             router,
+            attempts: AtomicU64::new(0),
             claims: Mutex::default(),
             claims_added: Notify::new(),
             outcomes: Mutex::default(),
@@ -90,6 +93,7 @@
     /// Claims an action and waits for the answer.
     pub async fn claim(self: &Arc<Self>, mut claim: ActionClaim) -> ClaimResult {
         claim.router = self.router.clone();
+        claim.attempt = self.attempts.fetch_add(1, Ordering::Relaxed) + 1;
         let (answer, receiver) = oneshot::channel();
         let expires = Instant::now() + self.claim_time;
         let lost = LostClaim { client: Arc::clone(self), claim: Some(claim.clone()) };
@@ -127,7 +131,7 @@
     }
 
     /// Sends claims again until they are answered or expire: a claim that was
-    /// committed before is answered as running and never granted twice.
+    /// committed before gets its token again, under its attempt number.
     async fn send_claims(&self, batch: Vec<PendingClaim>) {
         let claims = batch.iter().map(|pending| pending.claim.clone()).collect();
         let request = ClaimRequest { claims };
@@ -153,8 +157,9 @@
         }
     }
 
-    /// "Running" after a lost answer may be the lost claim itself; the request
-    /// was not dispatched in either case.
+    /// A claim that is sent again under its number gets its token again. "Running"
+    /// after a lost answer may still be the lost claim itself, at a controller of
+    /// an earlier release; the request was not dispatched in either case.
     fn answer_claim(&self, pending: PendingClaim, answer: ClaimAnswer) {
         let open = matches!(answer, ClaimAnswer::Running | ClaimAnswer::OutcomeUnknown);
         if pending.lost && open {
@@ -194,6 +199,8 @@
             key: claim.key.clone(),
             token,
             outcome,
+            router: Some(claim.router.clone()),
+            attempt: claim.attempt,
         };
         self.outcomes().push(report);
         self.outcomes_added.notify_one();
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -17,6 +17,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// Number of routers before a dispatcher named it: the isolated share is then
 /// the least one.
@@ -28,13 +29,23 @@
 pub type QueueKey = (WorkTarget, String);
 
 /// Running cost of one lease, written by the relay and read by reports.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeaseMeter {
+    granted: Instant,
     charged: AtomicU64,
     first_token_ms: AtomicU32,
 }
 
 impl LeaseMeter {
+    /// A meter of a slot that is granted now.
+    pub fn start() -> Self {
+        Self {
+            granted: Instant::now(),
+            charged: AtomicU64::new(0),
+            first_token_ms: AtomicU32::new(0),
+        }
+    }
+
     /// Raises the charge by `units`.
     pub fn charge(&self, units: CostUnits) {
         self.charged.fetch_add(units, Ordering::Relaxed);
@@ -50,8 +61,12 @@
         self.charged.load(Ordering::Relaxed)
     }
 
-    /// Records the time to the first token.
-    pub fn set_first_token(&self, elapsed: Duration) {
+    /// Records the first token, which came at `now`.
+    ///
+    /// The time counts from the grant: the wait in the queue says nothing about
+    /// the upstream, and would be taken for overload of it.
+    pub fn set_first_token(&self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.granted);
         let millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX).max(1);
         self.first_token_ms.store(millis, Ordering::Relaxed);
     }
@@ -361,7 +376,7 @@
         grant: SlotGrant,
     ) -> Option<(oneshot::Sender<QueueVerdict>, QueueVerdict)> {
         let key = (grant.target, grant.workspace);
-        let meter = Arc::new(LeaseMeter::default());
+        let meter = Arc::new(LeaseMeter::start());
         let slot = GrantedSlot {
             lease: grant.lease,
             route: grant.upstream.clone(),
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -244,7 +244,7 @@
         match self.last_token.replace(now) {
             None => {
                 let elapsed = now.duration_since(self.record.arrived);
-                self.meter.set_first_token(elapsed);
+                self.meter.set_first_token(now);
                 self.record.record_first_token(elapsed.as_secs_f64());
             }
             Some(last) => {
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -205,6 +205,7 @@
             key: key.clone(),
             digest: self.call.digest(),
             router: self.state.options.identity.clone(),
+            attempt: 0,
         };
         let sent = Instant::now();
         let answer = self.state.actions.claim(claim.clone()).await;
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -204,11 +204,13 @@
 
 /// Guards against control traffic that repeats names for every charge, against
 /// an end that is reported without its last charge, and against a full report
-/// that lacks running leases.
-#[test]
-fn build_report_charges_go_by_number() {
+/// that lacks running leases. The first token counts from the grant, so a wait
+/// in the queue is not taken for overload of the upstream.
+#[tokio::test(start_paused = true)]
+async fn build_report_charges_go_by_number() {
     let mut book = LeaseBook::new();
     let mut receiver = enqueue(&mut book, None);
+    tokio::time::advance(Duration::from_secs(5)).await;
     apply(&mut book, answer(4, 0, vec![grant(4, 1)]));
     let slot = granted(&mut receiver).unwrap();
     book.build_report(&identity(), "a", 0);
@@ -220,7 +222,8 @@
     assert_eq!((report.usage.len(), report.charges), (0, vec![(1, 10)]));
     assert!(book.build_report(&identity(), "a", 0).charges.is_empty());
     slot.meter.charge(5);
-    slot.meter.set_first_token(Duration::from_millis(3));
+    tokio::time::advance(Duration::from_millis(3)).await;
+    slot.meter.set_first_token(tokio::time::Instant::now());
     let report = book.build_report(&identity(), "a", 0);
     assert_eq!(report.usage[0].first_token_ms, Some(3), "the first token is told in full");
     apply(&mut book, answer(4, report.sequence, vec![]));
