Bench: add the experiments config, recovery and slopes

Cause: docs/design.md section 10 names experiments that did not exist, and the capacity page needs slopes. Change: config times edits until every router has them at 11, 22 and 44 routers. recovery kills leaders under edits and restarts a controller on a folder with 100,000 changes. slopes measures decisions, messages, announcements, scrapes, memory and the control cost of real fleets.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,20 +5,29 @@
 pub mod caller;
 pub mod central_queue;
 pub mod cli;
+pub mod config;
+pub mod control_usage;
 pub mod drain;
 pub mod error;
 pub mod experiment;
 pub mod fairness;
 pub mod fleet;
 pub mod fleet_files;
+pub mod fleet_slopes;
 pub mod gap_measure;
 pub mod integrity;
 pub mod latency;
 pub mod load;
+pub mod memory_slopes;
+pub mod message_slopes;
 pub mod options;
 pub mod process_usage;
+pub mod recovery;
+pub mod restart_store;
 pub mod role_thread;
 pub mod scene;
+pub mod slope_fit;
+pub mod slopes;
 
 use cli::BaobabfallBench;
 use error::BenchError;
@@ -51,5 +60,8 @@
         ExperimentName::Drain => drain::run(options).await,
         ExperimentName::Fairness => fairness::run(options).await,
         ExperimentName::Utilisation => fairness::run_utilisation(options).await,
+        ExperimentName::Config => config::run(options).await,
+        ExperimentName::Recovery => recovery::run(options).await,
+        ExperimentName::Slopes => slopes::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -29,6 +29,9 @@
     Drain "drain",
     Fairness "fairness",
     Utilisation "utilisation",
+    Config "config",
+    Recovery "recovery",
+    Slopes "slopes",
 }
 
 /// What to run and how.
