Bench: keep the config extrapolation above every measured cost

Cause: a slope within the noise gave a negative cost at 330 routers. Change: the extrapolation is never below the largest measured figure. Measured: `baobabfall-bench config` before: leader_cpu_per_change_330 was -27,691 us with 24,830 to 30,673 us measured at 11 to 44 routers. Conclusion: the figure can no longer be better than what was seen.

--- a/crates/bench/src/config.rs
+++ b/crates/bench/src/config.rs
@@ -34,6 +34,7 @@
 pub async fn run(options: &BenchOptions) -> Result<ExperimentResult, BenchError> {
     let mut result = ExperimentResult::new("config", options.seed);
     let (mut medians, mut worst, mut leader) = (Vec::new(), Vec::new(), Vec::new());
+    let mut slowest_seen: f64 = 0.0;
     for routers in ROUTERS {
         let size = to_float(u64::try_from(routers).unwrap_or(0));
         let costs = measure(options, routers).await?;
@@ -45,21 +46,23 @@
         let bound = TargetBound::AtMost(TODAY_LIMIT_MS);
         result.target(format!("in_force_slowest_{routers}"), most, "ms", bound);
         medians.push((size, median(&costs.times)));
+        slowest_seen = slowest_seen.max(most);
         worst.push((size, most));
         leader.push((size, costs.leader));
     }
     let fit = |points: &[_]| {
         SlopeFit::through(points).ok_or_else(|| BenchError::Empty("one size only".to_owned()))
     };
+    let costs_seen: Vec<f64> = leader.iter().map(|(_, cost): &(f64, f64)| *cost).collect();
     let (medians, worst, leader) = (fit(&medians)?, fit(&worst)?, fit(&leader)?);
     result.figure("in_force_median_slope", medians.slope, "ms/router");
     result.figure("in_force_slowest_slope", worst.slope, "ms/router");
     result.figure("in_force_median_330", medians.at(TARGET_ROUTERS), "ms");
-    let change = leader.at(TARGET_ROUTERS);
+    // A slope within the noise must not make the target size cheaper than a measured one.
+    let change = costs_seen.into_iter().fold(leader.at(TARGET_ROUTERS), f64::max);
     result.figure("leader_cpu_per_change_330", change * 1e6, "us");
     result.figure("leader_core_share_1400_a_day_330", change * CHANGES_PER_DAY / 86_400.0, "cores");
-    // A noisy slope must not make the extrapolation better than what was seen.
-    let slowest = worst.at(TARGET_ROUTERS).max(medians.at(TARGET_ROUTERS));
+    let slowest = worst.at(TARGET_ROUTERS).max(medians.at(TARGET_ROUTERS)).max(slowest_seen);
     let bound = TargetBound::AtMost(TARGET_LIMIT_MS);
     result.target("in_force_slowest_330", slowest, "ms", bound);
     Ok(result)
