--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,15 +5,15 @@
 pub mod caller;
 pub mod central_queue;
 pub mod cli;
-pub mod config;
-pub mod control_usage;
+pub mod control;
 pub mod drain;
 pub mod error;
 pub mod experiment;
+pub mod failover;
 pub mod fairness;
 pub mod fleet;
 pub mod fleet_files;
-pub mod fleet_slopes;
+pub mod flood;
 pub mod gap_measure;
 pub mod integrity;
 pub mod latency;
@@ -60,8 +60,8 @@
         ExperimentName::Drain => drain::run(options).await,
         ExperimentName::Fairness => fairness::run(options).await,
         ExperimentName::Utilisation => fairness::run_utilisation(options).await,
-        ExperimentName::Config => config::run(options).await,
-        ExperimentName::Recovery => recovery::run(options).await,
-        ExperimentName::Slopes => slopes::run(options).await,
+        ExperimentName::Flood => flood::run(options).await,
+        ExperimentName::Failover => failover::run(options).await,
+        ExperimentName::Control => control::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -29,9 +29,9 @@
     Drain "drain",
     Fairness "fairness",
     Utilisation "utilisation",
-    Config "config",
-    Recovery "recovery",
-    Slopes "slopes",
+    Flood "flood",
+    Failover "failover",
+    Control "control",
 }
 
 /// What to run and how.
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -75,6 +75,7 @@
 ///         avoid: None,
 ///     }],
 ///     usage: vec![],
+///     charges: vec![],
 ///     received_grant: 0,
 ///     wait_ms: 0,
 /// });
@@ -281,7 +282,7 @@
         if let Some(prefix) = next.prefix {
             self.prefixes.record(now, prefix, upstream);
         }
-        let estimate = self.costs.estimate((workspace, target), next.hint);
+        let estimate = self.costs.grant_charge((workspace, target), next.hint);
         let weight = self.workspaces[workspace].weight();
         let lease = self.next_lease();
         let record = LeaseRecord {
--- a/crates/core/src/table_history.rs
+++ b/crates/core/src/table_history.rs
@@ -117,7 +117,12 @@
         if let Some(pair) = names.windows(2).find(|pair| pair[0] == pair[1]) {
             return refuse(format!("Workspace {} is changed twice in one edit.", pair[0]));
         }
-        if self.rows_after(changes) > ROW_LIMIT {
+        let added = |change: &&RowChange| {
+            matches!(change, RowChange::Put { .. }) && self.table.get(change.name()).is_none()
+        };
+        let removed = changes.iter().filter(|change| matches!(change, RowChange::Remove { .. }));
+        let rows = self.table.rows().len() + changes.iter().filter(added).count();
+        if rows > ROW_LIMIT + removed.count() {
             return refuse(format!("A table has at most {ROW_LIMIT} rows."));
         }
         for change in changes {
@@ -129,20 +134,37 @@
                 RowChange::Put { row } => check_row(row)?,
             }
         }
-        check_key_hashes(&self.table, &names, changes)
+        self.check_key_hashes(&names, changes)
     }
 
-    fn rows_after(&self, changes: &[RowChange]) -> usize {
-        let rows = self.table.rows();
-        let (mut added, mut removed) = (0, 0);
+    /// Checks that no row shares a key with a row that `changes` put; `names`
+    /// holds the sorted names of the changed rows.
+    fn check_key_hashes(
+        &self,
+        names: &[&str],
+        changes: &[RowChange],
+    ) -> Result<(), (ErrorKind, String)> {
+        let mut hashes: Vec<(&str, &str)> = Vec::new();
         for change in changes {
-            match change {
-                RowChange::Put { row } if !rows.contains_key(&row.name) => added += 1,
-                RowChange::Remove { name } if rows.contains_key(name) => removed += 1,
-                _ => {}
+            if let RowChange::Put { row } = change {
+                hashes.extend(row.key_hashes.iter().map(|hash| (hash.as_str(), &*row.name)));
             }
         }
-        rows.len() + added - removed
+        hashes.sort_unstable();
+        let within =
+            hashes.windows(2).find(|pair| pair[0].0 == pair[1].0 && pair[0].1 != pair[1].1);
+        let kept = self.table.rows().values();
+        let mut kept = kept.filter(|row| names.binary_search(&row.name.as_str()).is_err());
+        let shared = within.map(|pair| (pair[0].1, pair[1].1)).or_else(|| {
+            kept.find_map(|row| {
+                let held = |hash: &String| hashes.binary_search_by(|put| put.0.cmp(hash)).ok();
+                row.key_hashes.iter().find_map(held).map(|place| (hashes[place].1, &*row.name))
+            })
+        });
+        let Some((one, other)) = shared else { return Ok(()) };
+        let message =
+            format!("Workspaces {one} and {other} have the same key; each needs its own.");
+        Err((ErrorKind::InvalidTable, message))
     }
 
     /// Makes the next revision from checked changes.
@@ -247,47 +269,6 @@
     }
 }
 
-/// Checks that no two rows share a key once the changes are applied.
-///
-/// Rows that do not change have different keys already, so only changed rows
-/// are sorted: a restart replays up to 4,096 edits, and sorting the keys of
-/// 850 rows for each took most of its time.
-fn check_key_hashes(
-    table: &WorkspaceTable,
-    changed: &[&str],
-    changes: &[RowChange],
-) -> Result<(), (ErrorKind, String)> {
-    let mut hashes: Vec<(&str, &str)> = Vec::new();
-    for change in changes {
-        if let RowChange::Put { row } = change {
-            hashes.extend(row.key_hashes.iter().map(|hash| (hash.as_str(), row.name.as_str())));
-        }
-    }
-    if hashes.is_empty() {
-        return Ok(());
-    }
-    hashes.sort_unstable();
-    let clash = hashes.windows(2).find(|pair| pair[0].0 == pair[1].0 && pair[0].1 != pair[1].1);
-    let clash = clash.map(|pair| (pair[0].1, pair[1].1)).or_else(|| {
-        table.rows().values().find_map(|row| {
-            let held = row.key_hashes.iter().find_map(|hash| {
-                let place = hashes.binary_search_by(|(key, _)| (*key).cmp(hash)).ok()?;
-                Some(hashes[place].1)
-            })?;
-            let changes = changed.binary_search(&row.name.as_str()).is_ok();
-            (!changes).then_some((held.min(&row.name), held.max(&row.name)))
-        })
-    });
-    match clash {
-        None => Ok(()),
-        Some((first, second)) => {
-            let message =
-                format!("Workspaces {first} and {second} have the same key; each needs its own.");
-            Err((ErrorKind::InvalidTable, message))
-        }
-    }
-}
-
 fn row_bytes(row: &WorkspaceRow) -> usize {
     let hashes: usize = row.key_hashes.iter().map(|hash| hash.len() + size_of::<String>()).sum();
     size_of::<WorkspaceRow>() + row.name.len() + hashes
