--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod caller;
 pub mod central_queue;
 pub mod cli;
+pub mod config;
 pub mod control;
+pub mod control_usage;
 pub mod drain;
 pub mod error;
 pub mod experiment;
@@ -13,6 +15,7 @@
 pub mod fairness;
 pub mod fleet;
 pub mod fleet_files;
+pub mod fleet_slopes;
 pub mod flood;
 pub mod gap_measure;
 pub mod integrity;
@@ -63,5 +66,8 @@
         ExperimentName::Flood => flood::run(options).await,
         ExperimentName::Failover => failover::run(options).await,
         ExperimentName::Control => control::run(options).await,
+        ExperimentName::Config => config::run(options).await,
+        ExperimentName::Recovery => recovery::run(options).await,
+        ExperimentName::Slopes => slopes::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -32,6 +32,9 @@
     Flood "flood",
     Failover "failover",
     Control "control",
+    Config "config",
+    Recovery "recovery",
+    Slopes "slopes",
 }
 
 /// What to run and how.
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -12,9 +12,12 @@
 /// Runs the experiment. Memory comes first, while nothing was freed yet.
 pub async fn run(options: &BenchOptions) -> Result<ExperimentResult, BenchError> {
     let mut result = ExperimentResult::new("slopes", options.seed);
-    measure_routers(&mut result).await?;
-    measure_scrapes(&mut result)?;
+    let fleets = measure_routers(&mut result).await?;
     measure_controller_state(&mut result)?;
+    measure_scrapes(&mut result)?;
+    for fleet in fleets {
+        fleet.end().await?;
+    }
     measure_decisions(&mut result)?;
     measure_messages(&mut result)?;
     measure_announcements(&mut result).await?;
