--- a/crates/bench/src/fleet_slopes.rs
+++ b/crates/bench/src/fleet_slopes.rs
@@ -146,6 +146,9 @@
         points.push((all, usage.leader));
         bytes.push((size_of(count), usage.router_bytes));
     }
+    // Without the step from no report to ten reports per second of each router.
+    let loaded = fit(&points[1..])?.slope;
+    result.figure(format!("leader_per_stream_loaded_{routers}"), loaded * 1e6, "us/s");
     let stream = UnitCosts { leader: fit(&points)?.slope, router_bytes: fit(&bytes)?.slope };
     result.figure(format!("leader_per_request_{routers}"), request.leader * 1e6, "us");
     result.figure(format!("bytes_per_request_{routers}"), request.router_bytes, "B");
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -13,8 +13,9 @@
 pub async fn run(options: &BenchOptions) -> Result<ExperimentResult, BenchError> {
     let mut result = ExperimentResult::new("slopes", options.seed);
     let fleets = measure_routers(&mut result).await?;
-    measure_controller_state(&mut result)?;
+    // Before the controller state, whose freed parts the instruments would use again.
     measure_scrapes(&mut result)?;
+    measure_controller_state(&mut result)?;
     for fleet in fleets {
         fleet.end().await?;
     }
