--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -4,6 +4,7 @@
 use baobabfall_core::account_statement::{STATEMENT_LIMIT, StatementMemory};
 use baobabfall_core::dispatch_messages::*;
 use baobabfall_core::dispatch_settings::DispatchSettings;
+use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::*;
@@ -170,6 +171,13 @@
     pub ended_in: u64,
 }
 
+impl SimLease {
+    /// True for a lease of local mode with this number or a later one.
+    pub fn is_local_from(&self, first: u64) -> bool {
+        self.grant.lease.term == LOCAL_TERM && self.grant.lease.number >= first
+    }
+}
+
 /// A router with its own queue, as the protocol describes it.
 pub struct SimRouter {
     pub identity: NodeIdentity,
@@ -272,13 +280,18 @@
                 continue;
             }
             self.received = grant.lease.number;
-            let next = self.sequence + 1;
-            let queue = self.queue(&grant.workspace, &grant.target.name);
-            queue.0 = next;
-            let request = queue.1.pop_front();
-            let end = request.is_none().then_some(LeaseEnd::Unused);
-            let cost = request.map_or(0, |request| request.cost);
-            self.leases.push(SimLease { grant: grant.clone(), cost, done: 0, end, ended_in: 0 });
+            self.start(grant);
         }
     }
+
+    /// Starts the first waiting request of a grant or returns the lease.
+    pub fn start(&mut self, grant: &SlotGrant) {
+        let next = self.sequence + 1;
+        let queue = self.queue(&grant.workspace, &grant.target.name);
+        queue.0 = next;
+        let request = queue.1.pop_front();
+        let end = request.is_none().then_some(LeaseEnd::Unused);
+        let cost = request.map_or(0, |request| request.cost);
+        self.leases.push(SimLease { grant: grant.clone(), cost, done: 0, end, ended_in: 0 });
+    }
 }
--- a/crates/core/tests/dispatch_limits.rs
+++ b/crates/core/tests/dispatch_limits.rs
@@ -7,6 +7,7 @@
 use baobabfall_core::dispatch_settings::{DispatchSettings, PlacementSettings};
 use baobabfall_core::fair_order::IndexedHeap;
 use baobabfall_core::local_dispatcher::{LOCAL_TERM, LocalDispatcher, LocalSettings};
+use baobabfall_core::naive_dispatcher::{NaiveDispatcher, NaiveOrder};
 use baobabfall_core::placement::UpstreamCapacity;
 use baobabfall_core::rate_limit::TokenBucket;
 use baobabfall_core::retry_budget::{RetryBudget, RetrySettings, retry_wait};
@@ -350,3 +351,42 @@
         assert_eq!(heap.key(index), key);
     }
 }
+
+/// Guards the baseline of the bench: first come, first served means the
+/// earliest request that a slot and its workspace's limit allow.
+#[test]
+fn naive_dispatcher_first_come_order() {
+    for seed in 0..20 {
+        let mut dice = Dice::new(seed);
+        let mut naive = NaiveDispatcher::new(NaiveOrder::FirstCome);
+        let names = ["a", "b", "c"];
+        names.iter().for_each(|name| naive.set_workspace(name, 1, 2));
+        naive.set_upstream("e", &["m"], 3);
+        naive.set_upstream("f", &["n"], 1);
+        let mut waiting: Vec<(u64, usize, &str)> = Vec::new();
+        let mut running: Vec<(u64, usize, &str)> = Vec::new();
+        for number in 0..400 {
+            if dice.below(2) == 0 && !running.is_empty() {
+                let (request, ..) = running.remove(dice.below(running.len()));
+                naive.finish(request, dice.cost());
+            } else {
+                let (id, model) = (dice.below(3), ["m", "n"][dice.below(2)]);
+                naive.arrive(number, names[id], model, 1 + dice.cost());
+                waiting.push((number, id, model));
+            }
+            let mut expected = Vec::new();
+            waiting.retain(|&(request, id, model)| {
+                let of_workspace = running.iter().filter(|held| held.1 == id).count();
+                let of_model = running.iter().filter(|held| held.2 == model).count();
+                let fits = of_workspace < 2 && of_model < if model == "m" { 3 } else { 1 };
+                if fits {
+                    expected.push(request);
+                    running.push((request, id, model));
+                }
+                !fits
+            });
+            let granted: Vec<u64> = naive.dispatch().iter().map(|grant| grant.request).collect();
+            assert_eq!(granted, expected, "seed {seed}, step {number}");
+        }
+    }
+}
