--- a/crates/bench/src/memory_slopes.rs
+++ b/crates/bench/src/memory_slopes.rs
@@ -213,6 +213,7 @@
         backlog: Vec::new(),
         usage: Vec::new(),
         charges: Vec::new(),
+        statements: Vec::new(),
         received_grant: 0,
         wait_ms: 0,
     }
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -6,6 +6,7 @@
 //! Reports carry absolute values and a sequence number, so doubled and
 //! reordered ones have no effect and lost ones are repaired by the next.
 
+use crate::account_statement::AccountStatement;
 use crate::upstream_registry::WorkTarget;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -139,6 +140,10 @@
     /// How long the dispatcher may hold the answer for grants, in milliseconds.
     #[serde(rename = "w")]
     pub wait_ms: u32,
+    /// In a full report, the latest statements that the router holds. Empty
+    /// from routers that do not know the field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub statements: Vec<AccountStatement>,
 }
 
 /// How a router reaches an upstream.
@@ -215,4 +220,8 @@
     /// Number of routers known to the dispatcher.
     #[serde(rename = "r")]
     pub routers: u32,
+    /// Accounts whose ended leases the answer acknowledges. Empty from
+    /// dispatchers that do not know the field.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub statements: Vec<AccountStatement>,
 }
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -1,8 +1,10 @@
 //! Builders and a simulated fleet of routers for the dispatcher tests.
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+use baobabfall_core::account_statement::{STATEMENT_LIMIT, StatementMemory};
 use baobabfall_core::dispatch_messages::*;
 use baobabfall_core::dispatch_settings::DispatchSettings;
+use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::*;
@@ -111,6 +113,7 @@
             charges: vec![],
             received_grant: self.received,
             wait_ms: 0,
+            statements: Vec::new(),
         }
     }
 
@@ -169,6 +172,13 @@
     pub ended_in: u64,
 }
 
+impl SimLease {
+    /// True for a lease of local mode with this number or a later one.
+    pub fn is_local_from(&self, first: u64) -> bool {
+        self.grant.lease.term == LOCAL_TERM && self.grant.lease.number >= first
+    }
+}
+
 /// A router with its own queue, as the protocol describes it.
 pub struct SimRouter {
     pub identity: NodeIdentity,
@@ -179,6 +189,7 @@
     pub full: bool,
     pub queues: SortedMap<(String, String), (u64, VecDeque<SimRequest>)>,
     pub leases: Vec<SimLease>,
+    pub statements: StatementMemory,
 }
 
 impl SimRouter {
@@ -193,6 +204,7 @@
             full: true,
             queues: SortedMap::new(),
             leases: Vec::new(),
+            statements: StatementMemory::new(STATEMENT_LIMIT),
         }
     }
 
@@ -241,6 +253,10 @@
             charges: vec![],
             received_grant: self.received,
             wait_ms: 200,
+            statements: match full {
+                true => self.statements.iter().cloned().collect(),
+                false => Vec::new(),
+            },
         }
     }
 
@@ -252,6 +268,7 @@
         if answer.term > self.term {
             (self.term, self.full, self.received) = (answer.term, true, 0);
         }
+        answer.statements.iter().for_each(|statement| self.statements.record(statement));
         self.full |= answer.resync;
         if !answer.resync && answer.acknowledged > self.acknowledged {
             self.acknowledged = answer.acknowledged;
@@ -265,13 +282,18 @@
                 continue;
             }
             self.received = grant.lease.number;
-            let next = self.sequence + 1;
-            let queue = self.queue(&grant.workspace, &grant.target.name);
-            queue.0 = next;
-            let request = queue.1.pop_front();
-            let end = request.is_none().then_some(LeaseEnd::Unused);
-            let cost = request.map_or(0, |request| request.cost);
-            self.leases.push(SimLease { grant: grant.clone(), cost, done: 0, end, ended_in: 0 });
+            self.start(grant);
         }
     }
+
+    /// Starts the first waiting request of a grant or returns the lease.
+    pub fn start(&mut self, grant: &SlotGrant) {
+        let next = self.sequence + 1;
+        let queue = self.queue(&grant.workspace, &grant.target.name);
+        queue.0 = next;
+        let request = queue.1.pop_front();
+        let end = request.is_none().then_some(LeaseEnd::Unused);
+        let cost = request.map_or(0, |request| request.cost);
+        self.leases.push(SimLease { grant: grant.clone(), cost, done: 0, end, ended_in: 0 });
+    }
 }
