--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -103,7 +103,7 @@
     }
 
     /// Reports the first change at once and those that follow within
-    /// [`COALESCE_TIME`] together.
+    /// `COALESCE_TIME` together.
     pub async fn run_changes(&self) {
         let mut next_report = Instant::now();
         loop {
