--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -20,8 +20,6 @@
 const REFUSED_SILENCE: Duration = Duration::from_millis(60);
 /// A failure that comes sooner is no timeout.
 const REFUSAL_TIME: Duration = Duration::from_millis(400);
-/// Least time between two reports of changes.
-const COALESCE_TIME: Duration = Duration::from_millis(2);
 /// How often charges of running streams are reported.
 const CHARGE_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the dispatcher may hold a long poll, in milliseconds.
@@ -102,15 +100,11 @@
         }
     }
 
-    /// Reports the first change at once and those that follow within
-    /// `COALESCE_TIME` together.
+    /// Reports a change at once; changes that follow before the answer share
+    /// the next report.
     pub async fn run_changes(&self) {
-        let mut next_report = Instant::now();
         loop {
-            let changed = tokio::time::timeout(CHARGE_INTERVAL, self.queue.changed()).await;
-            if changed.is_ok() {
-                tokio::time::sleep_until(next_report).await;
-            }
+            let _ = tokio::time::timeout(CHARGE_INTERVAL, self.queue.changed()).await;
             let needed = {
                 let book = self.queue.book();
                 book.is_changed() || book.has_new_charges()
@@ -118,7 +112,6 @@
             if !needed {
                 continue;
             }
-            next_report = Instant::now() + COALESCE_TIME;
             if !self.report(0).await {
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
