--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -64,7 +64,7 @@
         log::info!(term = term, routers = expected.len(); "dispatcher started");
     }
 
-    /// Ends the dispatcher; its grants die with its term.
+    /// Ends the dispatcher; grants of its term are no longer accepted by routers that know a later one.
     pub fn resign(&self) {
         let mut inner = self.lock();
         if let Some(dispatcher) = inner.dispatcher.take() {
