--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -10,10 +10,13 @@
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
 use crate::sync_service::SyncService;
+use baobabfall_core::control_command::{ControlAnswer, ControlCommand};
+use baobabfall_core::control_state::RouteRecord;
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::{AnnouncementRefusal, UpstreamAnnouncement};
 use baobabfall_node::credentials::CredentialFile;
-use baobabfall_node::http_client::PeerClient;
+use baobabfall_node::http_client::{PeerClient, PeerError};
 use baobabfall_node::http_server::{
     FullResponse, bytes_response, error_response, json_response, message_response, presented_token,
     read_json, read_message,
@@ -27,7 +30,7 @@
 use http::{Method, Request};
 use hyper::body::Incoming;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// Path of the nodes that a controller reports to the leader.
@@ -58,6 +61,30 @@
     pub operators: OperatorApi,
     /// Metrics of this process.
     pub metrics: NodeMetrics,
+    /// Connection to the leader, for announcements that arrive here.
+    pub leader: Arc<Mutex<Option<Arc<PeerClient>>>>,
+}
+
+/// Why an announcement has no effect.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{message}")]
+pub struct RegisterRefusal {
+    /// Kind for the answer.
+    pub kind: ErrorKind,
+    /// What to tell the upstream.
+    pub message: String,
+}
+
+impl From<AnnouncementRefusal> for RegisterRefusal {
+    fn from(refusal: AnnouncementRefusal) -> Self {
+        Self { kind: refusal.kind, message: refusal.message }
+    }
+}
+
+impl From<ReplicaRefusal> for RegisterRefusal {
+    fn from(refusal: ReplicaRefusal) -> Self {
+        Self { kind: refusal.kind, message: refusal.message }
+    }
 }
 
 impl ControlApi {
@@ -126,8 +153,7 @@
                 Err(refusal) => refusal.response(),
             },
             PRESENCE_PATH => {
-                let in_group = !self.replica.view().members.is_empty();
-                message_response(&ReplicaPresence { in_group })
+                message_response(&self.presence())
             }
             JOIN_PATH => match read_message::<JoinRequest>(request).await {
                 Ok(join) => {
@@ -203,20 +229,13 @@
 
     async fn forwarded(&self, request: Request<Incoming>) -> FullResponse {
         match read_message::<AnnounceMessage>(request).await {
-            Ok(AnnounceMessage::Announce(announcements)) => {
-                let mut refused = None;
-                for announcement in announcements {
-                    refused = self.registry.announce(announcement).err().or(refused);
-                }
-                match refused {
-                    Some(refusal) => announcement_refusal(&refusal),
-                    None => message_response(&()),
-                }
-            }
-            Ok(AnnounceMessage::Withdraw(withdrawal)) => {
-                self.registry.withdraw(&withdrawal.name, withdrawal.incarnation);
-                message_response(&())
+            Ok(_) if !self.replica.view().leads => {
+                error_response(ErrorKind::NotLeader, self.leader_message(ErrorKind::NotLeader))
             }
+            Ok(message) => match self.register_at_leader(message).await {
+                Ok(()) => message_response(&()),
+                Err(refusal) => error_response(refusal.kind, &refusal.message),
+            },
             Err(refusal) => refusal.response(),
         }
     }
@@ -224,15 +243,130 @@
     /// Passes an announcement that arrived at a follower on to the leader.
     async fn forward(&self, message: AnnounceMessage) {
         let Some(address) = self.leader_address() else { return };
-        let token = self.options.process.token();
-        let client = PeerClient::new(address);
-        let sent: Result<(), _> =
-            client.call(FORWARD_PATH, &token, &message, FORWARD_TIMEOUT).await;
-        if let Err(error) = sent {
+        if let Err(error) = self.forward_to(address, &message).await {
             log::debug!("announcement not forwarded: {error}");
         }
     }
 
+    async fn forward_to(
+        &self,
+        address: SocketAddr,
+        message: &AnnounceMessage,
+    ) -> Result<(), PeerError> {
+        let token = self.options.process.token();
+        let client = self.leader_client(address);
+        client.call(FORWARD_PATH, &token, message, FORWARD_TIMEOUT).await
+    }
+
+    fn leader_client(&self, address: SocketAddr) -> Arc<PeerClient> {
+        let mut held = self.leader.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        match held.as_ref().filter(|client| client.address() == address) {
+            Some(client) => Arc::clone(client),
+            None => Arc::clone(held.insert(Arc::new(PeerClient::new(address)))),
+        }
+    }
+
+    fn presence(&self) -> ReplicaPresence {
+        let view = self.replica.view();
+        let leader = view.leader.as_ref().map(|leader| leader.id);
+        let mut members: Vec<_> = view.members.iter().collect();
+        members.sort_by_key(|member| Some(member.identity.id) != leader);
+        ReplicaPresence {
+            in_group: !view.members.is_empty(),
+            members: members.iter().filter_map(|member| member.address.parse().ok()).collect(),
+        }
+    }
+
+    /// Takes an announcement or withdrawal to the leader's registry. Success
+    /// means that no later grant goes to an upstream that leaves, also under
+    /// another leader: departures are committed before they are acknowledged.
+    pub async fn register(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
+        if self.replica.view().leads {
+            return self.register_at_leader(message).await;
+        }
+        let Some(address) = self.leader_address() else {
+            let message = "No leader is known at present.".to_owned();
+            return Err(RegisterRefusal { kind: ErrorKind::NoQuorum, message });
+        };
+        self.forward_to(address, &message).await.map_err(|error| RegisterRefusal {
+            kind: error.kind(),
+            message: error.to_string(),
+        })
+    }
+
+    async fn register_at_leader(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
+        let mut departures = Vec::new();
+        match message {
+            AnnounceMessage::Announce(announcements) => {
+                for announcement in announcements {
+                    if announcement.leaving {
+                        departures.push((announcement.name.clone(), announcement.incarnation));
+                    }
+                    self.registry.announce(announcement)?;
+                }
+            }
+            AnnounceMessage::Withdraw(withdrawal) => {
+                self.registry.withdraw(&withdrawal.name, withdrawal.incarnation);
+                departures.push((withdrawal.name, withdrawal.incarnation));
+            }
+            AnnounceMessage::Depart(departure) => {
+                let held = self.registry.incarnation(&departure.name);
+                if let Some(incarnation) = departure.incarnation.or(held) {
+                    self.registry.withdraw(&departure.name, incarnation);
+                    departures.push((departure.name, incarnation));
+                }
+            }
+        }
+        for (name, incarnation) in departures {
+            self.commit_departure(name, incarnation).await?;
+        }
+        Ok(())
+    }
+
+    async fn commit_departure(
+        &self,
+        name: String,
+        incarnation: u64,
+    ) -> Result<(), ReplicaRefusal> {
+        let known = self.replica.state().left().get(&name).map(|left| left.incarnation);
+        if known.is_some_and(|known| known >= incarnation) {
+            return self.replica.confirm_read().await;
+        }
+        log::info!(upstream = name.as_str(), incarnation = incarnation; "upstream leaves");
+        let command = ControlCommand::UpstreamLeft { name, incarnation };
+        self.replica.propose(command).await.map(|_| ())
+    }
+
+    /// Commits a route table and returns the version in force after it.
+    ///
+    /// It is refused until enough controllers vote for an accepted table to
+    /// outlive the tolerated loss of disks.
+    pub async fn replace_routes(
+        &self,
+        table: RouteTable,
+        document: Vec<u8>,
+    ) -> Result<u64, ReplicaRefusal> {
+        let tolerated = self.options.settings.group.as_ref().map_or(0, |group| group.tolerated);
+        if self.replica.view().members.quorum() <= tolerated {
+            let message = "Too few controllers have joined the group yet.".to_owned();
+            return Err(ReplicaRefusal { kind: ErrorKind::NoQuorum, message });
+        }
+        let command = ControlCommand::ReplaceRoutes { table: Box::new(table), document };
+        match self.replica.propose(command).await? {
+            ControlAnswer::Routes(version) => Ok(version),
+            _ => Err(ReplicaRefusal {
+                kind: ErrorKind::Internal,
+                message: "The route table got an answer of another kind.".to_owned(),
+            }),
+        }
+    }
+
+    /// The route table in force, confirmed to be the newest.
+    pub async fn newest_routes(&self) -> Result<Option<RouteRecord>, ReplicaRefusal> {
+        self.replica.confirm_read().await?;
+        Ok(self.replica.state().routes().cloned())
+    }
+
     /// Address of the leader, unless this controller leads.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let view = self.replica.view();
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -6,7 +6,7 @@
 use crate::dispatch_service::DispatchService;
 use crate::error::ControllerError;
 use crate::log_store::LogStore;
-use crate::membership::{founding_members, is_empty_folder, join_group};
+use crate::membership::{founding_members, is_empty_folder, join_group, stay_in_group};
 use crate::node_tracker::NodeTracker;
 use crate::operator_api::OperatorApi;
 use crate::operator_views;
@@ -36,6 +36,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -51,6 +52,8 @@
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for requests in progress when the process stops.
 const STOP_GRACE: Duration = Duration::from_secs(5);
+/// Longest wait for the last write. A disk that hangs must not hold a stop.
+const STORAGE_END: Duration = Duration::from_secs(2);
 
 /// A running controller.
 #[derive(Debug)]
@@ -59,9 +62,16 @@
     replica: ReplicaHandle,
     stop: StopSender,
     tasks: JoinSet<()>,
+    api: ControlApi,
+    storage_ended: oneshot::Receiver<()>,
 }
 
 impl ControllerHandle {
+    /// What the listener serves, for adapters with listeners of their own.
+    pub fn api(&self) -> &ControlApi {
+        &self.api
+    }
+
     /// Address of the listener.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -82,12 +92,14 @@
         });
         while self.tasks.join_next().await.is_some() {}
         self.stop.advance(StopPhase::Stopped);
+        let _ = tokio::time::timeout(STORAGE_END, self.storage_ended).await;
     }
 
     /// Drops every task and connection at once, as a crash would.
     pub async fn kill(mut self) {
         self.stop.advance(StopPhase::Stopped);
         self.tasks.shutdown().await;
+        let _ = tokio::time::timeout(STORAGE_END, self.storage_ended).await;
     }
 
     /// Why the controller cannot go on, once storage failed.
@@ -124,7 +136,7 @@
     })?;
     let clock = Instant::now();
     let metrics = NodeMetrics::new().map_err(ControllerError::Metrics)?;
-    let OpenedReplica { driver, replica, identity, joins } =
+    let OpenedReplica { driver, replica, identity, joins, storage_ended } =
         open_replica(&options, clock, address).await?;
     let registry = RegistryService::new(clock, options.announcement_lapse);
     let tracker = NodeTracker::default();
@@ -150,11 +162,16 @@
         tracker,
         operators,
         metrics,
+        leader: Arc::default(),
     };
     let (stop, signal) = stop_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(until_draining(driver.run(), signal.clone()));
-    if joins {
+    if api.options.settings.group.is_some() {
+        let options = ControllerOptions::clone(&api.options);
+        let staying = stay_in_group(options, replica.clone(), identity, address);
+        tasks.spawn(until_draining(staying, signal.clone()));
+    } else if joins {
         let options = ControllerOptions::clone(&api.options);
         let joining = join_group(options, replica.clone(), identity, address);
         tasks.spawn(until_draining(joining, signal.clone()));
@@ -170,13 +187,14 @@
     {
         tasks.spawn(until_draining(credential.clone().watch(), signal.clone()));
     }
+    let handle_api = api.clone();
     let service = tower::service_fn(move |request: Request<Incoming>| {
         let api = api.clone();
         async move { Ok::<FullResponse, Infallible>(api.handle(request).await) }
     });
     tasks.spawn(serve(listener, service, ServerLimits::default(), signal));
     log::info!(address = address.to_string(); "controller listens");
-    Ok(ControllerHandle { address, replica, stop, tasks })
+    Ok(ControllerHandle { address, replica, stop, tasks, api: handle_api, storage_ended })
 }
 
 async fn until_draining(task: impl Future<Output = ()>, mut signal: StopSignal) {
@@ -193,6 +211,8 @@
     identity: ReplicaIdentity,
     /// True when it has to ask the group to be added.
     joins: bool,
+    /// Resolves once the storage thread writes no more.
+    storage_ended: oneshot::Receiver<()>,
 }
 
 async fn open_replica(
@@ -224,11 +244,14 @@
     let holds_log = stored.snapshot.meta.index > 0 || !stored.entries.is_empty();
     let core = ReplicaCore::new(
         clock.elapsed(),
-        ReplicaOptions::new(identity.clone()),
+        ReplicaOptions {
+            least_voters: options.least_voters(),
+            ..ReplicaOptions::new(identity.clone())
+        },
         stored,
         StdRng::from_rng(&mut seed),
     );
-    let (storage, done) = start_storage(store).map_err(|error| {
+    let (storage, done, storage_ended) = start_storage(store).map_err(|error| {
         let kind = baobabfall_core::error_kind::ErrorKind::StorageFailed;
         storage_error(kind, format!("The storage thread cannot start: {error}."))
     })?;
@@ -238,7 +261,7 @@
     // A replica that holds a log and is no member was removed by an operator, or is being caught
     // up by the leader; only one that never held anything asks to be added.
     let joins = !holds_log && replica.view().members.get(identity.id).is_none();
-    Ok(OpenedReplica { driver, replica, identity, joins })
+    Ok(OpenedReplica { driver, replica, identity, joins, storage_ended })
 }
 
 /// Starts and ends the dispatcher with the leadership, and feeds it the table,
@@ -246,9 +269,15 @@
 async fn run_leadership(api: ControlApi) {
     let mut replica = api.replica.news();
     let mut registry = api.registry.watch();
+    let mut left_version = 0;
     loop {
         let news = *replica.borrow_and_update();
         registry.borrow_and_update();
+        if news.left_version != left_version {
+            left_version = news.left_version;
+            let left = api.replica.state().left().clone();
+            api.registry.set_left(&left);
+        }
         match news.leading_term {
             Some(term) => {
                 if api.dispatch.read(|dispatcher, _| dispatcher.term()) != Some(term) {
@@ -357,6 +386,8 @@
             (state.history().revision(), state.stops_version())
         };
         let request = SyncRequest {
+            // A controller gets the route table through the log.
+            routes_version: u64::MAX,
             node: node.clone(),
             kind: NodeKind::Controller,
             zone: api.options.settings.node.zone.clone(),
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Path of [`JoinRequest`].
 pub const JOIN_PATH: &str = "/control/v1/replica/join";
@@ -20,6 +21,8 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Attempts between two log lines.
 const ATTEMPTS_PER_LOG: u32 = 20;
+/// Time without a leader after which a member asks whether it was removed.
+const REMOVED_SILENCE: Duration = Duration::from_secs(3);
 
 /// Asks the leader to add this replica.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -35,6 +38,9 @@
 pub struct ReplicaPresence {
     /// True when it holds a membership, so a group exists.
     pub in_group: bool,
+    /// Addresses of the members that it knows, the leader's first.
+    #[serde(default)]
+    pub members: Vec<SocketAddr>,
 }
 
 /// True when the folder holds no state yet.
@@ -58,6 +64,15 @@
     address: SocketAddr,
 ) -> ReplicaMembers {
     let peers = &options.settings.peers;
+    if let Some(group) = &options.settings.group {
+        // Every controller of an open group starts at the same time and has an empty disk, so
+        // no other group can exist yet.
+        let lowest = peers.iter().map(|peer| peer.address).min();
+        return match group.found && lowest == Some(address) {
+            true => ReplicaMembers::single(identity.clone(), &address.to_string()),
+            false => ReplicaMembers::default(),
+        };
+    }
     let is_first = peers.first().is_some_and(|peer| peer.name == identity.name);
     if !is_first || options.settings.storage.join {
         return ReplicaMembers::default();
@@ -136,7 +151,8 @@
     request: JoinRequest,
 ) -> Result<(), ReplicaRefusal> {
     let mut peers = options.settings.peers.iter();
-    if !peers.any(|peer| peer.name == request.identity.name) {
+    let open = options.settings.group.is_some();
+    if !open && !peers.any(|peer| peer.name == request.identity.name) {
         let message = format!("{} is not among the peers of the leader.", request.identity.name);
         return Err(ReplicaRefusal { kind: ErrorKind::Forbidden, message });
     }
@@ -149,3 +165,67 @@
         MemberChange::Add { identity: request.identity, address: request.address.to_string() };
     replica.change_members(change).await.map(|_| ())
 }
+
+/// Keeps a controller of an open group in the group: asks to be added while it
+/// is no member or hears no leader.
+pub async fn stay_in_group(
+    options: ControllerOptions,
+    replica: ReplicaHandle,
+    identity: ReplicaIdentity,
+    address: SocketAddr,
+) {
+    let request = JoinRequest { identity: identity.clone(), address };
+    let mut contact = Instant::now();
+    loop {
+        tokio::time::sleep(ATTEMPT_PAUSE).await;
+        let view = replica.view();
+        let member = view.members.get(identity.id).is_some();
+        let led = member && (view.leads || view.leader.is_some());
+        if led {
+            contact = Instant::now();
+        }
+        // A member without a leader usually takes part in an election; only one that was
+        // removed hears nothing for longer.
+        if led || (member && contact.elapsed() < REMOVED_SILENCE) {
+            continue;
+        }
+        if ask_to_join(&options, &replica, &request).await {
+            log::info!("added to the group of controllers");
+            contact = Instant::now();
+        }
+    }
+}
+
+async fn ask_to_join(
+    options: &ControllerOptions,
+    replica: &ReplicaHandle,
+    request: &JoinRequest,
+) -> bool {
+    let token = options.process.token();
+    let known = replica.view().members;
+    let known = known.iter().filter_map(|member| member.address.parse().ok());
+    let mut addresses: Vec<SocketAddr> =
+        options.settings.peers.iter().map(|peer| peer.address).chain(known).collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses.retain(|held| *held != request.address);
+    let asked = addresses.iter().map(|held| ask_member(*held, &token));
+    let told: Vec<SocketAddr> =
+        futures_util::future::join_all(asked).await.into_iter().flatten().collect();
+    for held in told.into_iter().chain(addresses) {
+        let client = PeerClient::new(held);
+        let joined: Result<(), _> = client.call(JOIN_PATH, &token, request, ATTEMPT_TIMEOUT).await;
+        match joined {
+            Ok(()) => return true,
+            Err(error) => log::debug!(controller = held.to_string(); "not added: {error}"),
+        }
+    }
+    false
+}
+
+async fn ask_member(address: SocketAddr, token: &str) -> Option<SocketAddr> {
+    let client = PeerClient::new(address);
+    let presence: ReplicaPresence =
+        client.call(PRESENCE_PATH, token, &(), ATTEMPT_TIMEOUT).await.ok()?;
+    presence.members.first().copied()
+}
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -31,6 +31,21 @@
     pub storage: StorageSection,
     /// Credential files.
     pub credentials: CredentialsSection,
+    /// Makes the group open: it forms from the peers as seeds, takes in any
+    /// controller and removes lost ones by itself.
+    #[serde(default)]
+    pub group: Option<GroupSection>,
+}
+
+/// Settings of an open group of controllers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupSection {
+    /// True only when the whole site starts for the first time: the seed with
+    /// the lowest address then founds the group.
+    pub found: bool,
+    /// Controllers whose disks may be lost at the same time.
+    pub tolerated: usize,
 }
 
 /// Identity of a process.
@@ -106,7 +121,13 @@
             let message = "500ms to 60s are accepted.";
             return Err(SettingsFault::new("control.announcement_lapse", message));
         }
-        self.check_peers()
+        match self.group {
+            None => self.check_peers(),
+            Some(_) if self.peers.is_empty() => {
+                Err(SettingsFault::new("peers.name", "an open group needs at least one seed."))
+            }
+            Some(_) => Ok(()),
+        }
     }
 }
 
@@ -157,6 +178,12 @@
 }
 
 impl ControllerOptions {
+    /// Voters that the group keeps, so that a quorum outlives the tolerated
+    /// losses.
+    pub fn least_voters(&self) -> usize {
+        self.settings.group.as_ref().map_or(usize::MAX, |group| 2 * group.tolerated + 1)
+    }
+
     /// Opens what the settings name; relative paths start at `base`.
     pub fn build(settings: ControllerSettings, base: &Path) -> Result<Self, ControllerError> {
         let open = |path: &Path| CredentialFile::open(&base.join(path));
--- a/crates/controller/src/registry_service.rs
+++ b/crates/controller/src/registry_service.rs
@@ -1,5 +1,7 @@
 //! Registry of upstreams at a controller.
 
+use baobabfall_core::control_state::LeftUpstream;
+use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::{
     AnnouncementRefusal, UpstreamAnnouncement, UpstreamRegistry,
 };
@@ -119,4 +121,19 @@
         let now = self.now();
         self.lock().extend(now + COPIED_LIFETIME);
     }
+
+    /// The incarnation of an upstream that is held.
+    pub fn incarnation(&self, name: &str) -> Option<u64> {
+        self.lock().entries().get(name).map(|entry| entry.announcement.incarnation)
+    }
+
+    /// Takes over which upstreams left, as the replicated log holds them.
+    pub fn set_left(&self, left: &SortedMap<String, LeftUpstream>) {
+        let left = left.iter().map(|(name, held)| (name.clone(), held.incarnation)).collect();
+        let mut registry = self.lock();
+        registry.set_left(self.now(), left);
+        let version = registry.version();
+        drop(registry);
+        self.publish(version);
+    }
 }
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -50,6 +50,10 @@
     pub revision: u64,
     /// Version of the planned stops.
     pub stops_version: u64,
+    /// Version of the route table.
+    pub routes_version: u64,
+    /// Version of the upstreams that left.
+    pub left_version: u64,
     /// Term, when this replica leads.
     pub leading_term: Option<u64>,
 }
@@ -343,6 +347,8 @@
             SyncNews {
                 revision: state.history().revision(),
                 stops_version: state.stops_version(),
+                routes_version: state.routes_version(),
+                left_version: state.left_version(),
                 leading_term: next.leads.then_some(next.term),
             }
         };
--- a/crates/controller/src/storage_worker.rs
+++ b/crates/controller/src/storage_worker.rs
@@ -6,7 +6,7 @@
 use baobabfall_core::replica_messages::{LogEntry, SnapshotData, TermVote};
 use std::sync::mpsc as blocking;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Pause before a write is repeated on a full disk.
 const FULL_DISK_PAUSE: Duration = Duration::from_millis(500);
@@ -56,25 +56,33 @@
     }
 }
 
+/// The queue of the storage thread, its results, and its end, after which it
+/// writes no more.
+pub type StorageParts =
+    (StorageQueue, mpsc::UnboundedReceiver<StorageDone>, oneshot::Receiver<()>);
+
 /// Starts the thread that owns the store.
 ///
 /// The thread ends when the queue is dropped; the store's lock on the folder
 /// is released then.
 pub fn start_storage<F>(
     store: LogStore<F>,
-) -> std::io::Result<(StorageQueue, mpsc::UnboundedReceiver<StorageDone>)>
+) -> std::io::Result<StorageParts>
 where
     F: DataFolder + Send + 'static,
     F::File: Send,
 {
     let (jobs, queue) = blocking::channel();
     let (done, results) = mpsc::unbounded_channel();
+    let (ending, ended) = oneshot::channel();
     std::thread::Builder::new().name("log-store".to_owned()).spawn(move || {
         if let Err(error) = run_storage(store, &queue, &done) {
             let _ = done.send(StorageDone::Failed(error.to_string()));
         }
+        // `run_storage` has closed the files by now.
+        let _ = ending.send(());
     })?;
-    Ok((StorageQueue(jobs), results))
+    Ok((StorageQueue(jobs), results, ended))
 }
 
 fn run_storage<F: DataFolder>(
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -40,9 +40,12 @@
             registry.borrow_and_update();
             let answer = self.answer(request);
             let news =
-                answer.table.is_some() || answer.stops.is_some() || answer.registry.is_some();
+                answer.table.is_some()
+                    || answer.stops.is_some()
+                    || answer.registry.is_some()
+                    || answer.routes.is_some();
             if news || Instant::now() >= end {
-                return self.confirmed(answer).await;
+                return self.confirmed(request.routes_version, answer).await;
             }
             tokio::select! {
                 changed = replica.changed() => if changed.is_err() { return answer },
@@ -52,11 +55,16 @@
         }
     }
 
-    async fn confirmed(&self, mut answer: SyncAnswer) -> SyncAnswer {
+    async fn confirmed(&self, held: u64, mut answer: SyncAnswer) -> SyncAnswer {
         // Read confirmation is asked for after the answer was built from the applied state,
         // so it holds only if nothing newer was applied in between.
-        answer.confirmed = self.replica.confirm_read().await.is_ok()
-            && self.replica.state().history().revision() == answer.revision;
+        let told = answer.routes.as_ref().map(|table| table.version);
+        let read = self.replica.confirm_read().await.is_ok();
+        let newest = self.replica.state().routes_version();
+        let routes_are_newest = told.unwrap_or(held).max(held) == newest;
+        answer.confirmed = read
+            && self.replica.state().history().revision() == answer.revision
+            && routes_are_newest;
         answer
     }
 
@@ -78,11 +86,27 @@
                 .map(|target| PlannedStop { kind: target.kind, name: target.name.clone() })
                 .collect(),
         });
+        let routes = state
+            .routes()
+            .filter(|record| record.table.version > request.routes_version)
+            .map(|record| std::sync::Arc::clone(&record.table));
         drop(state);
         let held = self.registry.version(view.term);
         let registry =
             (view.leads && request.registry_version != held).then(|| self.registry.view(view.term));
-        SyncAnswer { confirmed: false, term: view.term, leader, revision, table, stops, registry }
+        let controllers =
+            view.members.iter().filter_map(|member| member.address.parse().ok()).collect();
+        SyncAnswer {
+            confirmed: false,
+            term: view.term,
+            leader,
+            revision,
+            table,
+            stops,
+            registry,
+            routes,
+            controllers,
+        }
     }
 
     fn table_update(
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -142,6 +142,7 @@
 
 fn sync_request(revision: u64) -> SyncRequest {
     SyncRequest {
+        routes_version: 0,
         node: NodeIdentity { name: "router-1".to_owned(), incarnation: 1 },
         kind: NodeKind::Router,
         zone: "z0".to_owned(),
--- a/crates/core/src/control_command.rs
+++ b/crates/core/src/control_command.rs
@@ -7,6 +7,7 @@
 use crate::dispatch_messages::NodeIdentity;
 use crate::error_kind::ErrorKind;
 use crate::replica_members::ReplicaMembers;
+use crate::route_table::RouteTable;
 use crate::table_history::TableDifference;
 use crate::workspace_table::RowChange;
 use serde::{Deserialize, Serialize};
@@ -98,6 +99,20 @@
         /// The router.
         router: NodeIdentity,
     },
+    /// Replaces the route table, unless a version as high is in force.
+    ReplaceRoutes {
+        /// The new table, already checked.
+        table: Box<RouteTable>,
+        /// The operator's document, kept as it was received.
+        document: Vec<u8>,
+    },
+    /// An upstream announced that it leaves; it gets no work any more.
+    UpstreamLeft {
+        /// Its name.
+        name: String,
+        /// Its incarnation.
+        incarnation: u64,
+    },
 }
 
 /// Who makes a change, under an id that is unique to the change.
@@ -158,6 +173,8 @@
     Claims(Vec<ClaimAnswer>),
     /// Answers to a batch of outcomes.
     Outcomes(Vec<OutcomeAnswer>),
+    /// The version of the route table that is in force after the command.
+    Routes(u64),
 }
 
 /// An accepted change.
@@ -199,7 +216,9 @@
             | Self::Claims { .. }
             | Self::Outcomes { .. }
             | Self::Releases { .. }
-            | Self::RouterSeen { .. } => None,
+            | Self::RouterSeen { .. }
+            | Self::ReplaceRoutes { .. }
+            | Self::UpstreamLeft { .. } => None,
         }
     }
 
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -9,11 +9,13 @@
 use crate::error_kind::ErrorKind;
 use crate::replica_members::ReplicaMembers;
 use crate::replica_messages::LogEntry;
+use crate::route_table::RouteTable;
 use crate::sorted_map::SortedMap;
 use crate::table_history::{RevisionAuthor, TableDifference, TableHistory};
 use crate::upstream_registry::is_valid_name;
 use crate::workspace_table::RowChange;
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Version of the snapshot format, the first byte of a snapshot.
@@ -27,6 +29,8 @@
 pub const STOP_LIMIT: usize = 10_000;
 /// Most names of removed nodes.
 pub const REMOVED_LIMIT: usize = 100_000;
+/// Most upstreams that left; the oldest half is dropped beyond it.
+pub const LEFT_LIMIT: usize = 4_096;
 
 /// Why a snapshot could not be used.
 #[derive(Debug, Error, PartialEq, Eq)]
@@ -76,6 +80,30 @@
     removed: SortedMap<String, u64>,
     members: ReplicaMembers,
     ledger: ActionLedger,
+    #[serde(default)]
+    routes: Option<RouteRecord>,
+    #[serde(default)]
+    left: SortedMap<String, LeftUpstream>,
+    #[serde(default)]
+    left_version: u64,
+}
+
+/// The route table in force, with the document that it was read from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteRecord {
+    /// The table.
+    pub table: Arc<RouteTable>,
+    /// The operator's document as it was received.
+    pub document: Arc<Vec<u8>>,
+}
+
+/// An upstream that announced that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeftUpstream {
+    /// The incarnation that left.
+    pub incarnation: u64,
+    /// Position among all departures, for trimming.
+    pub number: u64,
 }
 
 type EditResult = Result<Option<ResolvedAction>, EditRefusal>;
@@ -181,6 +209,13 @@
                 let answers = releases.iter().map(|report| self.ledger.release(report));
                 ControlAnswer::Outcomes(answers.collect())
             }
+            ControlCommand::ReplaceRoutes { table, document } => {
+                self.replace_routes(table, document)
+            }
+            ControlCommand::UpstreamLeft { name, incarnation } => {
+                self.note_left(name, *incarnation);
+                ControlAnswer::Done
+            }
             command => match command.edit() {
                 Some(edit) => self.apply_edit(edit, command),
                 None => ControlAnswer::Done,
@@ -188,6 +223,61 @@
         }
     }
 
+    /// A table whose version is not higher than the one in force changes
+    /// nothing, so that a resent or overtaken document never reverts a newer one.
+    fn replace_routes(&mut self, table: &RouteTable, document: &[u8]) -> ControlAnswer {
+        let held = self.routes_version();
+        if table.version <= held {
+            return ControlAnswer::Routes(held);
+        }
+        let changes = table.workspace_changes(self.history.table());
+        if !changes.is_empty() || self.history.revision() == 0 {
+            let edit_id = format!("routes-{}", table.version);
+            let author =
+                RevisionAuthor { operator: "routes", edit_id: &edit_id, time_ms: self.time_ms };
+            self.history.commit(author, None, &changes);
+        }
+        self.routes = Some(RouteRecord {
+            table: Arc::new(table.clone()),
+            document: Arc::new(document.to_vec()),
+        });
+        ControlAnswer::Routes(table.version)
+    }
+
+    fn note_left(&mut self, name: &str, incarnation: u64) {
+        let held = self.left.get(name).map(|left| left.incarnation);
+        if held.is_some_and(|held| held >= incarnation) {
+            return;
+        }
+        self.left_version += 1;
+        let number = self.left_version;
+        self.left.insert(name.to_owned(), LeftUpstream { incarnation, number });
+        if self.left.len() > LEFT_LIMIT {
+            let oldest = number.saturating_sub(u64::try_from(LEFT_LIMIT / 2).unwrap_or(0));
+            self.left.retain(|_, left| left.number > oldest);
+        }
+    }
+
+    /// The route table in force.
+    pub fn routes(&self) -> Option<&RouteRecord> {
+        self.routes.as_ref()
+    }
+
+    /// Version of the route table in force; 0 before the first.
+    pub fn routes_version(&self) -> u64 {
+        self.routes.as_ref().map_or(0, |record| record.table.version)
+    }
+
+    /// Upstreams that announced that they leave.
+    pub fn left(&self) -> &SortedMap<String, LeftUpstream> {
+        &self.left
+    }
+
+    /// Increases with each upstream that leaves.
+    pub fn left_version(&self) -> u64 {
+        self.left_version
+    }
+
     fn apply_edit(&mut self, edit: &EditIdentity, command: &ControlCommand) -> ControlAnswer {
         let digest = command.digest();
         match self.edits.get(&edit.id) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,8 @@
 pub mod replica_snapshot;
 pub mod request_life;
 pub mod retry_budget;
+pub mod retry_window;
+pub mod route_table;
 pub mod slot_dispatcher;
 pub mod sorted_map;
 pub mod state_chart;
--- a/crates/core/src/replica_core.rs
+++ b/crates/core/src/replica_core.rs
@@ -32,6 +32,9 @@
 pub const LEADER_LEASE: Duration = Duration::from_millis(400);
 /// Entries that may wait for a quorum; further proposals are refused.
 pub const UNCOMMITTED_LIMIT: u64 = 10_000;
+/// Silence after which an open group removes a member: above the time of an
+/// election and of a restart, below the 4 s after which another host may be lost.
+pub const MEMBER_SILENCE: Duration = Duration::from_secs(3);
 /// Most replicas, voting or not.
 pub const MEMBER_LIMIT: usize = 9;
 
@@ -74,6 +77,9 @@
     pub snapshot_bytes: usize,
     /// Entries before a snapshot that are kept for replicas that lag.
     pub trailing_entries: u64,
+    /// The leader removes a member that was silent for [`MEMBER_SILENCE`] while
+    /// more voters than this remain. `usize::MAX` leaves removal to operators.
+    pub least_voters: usize,
 }
 
 impl ReplicaOptions {
@@ -84,6 +90,7 @@
             snapshot_entries: 4096,
             snapshot_bytes: 8 * 1024 * 1024,
             trailing_entries: 1000,
+            least_voters: usize::MAX,
         }
     }
 }
@@ -344,6 +351,7 @@
             return;
         }
         self.admit_learner(now);
+        self.remove_lost_member(now);
         if now >= self.heartbeat_at {
             self.send_to_all(now, true);
         }
--- a/crates/core/src/replica_proposal.rs
+++ b/crates/core/src/replica_proposal.rs
@@ -2,7 +2,7 @@
 
 use crate::control_command::ControlCommand;
 use crate::replica_core::{
-    LEADER_LEASE, MEMBER_LIMIT, ReplicaCore, ReplicaRole, UNCOMMITTED_LIMIT,
+    LEADER_LEASE, MEMBER_LIMIT, MEMBER_SILENCE, ReplicaCore, ReplicaRole, UNCOMMITTED_LIMIT,
 };
 use crate::replica_events::RejectReason;
 use crate::replica_members::MemberChange;
@@ -69,6 +69,30 @@
         Ok(ControlCommand::Members { members })
     }
 
+    /// Removes one member that was silent for long, in an open group. A voter
+    /// stays while no more than the least number of voters are left: its
+    /// removal would let fewer copies make a quorum.
+    pub(crate) fn remove_lost_member(&mut self, now: Duration) {
+        let least = self.options.least_voters;
+        if least == usize::MAX || !self.may_change_members() || !self.has_lease(now) {
+            return;
+        }
+        let members = self.log.members();
+        let spare_voter = members.voters().count() > least;
+        let lost = members.iter().find(|member| {
+            let removable = !member.voting || spare_voter;
+            // A learner that never answered may have been added just now.
+            let heard = self.peers.get(&member.identity.id).and_then(|peer| {
+                peer.acked_at.or_else(|| member.voting.then_some(self.led_since))
+            });
+            removable && heard.is_some_and(|heard| heard + MEMBER_SILENCE <= now)
+        });
+        let Some(id) = lost.map(|member| member.identity.id) else { return };
+        let members = members.without(id);
+        let entry = self.next_entry(ControlCommand::Members { members }, 0);
+        self.append_entry(entry);
+    }
+
     /// Makes a learner that holds the log a voter, after removing the voter
     /// of the same name, so that a lost replica does not raise the quorum.
     pub(crate) fn admit_learner(&mut self, now: Duration) {
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -156,6 +156,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     entries: SortedMap<String, UpstreamEntry>,
+    left: SortedMap<String, u64>,
     version: u64,
 }
 
@@ -180,9 +181,11 @@
         &mut self,
         now: Duration,
         lifetime: Duration,
-        announcement: UpstreamAnnouncement,
+        mut announcement: UpstreamAnnouncement,
     ) -> Result<(), AnnouncementRefusal> {
         announcement.check()?;
+        let left = self.left.get(&announcement.name);
+        announcement.leaving |= left.is_some_and(|left| *left >= announcement.incarnation);
         if let Some(entry) = self.entries.get(&announcement.name) {
             entry.check_successor(&announcement)?;
         } else if self.entries.len() >= UPSTREAM_LIMIT {
@@ -192,12 +195,22 @@
             entry.announcement.address == announcement.address
                 && entry.announcement.name != announcement.name
         });
-        if let Some(entry) = clash {
+        let clash = clash.map(|entry| entry.announcement.clone());
+        if let Some(other) = clash.as_ref().filter(|other| {
+            // An address passes to whoever started later: its former owner is gone, and an
+            // announcement of the former owner was delayed on its way.
+            other.incarnation >= announcement.incarnation
+        }) {
             return Err(AnnouncementRefusal::invalid(format!(
                 "Upstream {} announced the same address.",
-                entry.announcement.name
+                other.name
             )));
         }
+        if let Some(former) = clash.and_then(|other| self.entries.get_mut(&other.name)) {
+            former.live = false;
+            former.lapses_at = now;
+            self.version += 1;
+        }
         let live = !announcement.leaving;
         let entry = UpstreamEntry { lapses_at: now + lifetime, live, announcement };
         let name = entry.announcement.name.clone();
@@ -226,6 +239,15 @@
         true
     }
 
+    /// Takes over which incarnations left, as the replicated log holds them. An
+    /// announcement of one of them counts as leaving, also when it arrives late.
+    pub fn set_left(&mut self, now: Duration, left: SortedMap<String, u64>) {
+        for (name, incarnation) in left.iter() {
+            self.withdraw(now, name, *incarnation);
+        }
+        self.left = left;
+    }
+
     /// Lets live entries lapse no earlier than `lapses_at`, for a controller
     /// that takes over and has heard no renewals yet.
     pub fn extend(&mut self, lapses_at: Duration) {
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -3,6 +3,7 @@
 use crate::codec::{self, MESSAGE_LIMIT};
 use crate::http_server::ErrorBody;
 use baobabfall_core::error_kind::ErrorKind;
+use crate::tcp_options::set_user_timeout;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
 use http::{HeaderValue, Method, Request};
@@ -83,6 +84,7 @@
         let connect = async {
             let stream = TcpStream::connect(self.address).await.map_err(|e| self.unreachable(e))?;
             let _ = stream.set_nodelay(true);
+            set_user_timeout(&stream);
             http2::Builder::new(TokioExecutor::new())
                 .timer(TokioTimer::new())
                 .keep_alive_interval(Duration::from_secs(2))
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod operator_messages;
 pub mod settings;
 pub mod stop_signal;
+pub mod tcp_options;
 pub mod units;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -3,9 +3,11 @@
 pub use baobabfall_core::action_ledger::FencingToken;
 pub use baobabfall_core::control_command::StopKind;
 use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 /// Path of [`baobabfall_core::dispatch_messages::DispatchReport`].
 pub const REPORT_PATH: &str = "/control/v1/report";
@@ -51,6 +53,9 @@
     pub in_progress: u32,
     /// How long the answer may be held for news, in milliseconds.
     pub wait_ms: u32,
+    /// Version of the route table that the node holds.
+    #[serde(default)]
+    pub routes_version: u64,
 }
 
 /// News for a node; revisions only grow.
@@ -70,6 +75,12 @@
     pub stops: Option<StopList>,
     /// Live upstreams, when the node's version differs.
     pub registry: Option<RegistryView>,
+    /// The route table, when it is newer than the node's.
+    #[serde(default)]
+    pub routes: Option<Arc<RouteTable>>,
+    /// Addresses of all controllers of the group.
+    #[serde(default)]
+    pub controllers: Vec<std::net::SocketAddr>,
 }
 
 /// The step from one table revision to a later one.
@@ -134,6 +145,17 @@
     Announce(Vec<UpstreamAnnouncement>),
     /// Withdrawal of an incarnation.
     Withdraw(UpstreamWithdrawal),
+    /// An upstream leaves, whichever incarnation is known when it does not say.
+    Depart(UpstreamDeparture),
+}
+
+/// Departure of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamDeparture {
+    /// Its name.
+    pub name: String,
+    /// Its incarnation, when it tells one.
+    pub incarnation: Option<u64>,
 }
 
 /// Withdrawal of an upstream.
--- /dev/null
+++ b/crates/router/src/exchange_stream.rs
@@ -0,0 +1,159 @@
+//! Relays answers frame by frame and event by event.
+
+use crate::event_splitter::EventSplitter;
+use crate::exchange_body::FrameEvent;
+use crate::exchange_protocol::ExchangeProtocol;
+use crate::exchange_run::ExchangeRun;
+use crate::exchange_send::OpenExchange;
+use baobabfall_core::dispatch_messages::LeaseEnd;
+use baobabfall_core::route_table::RepetitionKind;
+use baobabfall_node::units::millis;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc::Sender;
+use tokio::time::Instant;
+
+/// How the relay of one upstream's answer ended.
+#[derive(Debug)]
+enum RelayEnd {
+    /// The answer is complete.
+    Complete,
+    /// The caller went away.
+    CallerGone,
+    /// The time for the answer is over.
+    Deadline,
+    /// The upstream broke it off.
+    Broken(String),
+}
+
+/// Relays an answer as it arrives, without looking at its content.
+pub(crate) async fn pump_frames<P: ExchangeProtocol>(
+    run: ExchangeRun<P>,
+    mut opened: OpenExchange,
+    sender: Sender<FrameEvent>,
+) {
+    let end = loop {
+        let frame = tokio::select! {
+            frame = opened.body.frame() => frame,
+            () = sender.closed() => break RelayEnd::CallerGone,
+            () = tokio::time::sleep_until(run.call.deadline) => break RelayEnd::Deadline,
+        };
+        match frame {
+            None => break RelayEnd::Complete,
+            Some(Err(error)) => break RelayEnd::Broken(error.to_string()),
+            Some(Ok(frame)) => {
+                let Ok(bytes) = frame.into_data() else { continue };
+                if sender.send(FrameEvent::Data(bytes)).await.is_err() {
+                    break RelayEnd::CallerGone;
+                }
+            }
+        }
+    };
+    finish(&run, opened, &sender, end, 0).await;
+}
+
+/// Relays an event stream. A resumable one goes on at another upstream when it
+/// breaks off, from the last whole event.
+pub(crate) async fn pump_events<P: ExchangeProtocol>(
+    mut run: ExchangeRun<P>,
+    mut opened: OpenExchange,
+    sender: Sender<FrameEvent>,
+) {
+    let mut splitter = match run.call.head.last_event {
+        Some(last) => EventSplitter::resume_after(Some(last)),
+        None => EventSplitter::default(),
+    };
+    loop {
+        let end = relay_events(&run, &mut opened, &mut splitter, &sender).await;
+        let RelayEnd::Broken(reason) = &end else {
+            return finish(&run, opened, &sender, end, splitter.events()).await;
+        };
+        let resumable = run.call.route.kind == RepetitionKind::ResumableStream;
+        let again = resumable && run.may_try_again(true);
+        log::info!(
+            event = "stream_broken", request_id = run.call.head.request_id.as_str(),
+            upstream = opened.lease.route().name.as_str(), events = splitter.events(),
+            last_event = splitter.last_id().unwrap_or(0), again = again;
+            "event stream broke off: {reason}"
+        );
+        if !again {
+            opened.lease.finish(LeaseEnd::Failed);
+            return;
+        }
+        // The former upstream stops before the next one goes on.
+        opened.lease.finish(LeaseEnd::Failed);
+        drop((opened.body, opened.connection));
+        let last = splitter.last_id();
+        splitter = EventSplitter::resume_after(last);
+        opened = match run.open_next(last).await {
+            Ok(next) if next.parts.status.is_success() => next,
+            Ok(next) => return next.lease.finish(LeaseEnd::Finished),
+            Err((kind, _)) => {
+                log::info!(
+                    event = "stream_not_resumed", reason = kind.answer().code,
+                    request_id = run.call.head.request_id.as_str();
+                    "event stream could not go on"
+                );
+                return;
+            }
+        };
+    }
+}
+
+async fn relay_events<P: ExchangeProtocol>(
+    run: &ExchangeRun<P>,
+    opened: &mut OpenExchange,
+    splitter: &mut EventSplitter,
+    sender: &Sender<FrameEvent>,
+) -> RelayEnd {
+    let event_cost = run.call.event_cost();
+    let meter = opened.lease.slot().meter.clone();
+    loop {
+        let frame = tokio::select! {
+            frame = opened.body.frame() => frame,
+            () = sender.closed() => return RelayEnd::CallerGone,
+            () = tokio::time::sleep_until(run.call.deadline) => return RelayEnd::Deadline,
+        };
+        let bytes = match frame {
+            None if splitter.is_between_events() => return RelayEnd::Complete,
+            None => return RelayEnd::Broken("it ended within an event".to_owned()),
+            Some(Err(error)) => return RelayEnd::Broken(error.to_string()),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let before = splitter.events();
+        let Ok(ready) = splitter.feed(&bytes) else {
+            return RelayEnd::Broken("an event is too large".to_owned());
+        };
+        if before == 0 && splitter.events() > 0 {
+            meter.set_first_token(Instant::now());
+        }
+        meter.charge((splitter.events() - before) * event_cost);
+        if !ready.is_empty() && sender.send(FrameEvent::Data(ready)).await.is_err() {
+            return RelayEnd::CallerGone;
+        }
+    }
+}
+
+async fn finish<P: ExchangeProtocol>(
+    run: &ExchangeRun<P>,
+    opened: OpenExchange,
+    sender: &Sender<FrameEvent>,
+    end: RelayEnd,
+    events: u64,
+) {
+    let call = &run.call;
+    match &end {
+        RelayEnd::Complete => {
+            opened.complete();
+            let _ = sender.send(FrameEvent::End).await;
+            return;
+        }
+        RelayEnd::CallerGone | RelayEnd::Deadline => opened.lease.finish(LeaseEnd::Finished),
+        RelayEnd::Broken(_) => opened.lease.finish(LeaseEnd::Failed),
+    }
+    log::info!(
+        event = "answer_cut", request_id = call.head.request_id.as_str(),
+        route = call.route.name.as_str(), events = events,
+        elapsed_ms = millis(call.arrival.elapsed());
+        "answer not completed: {end:?}"
+    );
+}
--- a/crates/router/src/health_probe.rs
+++ b/crates/router/src/health_probe.rs
@@ -82,6 +82,8 @@
 /// Results of health checks.
 #[derive(Debug, Default)]
 pub struct HealthProbe {
+    /// True when announcements are trusted and no health check is sent.
+    passive: bool,
     records: Mutex<SortedMap<String, ProbeRecord>>,
 }
 
@@ -91,6 +93,12 @@
         Arc::new(Self::default())
     }
 
+    /// Sends no health checks and takes every announced upstream as good, for
+    /// sites whose upstreams count them as work.
+    pub fn passive() -> Arc<Self> {
+        Arc::new(Self { passive: true, ..Self::default() })
+    }
+
     fn records(&self) -> MutexGuard<'_, SortedMap<String, ProbeRecord>> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -102,7 +110,7 @@
 
     /// True when a recent check found the upstream running and staying.
     pub fn is_good(&self, upstream: &UpstreamAnnouncement) -> bool {
-        self.records().get(&upstream.name).is_some_and(|record| {
+        self.passive || self.records().get(&upstream.name).is_some_and(|record| {
             record.incarnation == upstream.incarnation
                 && record.good.is_some_and(|good| good.elapsed() < PROBE_LIFETIME)
         })
@@ -125,6 +133,9 @@
 
     /// Checks the upstreams that are due, beside the calling task.
     pub fn check_due(self: &Arc<Self>, upstreams: impl IntoIterator<Item = ProbeTarget>) {
+        if self.passive {
+            return;
+        }
         let now = Instant::now();
         for upstream in upstreams {
             let mut records = self.records();
--- a/crates/router/src/leader_link.rs
+++ b/crates/router/src/leader_link.rs
@@ -11,13 +11,16 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Connections held; more are cut down to those to members.
+const CLIENT_LIMIT: usize = 16;
+
 /// Connections to the controllers and the address of the presumed leader.
 #[derive(Debug)]
 pub struct LeaderLink {
-    addresses: Vec<SocketAddr>,
+    seeds: Mutex<Vec<SocketAddr>>,
     state: Mutex<LinkState>,
     token: CredentialFile,
     metrics: NodeMetrics,
@@ -25,6 +28,8 @@
 
 #[derive(Debug)]
 struct LinkState {
+    /// Members of the group as a controller last told, empty before that.
+    members: Vec<SocketAddr>,
     term: u64,
     leader: SocketAddr,
     clients: SortedMap<SocketAddr, Arc<PeerClient>>,
@@ -34,24 +39,52 @@
     /// A link to controllers at `addresses`, of which there is at least one.
     pub fn new(addresses: Vec<SocketAddr>, token: CredentialFile, metrics: NodeMetrics) -> Self {
         let leader = addresses[0];
-        let state = Mutex::new(LinkState { term: 0, leader, clients: SortedMap::new() });
-        Self { addresses, state, token, metrics }
+        let members = Vec::new();
+        let state = Mutex::new(LinkState { members, term: 0, leader, clients: SortedMap::new() });
+        Self { seeds: Mutex::new(addresses), state, token, metrics }
     }
 
     /// Addresses of every controller.
-    pub fn addresses(&self) -> &[SocketAddr] {
-        &self.addresses
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let mut all = self.state().members.clone();
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        for seed in seeds.iter() {
+            if !all.contains(seed) {
+                all.push(*seed);
+            }
+        }
+        all
+    }
+
+    /// Replaces the addresses of the settings, after these have changed.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+
+    /// Notes the members of the group, as a controller tells them.
+    pub fn set_members(&self, members: Vec<SocketAddr>) {
+        if !members.is_empty() {
+            let mut state = self.state();
+            if state.clients.len() > CLIENT_LIMIT {
+                state.clients.retain(|address, _| members.contains(address));
+            }
+            state.members = members;
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Address of the presumed leader.
     pub fn leader(&self) -> SocketAddr {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner).leader
+        self.state().leader
     }
 
     /// Notes the leader that a controller named, unless an answer of a later
     /// term named another one.
     pub fn hint(&self, term: u64, leader: SocketAddr) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.state();
         if term >= state.term {
             (state.term, state.leader) = (term, leader);
         }
@@ -59,16 +92,17 @@
 
     /// Moves on to the next controller after `address` did not act as leader.
     pub fn leader_failed(&self, address: SocketAddr) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if state.leader == address {
-            let position = self.addresses.iter().position(|held| *held == address);
-            let next = position.map_or(0, |index| (index + 1) % self.addresses.len());
-            state.leader = self.addresses[next];
+        let addresses = self.addresses();
+        let mut state = self.state();
+        if state.leader == address && !addresses.is_empty() {
+            let position = addresses.iter().position(|held| *held == address);
+            let next = position.map_or(0, |index| (index + 1) % addresses.len());
+            state.leader = addresses[next];
         }
     }
 
     fn client(&self, address: SocketAddr) -> Arc<PeerClient> {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.state();
         let make = || Arc::new(PeerClient::new(address));
         Arc::clone(state.clients.get_or_insert_with(address, make))
     }
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -24,6 +24,8 @@
     pub upstream: CredentialFile,
     /// Token that metric readers present.
     pub metrics: CredentialFile,
+    /// Whether upstreams are sent health checks.
+    pub health_checks: bool,
 }
 
 impl RouterOptions {
@@ -38,6 +40,7 @@
             upstream: CredentialFile::open(&files.upstream)?,
             metrics: CredentialFile::open(&files.metrics)?,
             settings,
+            health_checks: true,
         })
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -5,6 +5,9 @@
 use crate::dispatch_client::DispatchClient;
 use crate::drain::{DrainPhase, DrainState};
 use crate::error::RouterError;
+use crate::exchange_api;
+use crate::exchange_protocol::ExchangeProtocol;
+use crate::exchange_state::{ExchangeOptions, ExchangeState};
 use crate::fleet_api;
 use crate::health_probe::{HealthProbe, ProbeTarget};
 use crate::leader_link::LeaderLink;
@@ -24,7 +27,9 @@
 use baobabfall_node::messages::StopKind;
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
-use http::Request;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -33,6 +38,7 @@
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
+use tower::Service;
 
 /// How often housekeeping runs and a stop looks at the work left.
 const TICK: Duration = Duration::from_millis(20);
@@ -65,12 +71,51 @@
         options: RouterOptions,
         listeners: RouterListeners,
     ) -> Result<RouterHandle, RouterError> {
+        let state = build_state(options, &CancellationToken::new())?;
+        let callers = Arc::clone(&state);
+        let service = tower::service_fn(move |request: Request<Incoming>| {
+            let state = Arc::clone(&callers);
+            async move { Ok::<_, Infallible>(caller_api::handle(state, request).await) }
+        });
+        Self::start_serving(state, listeners, service)
+    }
+
+    /// Starts a router that serves exchanges on routes in the place of the
+    /// product's own caller interface.
+    pub async fn start_exchanges<P: ExchangeProtocol>(
+        options: RouterOptions,
+        listeners: RouterListeners,
+        protocol: P,
+        exchanges: &ExchangeOptions,
+    ) -> Result<(RouterHandle, Arc<ExchangeState<P>>), RouterError> {
+        let state = build_state(options, &CancellationToken::new())?;
+        let exchanges = ExchangeState::new(Arc::clone(&state), protocol, exchanges);
+        let callers = Arc::clone(&exchanges);
+        let service = tower::service_fn(move |request: Request<Incoming>| {
+            let state = Arc::clone(&callers);
+            async move { Ok::<_, Infallible>(exchange_api::handle(state, request).await) }
+        });
+        let handle = Self::start_serving(state, listeners, service)?;
+        Ok((handle, exchanges))
+    }
+
+    fn start_serving<S, B>(
+        state: Arc<RouterState>,
+        listeners: RouterListeners,
+        caller_service: S,
+    ) -> Result<RouterHandle, RouterError>
+    where
+        S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
+        S: Clone + Send + 'static,
+        S::Future: Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: std::error::Error + Send + Sync,
+    {
         let address = |listener: &tokio::net::TcpListener| {
             listener.local_addr().map_err(|error| RouterError::Setup(error.to_string()))
         };
         let (caller, fleet) = (address(&listeners.caller)?, address(&listeners.fleet)?);
-        let abort = CancellationToken::new();
-        let state = build_state(options, &abort)?;
+        let abort = state.abort.clone();
         let (servers, signal) = stop_channel();
         let mut tasks = JoinSet::new();
         spawn_clients(&mut tasks, &state);
@@ -78,11 +123,6 @@
         let runner = Arc::clone(&local);
         tasks.spawn(async move { runner.run().await });
         let limits = state.options.server_limits();
-        let caller_state = Arc::clone(&state);
-        let caller_service = tower::service_fn(move |request: Request<Incoming>| {
-            let state = Arc::clone(&caller_state);
-            async move { Ok::<_, Infallible>(caller_api::handle(state, request).await) }
-        });
         let fleet_state = Arc::clone(&state);
         let fleet_service = tower::service_fn(move |request: Request<Incoming>| {
             let state = Arc::clone(&fleet_state);
@@ -177,11 +217,15 @@
         life,
         fleet: Arc::new(FleetView::new()),
         dispatch: Arc::new(dispatch),
-        probe: HealthProbe::new(),
+        probe: match options.health_checks {
+            true => HealthProbe::new(),
+            false => HealthProbe::passive(),
+        },
         relays: Arc::new(RelayWatch::new(settings.limits.caller_gap.0)),
         pool: UpstreamPool::new(settings.limits.connect_time.0, abort.clone()),
         actions: ActionClient::new(Arc::clone(&link), identity, claim_time),
         retries: RetryBooks::default(),
+        abort: abort.clone(),
         drain: DrainState::new(),
         in_progress: Arc::new(AtomicU32::new(0)),
         queue,
@@ -217,7 +261,9 @@
     });
     let relays = Arc::clone(&state.relays);
     tasks.spawn(async move { relays.run().await });
-    tasks.spawn(watch_upstreams(Arc::clone(state)));
+    if state.options.health_checks {
+        tasks.spawn(watch_upstreams(Arc::clone(state)));
+    }
     for credential in [&state.options.process, &state.options.upstream, &state.options.metrics] {
         tasks.spawn(credential.clone().watch());
     }
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -17,6 +17,7 @@
 use baobabfall_node::node_metrics::NodeMetrics;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use tokio_util::sync::CancellationToken;
 
 /// Parts of a running router that its tasks share.
 #[derive(Debug)]
@@ -49,6 +50,8 @@
     pub in_progress: Arc<AtomicU32>,
     /// A life cycle in its first state; copied for each request.
     pub life: RequestLife,
+    /// Ends every task and connection at once.
+    pub abort: CancellationToken,
 }
 
 impl RouterState {
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -51,7 +51,6 @@
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
-        let addresses = self.link.addresses();
         let (mut position, mut at_leader) = (0, true);
         loop {
             let begun = Instant::now();
@@ -60,6 +59,7 @@
                 self.link.leader()
             } else {
                 position += 1;
+                let addresses = self.link.addresses();
                 addresses[position % addresses.len()]
             };
             let answer = self.ask(address, SYNC_WAIT_MS).await;
@@ -82,6 +82,7 @@
             stops_version: self.fleet.stops().version,
             registry_version: self.fleet.registry().version,
             in_progress: self.in_progress.load(Ordering::Relaxed),
+            routes_version: self.fleet.routes_version(),
             wait_ms,
         };
         let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms.into());
@@ -101,11 +102,14 @@
         let calls = addresses.iter().map(|address| self.ask(*address, 0));
         let answers: Vec<SyncAnswer> = join_all(calls).await.into_iter().flatten().collect();
         let majority = answers.len() * 2 > addresses.len();
-        let highest = answers.iter().max_by_key(|answer| (answer.confirmed, answer.revision));
+        let version = |answer: &SyncAnswer| answer.routes.as_ref().map_or(0, |held| held.version);
+        let highest = answers
+            .iter()
+            .max_by_key(|answer| (answer.confirmed, answer.revision, version(answer)));
         let Some(answer) = highest.filter(|answer| answer.confirmed || majority) else { return };
         let confirmed = answer.confirmed;
         let best = answers.into_iter().max_by_key(|answer| {
-            if confirmed { (answer.confirmed, answer.revision) } else { (true, answer.revision) }
+            (!confirmed || answer.confirmed, answer.revision, version(answer))
         });
         if let Some(answer) = best {
             self.apply_forward(answer);
@@ -117,7 +121,10 @@
         if let Some(leader) = answer.leader {
             self.link.hint(answer.term, leader);
         }
-        let mut useful = answer.table.is_some_and(|update| self.apply_table(&update));
+        self.link.set_members(answer.controllers);
+        let routes = answer.routes;
+        let mut useful = routes.is_some_and(|routes| self.fleet.set_routes(&routes));
+        useful |= answer.table.is_some_and(|update| self.apply_table(&update));
         if let Some(stops) = answer.stops {
             useful |= self.fleet.set_stops(stops);
         }
--- a/crates/router/src/table_view.rs
+++ b/crates/router/src/table_view.rs
@@ -1,6 +1,7 @@
 //! The workspace table in force and the fleet's upstreams, as a router holds them.
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use baobabfall_core::route_table::{RouteIndex, RouteTable};
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::{
     AnnouncementRefusal, UpstreamAnnouncement, UpstreamKind, UpstreamRegistry, WorkTarget,
@@ -59,6 +60,7 @@
     former: ArcSwap<(Vec<UpstreamAnnouncement>, Instant)>,
     stops: ArcSwap<StopList>,
     local: Mutex<UpstreamRegistry>,
+    routes: ArcSwapOption<RouteIndex>,
     started: Instant,
 }
 
@@ -77,6 +79,7 @@
             former: ArcSwap::from_pointee((Vec::new(), Instant::now())),
             stops: ArcSwap::from_pointee(StopList { version: 0, stops: Vec::new() }),
             local: Mutex::new(UpstreamRegistry::default()),
+            routes: ArcSwapOption::empty(),
             started: Instant::now(),
         }
     }
@@ -96,6 +99,26 @@
         newer
     }
 
+    /// The route table in force; `None` before the first.
+    pub fn routes(&self) -> Option<Arc<RouteIndex>> {
+        self.routes.load_full()
+    }
+
+    /// Version of the route table in force; 0 before the first.
+    pub fn routes_version(&self) -> u64 {
+        self.routes.load().as_ref().map_or(0, |held| held.table().version)
+    }
+
+    /// Replaces the route table, unless a version as high is in force.
+    pub fn set_routes(&self, next: &Arc<RouteTable>) -> bool {
+        let newer = next.version > self.routes_version();
+        if newer {
+            self.routes.store(Some(Arc::new(RouteIndex::new(RouteTable::clone(next)))));
+            log::info!(version = next.version, routes = next.routes.len(); "route table in force");
+        }
+        newer
+    }
+
     /// The registry as the controllers gave it.
     pub fn registry(&self) -> Arc<RegistryView> {
         self.view.load_full()
--- a/crates/router/src/upstream_pool.rs
+++ b/crates/router/src/upstream_pool.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use baobabfall_node::tcp_options::set_user_timeout;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
@@ -59,6 +60,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     since: Instant,
+    limit: Duration,
 }
 
 /// A connection in use; dropping it closes it.
@@ -108,7 +110,7 @@
     /// Closes connections that were idle for long.
     pub fn expire(&self) {
         self.idle().retain(|_, held| {
-            held.retain(|idle| idle.since.elapsed() < IDLE_TIME && !idle.sender.is_closed());
+            held.retain(|idle| idle.since.elapsed() < idle.limit && !idle.sender.is_closed());
             !held.is_empty()
         });
     }
@@ -117,7 +119,7 @@
         let mut idle = self.idle();
         let held = idle.get_mut(key)?;
         while let Some(connection) = held.pop() {
-            if connection.since.elapsed() < limit && !connection.sender.is_closed() {
+            if connection.since.elapsed() < limit.min(connection.limit) && !connection.sender.is_closed() {
                 return Some(connection.sender);
             }
         }
@@ -144,7 +146,7 @@
         repeatable: bool,
     ) -> Result<(Response<Incoming>, UpstreamConnection), ExchangeError> {
         let key = (route.name.clone(), route.incarnation);
-        let limit = if repeatable { IDLE_TIME } else { FRESH_TIME };
+        let limit = if repeatable { Duration::MAX } else { FRESH_TIME };
         if let Some(sender) = self.take_ready(&key, limit).await {
             let pool = Arc::clone(self);
             let connection = UpstreamConnection { sender, key: key.clone(), pool, reused: true };
@@ -169,6 +171,7 @@
         let connect = async {
             let stream = TcpStream::connect(route.address).await.map_err(|e| e.to_string())?;
             let _ = stream.set_nodelay(true);
+            set_user_timeout(&stream);
             http1::Builder::new()
                 .max_buf_size(BUFFER_LIMIT)
                 .handshake(TokioIo::new(stream))
@@ -217,13 +220,18 @@
     /// Returns the connection to the pool. Only for connections whose answer
     /// ended exactly as its framing says.
     pub fn give_back(self) {
+        self.give_back_for(IDLE_TIME);
+    }
+
+    /// Returns a connection that the upstream keeps open for `limit`.
+    pub fn give_back_for(self, limit: Duration) {
         if self.sender.is_closed() {
             return;
         }
         let mut idle = self.pool.idle();
         let held = idle.get_or_insert_with(self.key, Vec::new);
         if held.len() < IDLE_LIMIT {
-            held.push(IdleConnection { sender: self.sender, since: Instant::now() });
+            held.push(IdleConnection { sender: self.sender, since: Instant::now(), limit });
         }
     }
 }
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -164,6 +164,8 @@
         let view = RegistryView { version, upstreams: script.upstreams.clone() };
         let stops = StopList { version: script.stops_version, stops: script.stops.clone() };
         SyncAnswer {
+            routes: None,
+            controllers: Vec::new(),
             confirmed: script.confirmed,
             term: script.term,
             leader: script.leader,
