Replicas tell where they listen, so that learners can answer

Cause: a learner of an open group has no membership and knew peers by the names of the settings only; its answers had no address, so the group never grew beyond its founder. Ruled out: the join itself, which was logged on the leader. Change: messages between replicas carry the sender's address.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -6,7 +6,7 @@
 use crate::node_tracker::NodeTracker;
 use crate::operator_api::OperatorApi;
 use crate::options::ControllerOptions;
-use crate::peer_links::REPLICA_PATH;
+use crate::peer_links::{PeerBook, PeerEnvelope, REPLICA_PATH};
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
 use crate::sync_service::SyncService;
@@ -61,6 +61,8 @@
     pub operators: OperatorApi,
     /// Metrics of this process.
     pub metrics: NodeMetrics,
+    /// Addresses of replicas that sent messages.
+    pub heard: PeerBook,
     /// Connection to the leader, for announcements that arrive here.
     pub leader: Arc<Mutex<Option<Arc<PeerClient>>>>,
 }
@@ -134,7 +136,8 @@
                 Err(refusal) => refusal.response(),
             },
             REPLICA_PATH => match read_message(request).await {
-                Ok(message) => {
+                Ok(PeerEnvelope { address, message }) => {
+                    self.heard.note(&message.from, address);
                     self.replica.deliver(message);
                     message_response(&())
                 }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -11,7 +11,7 @@
 use crate::operator_api::OperatorApi;
 use crate::operator_views;
 use crate::options::ControllerOptions;
-use crate::peer_links::PeerLinks;
+use crate::peer_links::{PeerBook, PeerLinks};
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaDriver, ReplicaHandle};
 use crate::storage_worker::start_storage;
@@ -136,8 +136,9 @@
     })?;
     let clock = Instant::now();
     let metrics = NodeMetrics::new().map_err(ControllerError::Metrics)?;
+    let heard = PeerBook::default();
     let OpenedReplica { driver, replica, identity, joins, storage_ended } =
-        open_replica(&options, clock, address).await?;
+        open_replica(&options, clock, address, heard.clone()).await?;
     let registry = RegistryService::new(clock, options.announcement_lapse);
     let tracker = NodeTracker::default();
     let dispatch = DispatchService::new(clock, replica.clone());
@@ -163,6 +164,7 @@
         operators,
         metrics,
         leader: Arc::default(),
+        heard,
     };
     let (stop, signal) = stop_channel();
     let mut tasks = JoinSet::new();
@@ -219,6 +221,7 @@
     options: &ControllerOptions,
     clock: Instant,
     address: SocketAddr,
+    heard: PeerBook,
 ) -> Result<OpenedReplica, ControllerError> {
     let folder = &options.settings.storage.folder;
     let storage_error = |kind, message: String| ControllerError::Storage { kind, message };
@@ -256,7 +259,7 @@
         storage_error(kind, format!("The storage thread cannot start: {error}."))
     })?;
     let configured = options.settings.peers.iter().map(|peer| (peer.name.clone(), peer.address));
-    let peers = PeerLinks::new(options.process.clone(), configured);
+    let peers = PeerLinks::new(options.process.clone(), configured, address, heard);
     let (driver, replica) = ReplicaDriver::new(core, clock, state, storage, done, peers);
     // A replica that holds a log and is no member was removed by an operator, or is being caught
     // up by the leader; only one that never held anything asks to be added.
--- a/crates/controller/src/peer_links.rs
+++ b/crates/controller/src/peer_links.rs
@@ -6,7 +6,8 @@
 use baobabfall_node::credentials::CredentialFile;
 use baobabfall_node::http_client::PeerClient;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::Semaphore;
 
@@ -16,6 +17,8 @@
 const SEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Messages on their way to one peer; more are dropped.
 const IN_FLIGHT_LIMIT: usize = 64;
+/// Replicas whose addresses are noted.
+const HEARD_LIMIT: usize = 1024;
 
 /// Connections to the other controllers.
 #[derive(Debug)]
@@ -23,7 +26,38 @@
     credential: CredentialFile,
     /// Addresses of the settings, for a replica that holds no membership yet.
     configured: SortedMap<String, SocketAddr>,
+    own: SocketAddr,
     links: SortedMap<SocketAddr, PeerLink>,
+    heard: PeerBook,
+}
+
+/// Message of a replica with the address at which the sender listens, so that
+/// a replica without a membership can answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerEnvelope {
+    /// Where the sender listens.
+    pub address: SocketAddr,
+    /// The message.
+    pub message: ReplicaMessage,
+}
+
+/// Addresses of replicas that sent messages.
+#[derive(Clone, Debug, Default)]
+pub struct PeerBook(Arc<Mutex<SortedMap<u64, SocketAddr>>>);
+
+impl PeerBook {
+    /// Notes where a replica listens. Beyond the limit nothing is noted: a
+    /// group has far fewer members.
+    pub fn note(&self, sender: &ReplicaIdentity, address: SocketAddr) {
+        let mut held = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if held.len() < HEARD_LIMIT || held.contains_key(&sender.id) {
+            held.insert(sender.id, address);
+        }
+    }
+
+    fn find(&self, peer: &ReplicaIdentity) -> Option<SocketAddr> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(&peer.id).copied()
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -37,14 +71,17 @@
     pub fn new(
         credential: CredentialFile,
         configured: impl IntoIterator<Item = (String, SocketAddr)>,
+        own: SocketAddr,
+        heard: PeerBook,
     ) -> Self {
         let configured = configured.into_iter().collect();
-        Self { credential, configured, links: SortedMap::new() }
+        Self { credential, configured, own, links: SortedMap::new(), heard }
     }
 
     fn address(&self, members: &ReplicaMembers, peer: &ReplicaIdentity) -> Option<SocketAddr> {
         let member = members.get(peer.id).and_then(|member| member.address.parse().ok());
-        member.or_else(|| self.configured.get(&peer.name).copied())
+        let heard = || self.heard.find(peer);
+        member.or_else(heard).or_else(|| self.configured.get(&peer.name).copied())
     }
 
     /// Sends a message without waiting for it to arrive.
@@ -60,6 +97,7 @@
         let Ok(permit) = Arc::clone(&link.permits).try_acquire_owned() else { return };
         let client = Arc::clone(&link.client);
         let token = self.credential.token();
+        let message = PeerEnvelope { address: self.own, message };
         tokio::spawn(async move {
             let sent: Result<(), _> =
                 client.call(REPLICA_PATH, &token, &message, SEND_TIMEOUT).await;
