--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -205,7 +205,7 @@
     let known = replica.view().members;
     let known = known.iter().filter_map(|member| member.address.parse().ok());
     let mut addresses: Vec<SocketAddr> =
-        options.settings.peers.iter().map(|peer| peer.address).chain(known).collect();
+        options.seeds.addresses().into_iter().chain(known).collect();
     addresses.sort_unstable();
     addresses.dedup();
     addresses.retain(|held| *held != request.address);
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// Default time after which an announcement lapses. With the 500 ms after
@@ -175,6 +176,24 @@
     pub upstream: CredentialFile,
     /// Credential of readers of metrics.
     pub metrics: CredentialFile,
+    /// Addresses of the peers, which may change while the process runs.
+    pub seeds: SeedList,
+}
+
+/// Addresses of some controllers, replaced when the settings change.
+#[derive(Clone, Debug, Default)]
+pub struct SeedList(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl SeedList {
+    /// Replaces the addresses.
+    pub fn replace(&self, addresses: Vec<SocketAddr>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+
+    /// The addresses.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
 }
 
 impl ControllerOptions {
@@ -200,6 +219,8 @@
             settings.control.announcement_lapse.map_or(LAPSE_DEFAULT, |span| span.0);
         let mut settings = settings;
         settings.storage.folder = folder;
-        Ok(Self { settings, announcement_lapse, process, operator, upstream, metrics })
+        let seeds = SeedList::default();
+        seeds.replace(settings.peers.iter().map(|peer| peer.address).collect());
+        Ok(Self { settings, announcement_lapse, process, operator, upstream, metrics, seeds })
     }
 }
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -26,6 +26,9 @@
     pub metrics: CredentialFile,
     /// Whether upstreams are sent health checks.
     pub health_checks: bool,
+    /// Whether a stop closes callers' connections once its notice is over. They
+    /// otherwise stay open for refusals until no work is left.
+    pub close_on_stop: bool,
 }
 
 impl RouterOptions {
@@ -41,6 +44,7 @@
             metrics: CredentialFile::open(&files.metrics)?,
             settings,
             health_checks: true,
+            close_on_stop: false,
         })
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -316,6 +316,9 @@
         let drain = &self.state.drain;
         drain.advance(DrainPhase::Refusing);
         log::info!("new work is refused");
+        if self.state.options.close_on_stop {
+            self.servers.advance(StopPhase::Draining);
+        }
         let limits = &self.state.options.settings.limits;
         let queue_empty = self.wait_until(|state| state.queue.book().queued() == 0);
         let _ = tokio::time::timeout(limits.stop_queue.0, queue_empty).await;
