Engines get prompts by a window of unread tokens; prefixes have several keepers

Cause: engines were admitted by slots alone, so prompts queued inside them for a second and more; a prefix had one hint, which each request that found no free slot there moved. Change: each upstream has a window of unread prompt tokens that adapts to first-token times; the dispatcher gets notes on the first waiting prompts; an upstream that keeps the prefix may hold two windows; requests wait for at most 0.4 of the objective.

--- a/crates/core/src/backlog_queue.rs
+++ b/crates/core/src/backlog_queue.rs
@@ -1,6 +1,6 @@
 //! Waiting requests of one workspace for one target, over all routers.
 
-use crate::dispatch_messages::{BacklogEntry, CostUnits};
+use crate::dispatch_messages::{BacklogEntry, CostUnits, PromptNote};
 use crate::sorted_map::SortedMap;
 use std::collections::VecDeque;
 
@@ -25,6 +25,7 @@
     hint: CostUnits,
     prefix: Option<u64>,
     avoid: Option<String>,
+    prompts: VecDeque<PromptNote>,
 }
 
 /// Requests that arrived at one router together.
@@ -47,6 +48,8 @@
     pub prefix: Option<u64>,
     /// Upstream that it should avoid.
     pub avoid: Option<String>,
+    /// What is known of its prompt.
+    pub prompt: Option<PromptNote>,
 }
 
 /// Queue of one workspace and target in order of arrival at the dispatcher.
@@ -100,6 +103,9 @@
             backlog.hint = entry.cost_hint;
             backlog.prefix = entry.prefix;
             backlog.avoid.clone_from(&entry.avoid);
+            // Grants that the router had not received when it reported are for its first requests.
+            let granted = usize::try_from(backlog.unreceived).unwrap_or(usize::MAX);
+            backlog.prompts = entry.prompts.iter().skip(granted).copied().collect();
         }
         self.settle(router, stamp);
     }
@@ -133,7 +139,10 @@
         backlog.waiting -= 1;
         backlog.unreceived += 1;
         let (prefix, avoid) = (backlog.prefix.take(), backlog.avoid.take());
-        Some(NextRequest { router, hint: backlog.hint, prefix, avoid })
+        let prompt = backlog.prompts.pop_front();
+        let hint = prompt.map_or(backlog.hint, |prompt| prompt.cost);
+        let prefix = prompt.map_or(prefix, |prompt| prompt.prefix);
+        Some(NextRequest { router, hint, prefix, avoid, prompt })
     }
 
     /// Brings the runs of a router in line with its report.
--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -51,6 +51,7 @@
         let upstreams: Vec<_> = (0..UPSTREAMS).map(workload_upstream).collect();
         dispatcher.set_upstreams(now, &upstreams);
         let backlog = (0..backlogged).map(|index| BacklogEntry {
+            prompts: Vec::new(),
             target: WorkTarget { kind: UpstreamKind::Model, name: model_name(index % MODELS) },
             workspace: workspace_name(index),
             queued: QUEUED,
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -229,6 +229,13 @@
         let Some(millis) = usage.first_token_ms.filter(|_| !record.first_token) else { return };
         record.first_token = true;
         let upstream = record.upstream;
+        let target_ms = record.target_ms;
+        let prefill = std::mem::take(&mut record.prefill);
+        let state = &mut self.upstreams[upstream];
+        if state.incarnation == record.incarnation {
+            state.capacity.adapt_window(now, millis, target_ms, state.prefill);
+            state.prefill = state.prefill.saturating_sub(prefill);
+        }
         if self.upstreams[upstream].incarnation == record.incarnation {
             let placement = self.settings.placement;
             self.upstreams[upstream].capacity.record_first_token(now, &placement, millis);
@@ -266,6 +273,8 @@
             already_charged,
             charge: weighted_cost(counted, weight),
             first_token: usage.first_token_ms.is_some(),
+            prefill: 0,
+            target_ms: 0,
         };
         self.add_lease(now, id, usage.lease, record);
         true
--- a/crates/core/src/dispatch_ledger.rs
+++ b/crates/core/src/dispatch_ledger.rs
@@ -3,7 +3,7 @@
 use crate::dispatch_messages::{CostUnits, LeaseEnd, LeaseId};
 use crate::dispatch_state::{LeaseRecord, TargetPlace, WorkspaceState};
 use crate::fair_order::{AccountValue, FairAccount, SERVICE_WINDOW_SECONDS, weighted_cost};
-use crate::placement::ejection_limit;
+use crate::placement::{SlotLoad, ejection_limit};
 use crate::slot_dispatcher::SlotDispatcher;
 use std::time::Duration;
 
@@ -172,6 +172,7 @@
         let upstream = &mut self.upstreams[record.upstream];
         upstream.leases += 1;
         if upstream.incarnation == record.incarnation {
+            upstream.prefill += record.prefill;
             upstream.running += 1;
             upstream.capacity.record_running(upstream.running);
         }
@@ -245,6 +246,7 @@
         let upstream = &mut self.upstreams[record.upstream];
         upstream.leases -= 1;
         if upstream.incarnation == record.incarnation {
+            upstream.prefill = upstream.prefill.saturating_sub(record.prefill);
             upstream.running -= 1;
             if let Some(end) = end {
                 upstream.capacity.record_end(now, &self.settings.placement, end);
@@ -315,7 +317,13 @@
         let upstream = &self.upstreams[id];
         for place in &upstream.places {
             let free = &mut self.pools[place.pool].targets[place.index].free;
-            free.set(upstream.zone, id, upstream.running, slots);
+            let load = SlotLoad {
+                running: upstream.running,
+                slots,
+                prefill: upstream.prefill,
+                window: upstream.capacity.window(),
+            };
+            free.set(upstream.zone, id, load);
         }
     }
 }
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -59,8 +59,34 @@
     /// Upstream that the first request must avoid after a failed attempt.
     #[serde(rename = "a")]
     pub avoid: Option<String>,
+    /// What is known of the first waiting requests, in their order.
+    #[serde(default, rename = "d", skip_serializing_if = "Vec::is_empty")]
+    pub prompts: Vec<PromptNote>,
 }
 
+/// What a router knows of the prompt of one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptNote {
+    /// Hash of the part of the prompt that other requests share.
+    #[serde(rename = "p")]
+    pub prefix: Option<u64>,
+    /// Tokens of that part.
+    #[serde(rename = "s")]
+    pub shared: u32,
+    /// Tokens of the rest.
+    #[serde(rename = "o")]
+    pub own: u32,
+    /// Time in which the first token should follow the grant, in milliseconds.
+    #[serde(rename = "m")]
+    pub target_ms: u32,
+    /// Estimated cost of the request.
+    #[serde(rename = "c")]
+    pub cost: CostUnits,
+}
+
+/// Most prompts that are noted in one entry.
+pub const PROMPT_LIMIT: usize = 16;
+
 /// How the use of a slot ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/core/src/dispatch_settings.rs
+++ b/crates/core/src/dispatch_settings.rs
@@ -91,7 +91,7 @@
             slow_start_step: Duration::from_millis(250),
             known_upstreams_grace: Duration::from_secs(3),
             prefix_lifetime: Duration::from_secs(30),
-            prefix_slots: 4096,
+            prefix_slots: 16_384,
         }
     }
 }
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -106,6 +106,8 @@
     /// Lease records that refer to it, of any incarnation.
     pub leases: u32,
     pub places: Vec<TargetPlace>,
+    /// Prompt tokens granted to it whose requests have no first token yet.
+    pub prefill: u64,
 }
 
 impl UpstreamState {
@@ -120,6 +122,7 @@
             capacity: UpstreamCapacity::new(1, None),
             running: 0,
             leases: 0,
+            prefill: 0,
             places: Vec::new(),
         }
     }
@@ -209,6 +212,10 @@
     /// Weighted cost that the account holds for it.
     pub charge: AccountValue,
     pub first_token: bool,
+    /// Prompt tokens that count as unread until the first token.
+    pub prefill: u64,
+    /// Time in which the first token should follow, in milliseconds; 0 for none.
+    pub target_ms: u32,
 }
 
 /// Service, backlog and running requests of a workspace in a pool.
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -118,6 +118,7 @@
         if restarted {
             self.upstreams[id].incarnation = next.incarnation;
             self.upstreams[id].running = self.count_running(id, next.incarnation);
+            self.upstreams[id].prefill = 0;
         }
         let upstream = &mut self.upstreams[id];
         upstream.capacity = UpstreamCapacity::new(next.concurrency, slow_start);
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -125,7 +125,7 @@
 ///     queued: 1,
 ///     cost_hint: 0,
 ///     prefix: None,
-///     avoid: None,
+///     prompts: Vec::new(), avoid: None,
 /// });
 /// assert!(local.dispatch(now).is_empty(), "the held slot is in use");
 /// held.end = Some(LeaseEnd::Finished);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,6 +12,14 @@
 const SHORT_MEAN_DIVISOR: u64 = 8;
 /// Weight of a new first-token time in the long-term mean is one of these.
 const LONG_MEAN_DIVISOR: u64 = 128;
+/// First window of unread prompt tokens.
+const FIRST_WINDOW: u64 = 16_384;
+/// Smallest window: about one usual prompt.
+const LEAST_WINDOW: u64 = 4_096;
+/// Largest window.
+const LARGEST_WINDOW: u64 = 262_144;
+/// Increase of a window for each first token in time.
+const WINDOW_STEP: u64 = 64;
 
 /// What the dispatcher learns about the capacity of one upstream.
 ///
@@ -44,6 +52,8 @@
     long_mean: u64,
     peak_running: u32,
     earlier_peak: u32,
+    window: u64,
+    window_cut: Option<Duration>,
 }
 
 impl UpstreamCapacity {
@@ -63,6 +73,35 @@
             long_mean: 0,
             peak_running: 0,
             earlier_peak: 0,
+            window: FIRST_WINDOW,
+            window_cut: None,
+        }
+    }
+
+    /// Prompt tokens that may be unread at once. An engine reads prompts one
+    /// after another, so this bounds the wait for the first token.
+    pub fn window(&self) -> u64 {
+        self.window
+    }
+
+    /// Adapts the window to a first token that came `millis` after its grant:
+    /// additive increase while it was in time and the window was used,
+    /// multiplicative decrease when it was late.
+    pub fn adapt_window(&mut self, now: Duration, millis: u32, target_ms: u32, unread: u64) {
+        if target_ms == 0 {
+            return;
+        }
+        if millis <= target_ms {
+            if unread * 2 >= self.window {
+                self.window = (self.window + WINDOW_STEP).min(LARGEST_WINDOW);
+            }
+            return;
+        }
+        // The requests that were under way at a decrease say nothing about its effect.
+        let settled = Duration::from_millis(u64::from(target_ms));
+        if self.window_cut.is_none_or(|cut| cut + settled <= now) {
+            self.window_cut = Some(now);
+            self.window = (self.window - self.window / 8).max(LEAST_WINDOW);
         }
     }
 
@@ -232,6 +271,31 @@
     members / 2
 }
 
+/// Work that an upstream holds, against what it may hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SlotLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that may run.
+    pub slots: u32,
+    /// Prompt tokens that are not read yet.
+    pub prefill: u64,
+    /// Prompt tokens that may be unread.
+    pub window: u64,
+}
+
+impl SlotLoad {
+    fn is_free(&self) -> bool {
+        self.running < self.slots && (self.prefill == 0 || self.prefill < self.window)
+    }
+
+    /// The fuller of both measures, in parts of [`FRACTION`].
+    fn fraction(&self) -> u64 {
+        let slots = u64::from(self.running) * FRACTION / u64::from(self.slots.max(1));
+        slots.max(self.prefill * FRACTION / self.window.max(1))
+    }
+}
+
 /// Upstreams with free slots that serve one target, ordered by load within
 /// each availability zone.
 #[derive(Clone, Debug, Default)]
@@ -264,14 +328,14 @@
     }
 
     /// Sets the load of an upstream; it is removed when it has no free slot.
-    pub fn set(&mut self, zone: usize, upstream: usize, running: u32, slots: u32) {
+    pub fn set(&mut self, zone: usize, upstream: usize, load: SlotLoad) {
         if self.zones.len() <= zone {
             self.zones.resize_with(zone + 1, IndexedHeap::new);
         }
         let heap = &mut self.zones[zone];
         let held = heap.len();
-        if running < slots {
-            heap.set(upstream, u64::from(running) * FRACTION / u64::from(slots));
+        if load.is_free() {
+            heap.set(upstream, load.fraction());
         } else {
             heap.remove(upstream);
         }
@@ -292,9 +356,7 @@
     /// ```
     pub fn choose(&self, preference: &SlotPreference) -> Option<usize> {
         let affine = preference.affine.filter(|upstream| Some(*upstream) != preference.avoid);
-        if let Some(upstream) = affine
-            && self.zones.iter().any(|heap| heap.contains(upstream))
-        {
+        if affine.is_some() {
             return affine;
         }
         let best = self.zones.iter().enumerate().filter_map(|(zone, heap)| {
@@ -311,30 +373,48 @@
     }
 }
 
-/// Bounded table from prompt prefix to the upstream that served it last.
-///
-/// Colliding prefixes overwrite each other, which costs at most a cache miss.
+/// Upstreams that keep one prefix, the latest first.
+const KEEPER_LIMIT: usize = 4;
+
+/// Which upstreams read a prefix lately, in a table of fixed size.
 #[derive(Clone, Debug)]
 pub struct PrefixHints {
-    slots: Vec<Option<(u64, usize, Duration)>>,
+    slots: Vec<PrefixSlot>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct PrefixSlot {
+    prefix: u64,
+    keepers: Vec<(usize, Duration)>,
 }
 
 impl PrefixHints {
-    /// A table of `slots` entries.
+    /// A table with `slots` places; prefixes that share one displace each other.
     pub fn new(slots: usize) -> Self {
-        Self { slots: vec![None; slots.max(1)] }
+        Self { slots: vec![PrefixSlot::default(); slots.max(1)] }
     }
 
-    /// Records that `upstream` serves `prefix`.
+    /// Notes that an upstream reads a prefix.
     pub fn record(&mut self, now: Duration, prefix: u64, upstream: usize) {
         let slot = self.slot(prefix);
-        self.slots[slot] = Some((prefix, upstream, now));
+        let slot = &mut self.slots[slot];
+        if slot.prefix != prefix {
+            slot.prefix = prefix;
+            slot.keepers.clear();
+        }
+        slot.keepers.retain(|(held, _)| *held != upstream);
+        slot.keepers.truncate(KEEPER_LIMIT - 1);
+        slot.keepers.insert(0, (upstream, now));
     }
 
-    /// The upstream that served `prefix` within `lifetime`.
-    pub fn find(&self, now: Duration, lifetime: Duration, prefix: u64) -> Option<usize> {
-        let (held, upstream, at) = self.slots[self.slot(prefix)]?;
-        (held == prefix && now < at + lifetime).then_some(upstream)
+    /// Upstreams that read a prefix within `lifetime`.
+    pub fn find(&self, now: Duration, lifetime: Duration, prefix: u64) -> Vec<usize> {
+        let slot = &self.slots[self.slot(prefix)];
+        if slot.prefix != prefix {
+            return Vec::new();
+        }
+        let fresh = slot.keepers.iter().filter(|(_, at)| now < *at + lifetime);
+        fresh.map(|(upstream, _)| *upstream).collect()
     }
 
     fn slot(&self, prefix: u64) -> usize {
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -24,6 +24,8 @@
 
 /// Most grants of one answer; it keeps the message under its size limit.
 const GRANTS_PER_ANSWER: usize = 1024;
+/// Windows of unread prompts that an upstream may hold for prefixes it keeps.
+const KEEPER_WINDOWS: u64 = 2;
 
 /// Fair dispatcher of one term.
 ///
@@ -283,9 +285,10 @@
         let target = self.pools[pool].targets[index].target;
         let queue = self.workspaces[workspace].queues.get_mut(&target);
         let Some(next) = queue.and_then(|queue| queue.take_next()) else { return false };
-        let affine = next.prefix.and_then(|prefix| {
+        let keepers = next.prefix.map_or_else(Vec::new, |prefix| {
             self.prefixes.find(now, self.settings.placement.prefix_lifetime, prefix)
         });
+        let affine = self.best_keeper(now, &keepers);
         let avoid = next.avoid.as_ref().and_then(|name| self.upstream_names.get(name).copied());
         let zone = self.routers[next.router].zone;
         let free = &self.pools[pool].targets[index].free;
@@ -310,6 +313,11 @@
             already_charged: 0,
             charge: weighted_cost(estimate, weight),
             first_token: false,
+            prefill: next.prompt.map_or(0, |prompt| {
+                let read = if keepers.contains(&upstream) { 0 } else { prompt.shared };
+                u64::from(prompt.own) + u64::from(read)
+            }),
+            target_ms: next.prompt.map_or(0, |prompt| prompt.target_ms),
         };
         self.raise_virtual_time(pool, index, workspace);
         if let Some(policy) = &mut self.workspaces[workspace].policy {
@@ -325,6 +333,18 @@
     /// The lowest account that a free slot of the pool can serve, and the
     /// index of its target. Among targets of the same workspace the one that
     /// waited longest is served.
+    /// The least loaded upstream that keeps a prefix. It may hold more unread
+    /// prompts than others, because reading the prefix again elsewhere costs
+    /// more than the longer wait.
+    fn best_keeper(&self, now: Duration, keepers: &[usize]) -> Option<usize> {
+        let usable = keepers.iter().copied().filter(|id| {
+            let upstream = &self.upstreams[*id];
+            upstream.running < self.usable_slots(now, *id)
+                && upstream.prefill < KEEPER_WINDOWS * upstream.capacity.window()
+        });
+        usable.min_by_key(|id| (self.upstreams[*id].prefill, self.upstreams[*id].running))
+    }
+
     fn next_workspace(&self, pool: usize) -> Option<(usize, usize)> {
         let targets = self.pools[pool].targets.iter().enumerate();
         let heads =
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -68,7 +68,7 @@
         queued,
         cost_hint,
         prefix: None,
-        avoid: None,
+        prompts: Vec::new(), avoid: None,
     }
 }
 
--- a/crates/router/src/exchange_protocol.rs
+++ b/crates/router/src/exchange_protocol.rs
@@ -22,7 +22,9 @@
     pub deadline: Option<Duration>,
     /// Hash of the part of the prompt that other requests share.
     pub prefix: Option<u64>,
-    /// Tokens of the prompt.
+    /// Tokens of that part.
+    pub shared_tokens: u64,
+    /// Tokens of the whole prompt.
     pub prompt_tokens: u64,
     /// Most tokens of the answer.
     pub answer_tokens: u64,
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -6,7 +6,7 @@
 use crate::exchange_state::{ExchangeState, ProgressGuard};
 use crate::exchange_stream::{pump_events, pump_frames};
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
-use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, UNITS_PER_TOKEN};
+use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptNote, UNITS_PER_TOKEN};
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::RouteRow;
 use baobabfall_core::upstream_registry::{UpstreamKind, WorkTarget};
@@ -25,6 +25,14 @@
 const WHOLE_LIMIT: usize = 256 << 10;
 /// Connections that could not be opened for one request before it is refused.
 const CONNECT_ATTEMPTS: u32 = 3;
+/// Part of a route's objective that a request may wait for a slot: an upstream
+/// needs the rest to answer on time.
+const QUEUE_SHARE: f64 = 0.4;
+/// Part of a route's objective in which the first token should follow a grant.
+const FIRST_TOKEN_SHARE: f64 = 0.5;
+/// Silence of the dispatcher, above its poll interval of 200 ms, beyond which
+/// it may be lost.
+const DISPATCHER_SILENCE: Duration = Duration::from_millis(260);
 /// Shortest time after which a refused caller may come back, and the width of
 /// the range over which returns are spread.
 const RETURN_WAIT: Duration = Duration::from_millis(300);
@@ -66,6 +74,18 @@
         (self.head.prompt_tokens * UNITS_PER_TOKEN / 2).max(UNITS_PER_TOKEN)
     }
 
+    fn prompt_note(&self) -> Option<PromptNote> {
+        let tokens = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+        let target = millis(self.route.objective().mul_f64(FIRST_TOKEN_SHARE));
+        (self.head.prompt_tokens > 0).then(|| PromptNote {
+            prefix: self.head.prefix,
+            shared: tokens(self.head.shared_tokens),
+            own: tokens(self.head.prompt_tokens.saturating_sub(self.head.shared_tokens)),
+            target_ms: tokens(target),
+            cost: self.cost_hint(),
+        })
+    }
+
     fn cost_hint(&self) -> CostUnits {
         self.prompt_cost() + self.head.answer_tokens * UNITS_PER_TOKEN
     }
@@ -203,9 +223,25 @@
             && self.state.take_retry(&self.call.service)
     }
 
-    fn queue_deadline(&self) -> Instant {
-        let call = &self.call;
-        call.deadline.min(call.arrival + call.route.objective())
+    /// Waits while the request can still be answered on time. Without word
+    /// from a dispatcher the wait says nothing about load, and goes on.
+    async fn wait_in_queue(&mut self, request: QueueRequest) -> Result<SlotLease, QueueExit> {
+        let objective = self.call.route.objective();
+        let mut limit = self.call.deadline.min(Instant::now() + objective.mul_f64(QUEUE_SHARE));
+        loop {
+            let ticket = self.state.router.queue.enqueue(QueueRequest {
+                number: self.number,
+                ..request.clone()
+            });
+            self.number = Some(ticket.number());
+            let granted = ticket.wait(limit).await;
+            let silent = self.state.router.dispatch.silence() > DISPATCHER_SILENCE;
+            let lost = self.call.arrival + (self.call.deadline - self.call.arrival) / 2;
+            match granted {
+                Err(QueueExit::Deadline) if silent && Instant::now() < lost => limit = lost,
+                granted => return granted,
+            }
+        }
     }
 
     async fn wait_for_slot(&mut self) -> Result<SlotLease, (ErrorKind, Option<Duration>)> {
@@ -220,11 +256,10 @@
             prefix: call.head.prefix,
             avoid: self.avoid.clone(),
             number: self.number,
+            prompt: call.prompt_note(),
         };
         let begun = Instant::now();
-        let ticket = self.state.router.queue.enqueue(request);
-        self.number = Some(ticket.number());
-        let granted = ticket.wait(self.queue_deadline()).await;
+        let granted = self.wait_in_queue(request).await;
         self.queued += begun.elapsed();
         granted.map_err(|exit| match exit {
             QueueExit::Deadline => (ErrorKind::DeadlineBeforeDispatch, None),
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -125,6 +125,8 @@
         };
         if before == 0 && splitter.events() > 0 {
             meter.set_first_token(Instant::now());
+            // The dispatcher grants prompts as earlier ones are read.
+            run.state.router.queue.notify();
         }
         meter.charge((splitter.events() - before) * event_cost);
         if !ready.is_empty() && sender.send(FrameEvent::Data(ready)).await.is_err() {
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -8,7 +8,7 @@
 use baobabfall_core::account_statement::{STATEMENT_LIMIT, StatementMemory};
 use baobabfall_core::dispatch_messages::{
     BacklogEntry, BacklogRefusal, CostUnits, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId,
-    LeaseUsage, NodeIdentity, SlotGrant, UpstreamRoute,
+    LeaseUsage, NodeIdentity, PROMPT_LIMIT, PromptNote, SlotGrant, UpstreamRoute,
 };
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::sorted_map::SortedMap;
@@ -112,6 +112,8 @@
     pub avoid: Option<String>,
     /// Where the verdict goes.
     pub verdict: oneshot::Sender<QueueVerdict>,
+    /// What is known of its prompt.
+    pub prompt: Option<PromptNote>,
 }
 
 #[derive(Debug, Default)]
@@ -446,6 +448,13 @@
             cost_hint: first.map_or(0, |request| request.cost_hint),
             prefix: first.and_then(|request| request.prefix),
             avoid: first.and_then(|request| request.avoid.clone()),
+            prompts: match first.and_then(|request| request.prompt) {
+                Some(_) => {
+                    let prompts = self.requests.iter().take(PROMPT_LIMIT);
+                    prompts.map(|request| request.prompt.unwrap_or_default()).collect()
+                }
+                None => Vec::new(),
+            },
         }
     }
 }
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -3,7 +3,7 @@
 use crate::lease_book::{
     GrantedSlot, LeaseBook, QueueKey, QueueVerdict, VerdictList, WaitingRequest,
 };
-use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, UpstreamRoute};
+use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptNote, UpstreamRoute};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -29,6 +29,8 @@
     pub avoid: Option<String>,
     /// Number of an earlier stay in the queue, to keep the place.
     pub number: Option<u64>,
+    /// What is known of its prompt.
+    pub prompt: Option<PromptNote>,
 }
 
 /// Why a request left the queue without a slot.
@@ -84,6 +86,7 @@
             prefix: request.prefix,
             avoid: request.avoid,
             verdict,
+            prompt: request.prompt,
         };
         book.enqueue(&request.key, waiting);
         drop(book);
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -171,6 +171,7 @@
             prefix: self.order.prefix,
             avoid: avoid.clone(),
             number: *number,
+            prompt: None,
         };
         let ticket = self.state.queue.enqueue(request);
         *number = Some(ticket.number());
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -49,6 +49,9 @@
 /// How long the end of a graceful stop waits for the last reports.
 const LAST_REPORTS_TIME: Duration = Duration::from_secs(1);
 
+/// The same where a platform kills the process soon after.
+const BRIEF_REPORTS_TIME: Duration = Duration::from_millis(200);
+
 /// The router role.
 #[derive(Debug)]
 pub struct Router;
@@ -337,13 +340,17 @@
         let reported = self.wait_until(|state| {
             state.actions.unacknowledged() == 0 && !state.queue.book().is_changed()
         });
-        let _ = tokio::time::timeout(LAST_REPORTS_TIME, reported).await;
-        log::info!("no work is left");
+        let last = match self.state.options.close_on_stop {
+            true => BRIEF_REPORTS_TIME,
+            false => LAST_REPORTS_TIME,
+        };
+        let _ = tokio::time::timeout(last, reported).await;
+        log::info!(in_progress = self.state.in_progress(); "the router has drained");
         // A planned stop leaves the process to its operator.
         drain.requested().await;
         self.servers.advance(StopPhase::Draining);
         let ended = async { while serving.join_next().await.is_some() {} };
-        let _ = tokio::time::timeout(LAST_REPORTS_TIME, ended).await;
+        let _ = tokio::time::timeout(last, ended).await;
     }
 
     /// Announces a stop and returns once its notice is over. A planned stop
