--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -11,7 +11,7 @@
 use crate::dispatch_messages::{BacklogRefusal, DispatchAnswer, LeaseId, SlotGrant};
 use crate::dispatch_settings::DispatchSettings;
 use crate::dispatch_state::{
-    LeaseRecord, PoolState, RouterState, TargetState, UpstreamState, WorkspacePolicy,
+    LeaseRecord, PoolState, RouterState, TargetPlace, TargetState, UpstreamState, WorkspacePolicy,
     WorkspaceState, refusal,
 };
 use crate::fair_order::{AccountValue, IndexedHeap, weighted_cost};
@@ -288,7 +288,7 @@
         let keepers = next.prefix.map_or_else(Vec::new, |prefix| {
             self.prefixes.find(now, self.settings.placement.prefix_lifetime, prefix)
         });
-        let affine = self.best_keeper(now, &keepers);
+        let affine = self.best_keeper(now, TargetPlace { pool, index }, &keepers);
         let avoid = next.avoid.as_ref().and_then(|name| self.upstream_names.get(name).copied());
         let zone = self.routers[next.router].zone;
         let free = &self.pools[pool].targets[index].free;
@@ -336,10 +336,12 @@
     /// The least loaded upstream that keeps a prefix. It may hold more unread
     /// prompts than others, because reading the prefix again elsewhere costs
     /// more than the longer wait.
-    fn best_keeper(&self, now: Duration, keepers: &[usize]) -> Option<usize> {
+    fn best_keeper(&self, now: Duration, place: TargetPlace, keepers: &[usize]) -> Option<usize> {
         let usable = keepers.iter().copied().filter(|id| {
             let upstream = &self.upstreams[*id];
-            upstream.running < self.usable_slots(now, *id)
+            // The index of an upstream that is gone may belong to another one by now.
+            upstream.places.contains(&place)
+                && upstream.running < self.usable_slots(now, *id)
                 && upstream.prefill < KEEPER_WINDOWS * upstream.capacity.window()
         });
         usable.min_by_key(|id| (self.upstreams[*id].prefill, self.upstreams[*id].running))
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -69,7 +69,8 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: std::error::Error + Send + Sync,
 {
-    serve_observed(listener, service, limits, signal, || {}).await;
+    let room = Arc::new(Semaphore::new(limits.connections));
+    serve_observed(listener, service, limits, signal, room, || {}).await;
 }
 
 /// Serves like [`serve`] and calls `refused` for each request that the HTTP
@@ -79,6 +80,7 @@
     service: S,
     limits: ServerLimits,
     mut signal: StopSignal,
+    permits: Arc<Semaphore>,
     refused: O,
 ) where
     O: Fn() + Clone + Send + 'static,
@@ -90,7 +92,6 @@
 {
     let builder = connection_builder(limits);
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(limits.connections));
     let mut stopping = signal.clone();
     loop {
         let accepted = tokio::select! {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -36,6 +36,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tower::Service;
@@ -140,6 +141,7 @@
             caller_service,
             limits,
             caller_signal,
+            Arc::clone(&state.connection_room),
             refused,
         ));
         serving.spawn(serve(listeners.fleet, fleet_service, limits, signal));
@@ -228,6 +230,7 @@
         pool: UpstreamPool::new(settings.limits.connect_time.0, abort.clone()),
         actions: ActionClient::new(Arc::clone(&link), identity, claim_time),
         retries: RetryBooks::default(),
+        connection_room: Arc::new(Semaphore::new(settings.limits.connections)),
         abort: abort.clone(),
         drain: DrainState::new(),
         in_progress: Arc::new(AtomicU32::new(0)),
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -17,6 +17,7 @@
 use baobabfall_node::node_metrics::NodeMetrics;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
 /// Parts of a running router that its tasks share.
@@ -52,6 +53,8 @@
     pub life: RequestLife,
     /// Ends every task and connection at once.
     pub abort: CancellationToken,
+    /// Room for callers' connections.
+    pub connection_room: Arc<Semaphore>,
 }
 
 impl RouterState {
@@ -74,6 +77,13 @@
         self.drain.phase() == DrainPhase::Serving && self.fleet.table().is_some()
     }
 
+    /// True when callers' connections fill most of their room. They are then
+    /// closed after each answer, because new callers find no other way in.
+    pub fn is_crowded(&self) -> bool {
+        let limit = self.options.settings.limits.connections;
+        self.connection_room.available_permits() < limit / 2
+    }
+
     /// Requests in progress.
     pub fn in_progress(&self) -> u32 {
         self.in_progress.load(Ordering::Relaxed)
