Keeper test ends its lease, so that the index is free

Cause: the test's second report left its request in the backlog; the former keeper stayed in use and the test passed without the check that it guards. Measured: fails without the check (other), passes with it.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -155,9 +155,7 @@
                 }
                 Err(refusal) => refusal.response(),
             },
-            PRESENCE_PATH => {
-                message_response(&self.presence())
-            }
+            PRESENCE_PATH => message_response(&self.presence()),
             JOIN_PATH => match read_message::<JoinRequest>(request).await {
                 Ok(join) => {
                     let joined = accept_join(&self.options, &self.replica, join).await;
@@ -291,10 +289,9 @@
             let message = "No leader is known at present.".to_owned();
             return Err(RegisterRefusal { kind: ErrorKind::NoQuorum, message });
         };
-        self.forward_to(address, &message).await.map_err(|error| RegisterRefusal {
-            kind: error.kind(),
-            message: error.to_string(),
-        })
+        self.forward_to(address, &message)
+            .await
+            .map_err(|error| RegisterRefusal { kind: error.kind(), message: error.to_string() })
     }
 
     async fn register_at_leader(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
@@ -326,11 +323,7 @@
         Ok(())
     }
 
-    async fn commit_departure(
-        &self,
-        name: String,
-        incarnation: u64,
-    ) -> Result<(), ReplicaRefusal> {
+    async fn commit_departure(&self, name: String, incarnation: u64) -> Result<(), ReplicaRefusal> {
         let known = self.replica.state().left().get(&name).map(|left| left.incarnation);
         if known.is_some_and(|known| known >= incarnation) {
             return self.replica.confirm_read().await;
--- a/crates/controller/src/storage_worker.rs
+++ b/crates/controller/src/storage_worker.rs
@@ -58,16 +58,13 @@
 
 /// The queue of the storage thread, its results, and its end, after which it
 /// writes no more.
-pub type StorageParts =
-    (StorageQueue, mpsc::UnboundedReceiver<StorageDone>, oneshot::Receiver<()>);
+pub type StorageParts = (StorageQueue, mpsc::UnboundedReceiver<StorageDone>, oneshot::Receiver<()>);
 
 /// Starts the thread that owns the store.
 ///
 /// The thread ends when the queue is dropped; the store's lock on the folder
 /// is released then.
-pub fn start_storage<F>(
-    store: LogStore<F>,
-) -> std::io::Result<StorageParts>
+pub fn start_storage<F>(store: LogStore<F>) -> std::io::Result<StorageParts>
 where
     F: DataFolder + Send + 'static,
     F::File: Send,
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -39,11 +39,10 @@
             replica.borrow_and_update();
             registry.borrow_and_update();
             let answer = self.answer(request);
-            let news =
-                answer.table.is_some()
-                    || answer.stops.is_some()
-                    || answer.registry.is_some()
-                    || answer.routes.is_some();
+            let news = answer.table.is_some()
+                || answer.stops.is_some()
+                || answer.registry.is_some()
+                || answer.routes.is_some();
             if news || Instant::now() >= end {
                 return self.confirmed(request.routes_version, answer).await;
             }
--- a/crates/core/src/replica_proposal.rs
+++ b/crates/core/src/replica_proposal.rs
@@ -82,9 +82,10 @@
         let lost = members.iter().find(|member| {
             let removable = !member.voting || spare_voter;
             // A learner that never answered may have been added just now.
-            let heard = self.peers.get(&member.identity.id).and_then(|peer| {
-                peer.acked_at.or_else(|| member.voting.then_some(self.led_since))
-            });
+            let heard = self
+                .peers
+                .get(&member.identity.id)
+                .and_then(|peer| peer.acked_at.or_else(|| member.voting.then_some(self.led_since)));
             removable && heard.is_some_and(|heard| heard + MEMBER_SILENCE <= now)
         });
         let Some(id) = lost.map(|member| member.identity.id) else { return };
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -68,7 +68,8 @@
         queued,
         cost_hint,
         prefix: None,
-        prompts: Vec::new(), avoid: None,
+        prompts: Vec::new(),
+        avoid: None,
     }
 }
 
--- a/crates/core/tests/prompt_windows.rs
+++ b/crates/core/tests/prompt_windows.rs
@@ -72,7 +72,7 @@
     let grants = router.receive(START, &mut dispatcher);
     assert_eq!(names(&grants), ["e0"]);
     let end = usage(&grants[0], 10, Some(LeaseEnd::Finished));
-    send(&mut dispatcher, START, &router.report(vec![], vec![end]));
+    send(&mut dispatcher, START, &router.report(vec![entry("a", 0, 0)], vec![end]));
     router.receive(START, &mut dispatcher);
     dispatcher.set_upstreams(START, [&stays]);
     dispatcher.set_upstreams(START, [&stays, &engine("other", &["n"], 48)]);
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -2,8 +2,8 @@
 
 use crate::codec::{self, MESSAGE_LIMIT};
 use crate::http_server::ErrorBody;
-use baobabfall_core::error_kind::ErrorKind;
 use crate::tcp_options::set_user_timeout;
+use baobabfall_core::error_kind::ErrorKind;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
 use http::{HeaderValue, Method, Request};
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -70,10 +70,7 @@
     arrival: Instant,
 ) -> Result<ExchangeCall, IntakeFault> {
     let Some(routes) = state.router.fleet.routes() else {
-        return Err(IntakeFault {
-            kind: ErrorKind::NotReady,
-            retry_after: Some(NOT_READY_RETRY),
-        });
+        return Err(IntakeFault { kind: ErrorKind::NotReady, retry_after: Some(NOT_READY_RETRY) });
     };
     let head = state.protocol.read_head(parts)?;
     let route = routes.find(&head.host, parts.uri.path()).ok_or(ErrorKind::NotFound)?.clone();
--- a/crates/router/src/exchange_body.rs
+++ b/crates/router/src/exchange_body.rs
@@ -61,9 +61,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBroken>>> {
         match self.get_mut() {
-            Self::Whole(body) => {
-                Pin::new(body).poll_frame(context).map_err(|never| match never {})
-            }
+            Self::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
             Self::Frames { frames, left } => frames.poll_recv(context).map(|event| match event {
                 Some(FrameEvent::Data(bytes)) => {
                     let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -115,11 +115,7 @@
 
 impl<P: ExchangeProtocol> ExchangeRun<P> {
     /// Prepares a run.
-    pub fn new(
-        state: Arc<ExchangeState<P>>,
-        call: ExchangeCall,
-        progress: ProgressGuard,
-    ) -> Self {
+    pub fn new(state: Arc<ExchangeState<P>>, call: ExchangeCall, progress: ProgressGuard) -> Self {
         Self {
             state,
             call: Arc::new(call),
@@ -229,10 +225,11 @@
         let objective = self.call.route.objective();
         let mut limit = self.call.deadline.min(Instant::now() + objective.mul_f64(QUEUE_SHARE));
         loop {
-            let ticket = self.state.router.queue.enqueue(QueueRequest {
-                number: self.number,
-                ..request.clone()
-            });
+            let ticket = self
+                .state
+                .router
+                .queue
+                .enqueue(QueueRequest { number: self.number, ..request.clone() });
             self.number = Some(ticket.number());
             let granted = ticket.wait(limit).await;
             let silent = self.state.router.dispatch.silence() > DISPATCHER_SILENCE;
--- a/crates/router/src/exchange_state.rs
+++ b/crates/router/src/exchange_state.rs
@@ -42,8 +42,7 @@
     /// State without any exchange.
     pub fn new(router: Arc<RouterState>, protocol: P, options: &ExchangeOptions) -> Arc<Self> {
         let FleetBudget { ratio, slack, window } = options.budget;
-        let budget =
-            FleetBudget { ratio: ratio * BUDGET_PART, slack: slack * BUDGET_PART, window };
+        let budget = FleetBudget { ratio: ratio * BUDGET_PART, slack: slack * BUDGET_PART, window };
         Arc::new(Self {
             router,
             protocol,
--- a/crates/router/src/health_probe.rs
+++ b/crates/router/src/health_probe.rs
@@ -110,10 +110,11 @@
 
     /// True when a recent check found the upstream running and staying.
     pub fn is_good(&self, upstream: &UpstreamAnnouncement) -> bool {
-        self.passive || self.records().get(&upstream.name).is_some_and(|record| {
-            record.incarnation == upstream.incarnation
-                && record.good.is_some_and(|good| good.elapsed() < PROBE_LIFETIME)
-        })
+        self.passive
+            || self.records().get(&upstream.name).is_some_and(|record| {
+                record.incarnation == upstream.incarnation
+                    && record.good.is_some_and(|good| good.elapsed() < PROBE_LIFETIME)
+            })
     }
 
     /// True when the upstream left several checks unanswered or restarted, so
--- a/crates/router/src/upstream_pool.rs
+++ b/crates/router/src/upstream_pool.rs
@@ -2,6 +2,7 @@
 
 use baobabfall_core::dispatch_messages::UpstreamRoute;
 use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_node::tcp_options::set_user_timeout;
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request, Response};
@@ -9,7 +10,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use baobabfall_node::tcp_options::set_user_timeout;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
@@ -119,7 +119,9 @@
         let mut idle = self.idle();
         let held = idle.get_mut(key)?;
         while let Some(connection) = held.pop() {
-            if connection.since.elapsed() < limit.min(connection.limit) && !connection.sender.is_closed() {
+            if connection.since.elapsed() < limit.min(connection.limit)
+                && !connection.sender.is_closed()
+            {
                 return Some(connection.sender);
             }
         }
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -27,7 +27,8 @@
     let (verdict, receiver) = oneshot::channel();
     let number = book.next_number();
     let avoid = avoid.map(str::to_owned);
-    let request = WaitingRequest { number, cost_hint: 5, prefix: None, avoid, verdict, prompt: None };
+    let request =
+        WaitingRequest { number, cost_hint: 5, prefix: None, avoid, verdict, prompt: None };
     book.enqueue(&key(), request);
     receiver
 }
