--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -4,6 +4,7 @@
     BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, SlotGrant, UpstreamRoute,
 };
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{WorkspaceTable, hash_key};
 use baobabfall_node::http_server::{
@@ -28,6 +29,8 @@
     pub upstreams: Vec<UpstreamAnnouncement>,
     pub stops: Vec<PlannedStop>,
     pub stops_version: u64,
+    /// Route table that routers get.
+    pub routes: Option<Arc<RouteTable>>,
     pub registry_version: u64,
     pub confirmed: bool,
     pub silent: bool,
@@ -68,6 +71,7 @@
             upstreams,
             stops: Vec::new(),
             stops_version: 0,
+            routes: None,
             registry_version: 1,
             confirmed: true,
             silent: false,
@@ -164,7 +168,7 @@
         let view = RegistryView { version, upstreams: script.upstreams.clone() };
         let stops = StopList { version: script.stops_version, stops: script.stops.clone() };
         SyncAnswer {
-            routes: None,
+            routes: script.routes.clone().filter(|routes| routes.version > request.routes_version),
             controllers: Vec::new(),
             confirmed: script.confirmed,
             term: script.term,
@@ -179,7 +183,10 @@
     let mut left = request.wait_ms;
     loop {
         let answer = build(&script.lock().unwrap());
-        let news = answer.table.is_some() || answer.stops.is_some() || answer.registry.is_some();
+        let news = answer.table.is_some()
+            || answer.stops.is_some()
+            || answer.registry.is_some()
+            || answer.routes.is_some();
         if news || left == 0 {
             return message_response(&answer);
         }
