--- a/crates/controller/tests/group_fixture/mod.rs
+++ b/crates/controller/tests/group_fixture/mod.rs
@@ -30,12 +30,23 @@
 pub struct GroupFixture {
     folder: tempfile::TempDir,
     addresses: Vec<SocketAddr>,
+    /// Number of seeds of an open group; 0 for a group of fixed peers.
+    seeds: usize,
     pub controllers: Vec<Option<ControllerHandle>>,
 }
 
 impl GroupFixture {
     /// Starts `size` controllers and waits for a leader.
     pub async fn start(size: usize) -> Self {
+        Self::start_with(size, 0).await
+    }
+
+    /// Starts an open group whose first `size` controllers are its seeds.
+    pub async fn start_open(size: usize) -> Self {
+        Self::start_with(size, size).await
+    }
+
+    async fn start_with(size: usize, seeds: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
         for (name, token) in [
             ("process", PROCESS),
@@ -50,11 +61,11 @@
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
         }
         let addresses = listeners.iter().map(|held| held.local_addr().unwrap()).collect();
-        let mut group = Self { folder, addresses, controllers: Vec::new() };
+        let mut group = Self { folder, addresses, seeds, controllers: Vec::new() };
         let mut starting = Vec::new();
         for (index, listener) in listeners.into_iter().enumerate() {
             group.create_folder(index);
-            starting.push(tokio::spawn(start_on(group.options(index), listener)));
+            starting.push(tokio::spawn(start_on(group.options_at(index, true), listener)));
         }
         for task in starting {
             group.controllers.push(Some(task.await.unwrap().unwrap()));
@@ -67,14 +78,33 @@
         std::fs::create_dir_all(self.folder.path().join(format!("state-{index}"))).unwrap();
     }
 
+    /// Adds a controller at a new address to an open group.
+    pub async fn add(&mut self) -> usize {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let index = self.addresses.len();
+        self.addresses.push(listener.local_addr().unwrap());
+        self.create_folder(index);
+        let handle = start_on(self.options(index), listener).await.unwrap();
+        self.controllers.push(Some(handle));
+        index
+    }
+
     pub fn options(&self, index: usize) -> ControllerOptions {
+        self.options_at(index, false)
+    }
+
+    fn options_at(&self, index: usize, first_start: bool) -> ControllerOptions {
         let mut text = format!(
             "[node]\nname = \"c{index}\"\nzone = \"z{index}\"\n[control]\nlisten = \"{}\"\n\
              [storage]\nfolder = \"state-{index}\"\n[credentials]\nprocess = \"process\"\n\
              operator = \"operator\"\nupstream = \"upstream\"\nmetrics = \"metrics\"\n",
             self.addresses[index]
         );
-        for (peer, address) in self.addresses.iter().enumerate() {
+        if self.seeds > 0 {
+            text.push_str(&format!("[group]\nfound = {first_start}\ntolerated = 1\n"));
+        }
+        let peers = if self.seeds > 0 { self.seeds } else { self.addresses.len() };
+        for (peer, address) in self.addresses.iter().take(peers).enumerate() {
             text.push_str(&format!("[[peers]]\nname = \"c{peer}\"\naddress = \"{address}\"\n"));
         }
         let settings: ControllerSettings = parse_settings(Path::new("test.toml"), &text).unwrap();
