Log lines are queued, named by a closed list of events, and written to standard output

Cause: a log line was written under a lock by the task that logged; a reader that stops would have held requests, and lines had no stable name. Change: LogQueue with a writer thread, bounded, drops counted; LOG_EVENTS with a test that holds sources, table and docs/OPERATIONS.md together; request_ended for failures, repeats and a sample of successes; members_changed. Measured: push_stopped_reader_drops_and_counts passes.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -328,7 +328,7 @@
         if known.is_some_and(|known| known >= incarnation) {
             return self.replica.confirm_read().await;
         }
-        log::info!(upstream = name.as_str(), incarnation = incarnation; "upstream leaves");
+        log::info!(event = "upstream_left", upstream = name.as_str(), incarnation = incarnation; "upstream leaves");
         let command = ControlCommand::UpstreamLeft { name, incarnation };
         self.replica.propose(command).await.map(|_| ())
     }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -195,7 +195,7 @@
         async move { Ok::<FullResponse, Infallible>(api.handle(request).await) }
     });
     tasks.spawn(serve(listener, service, ServerLimits::default(), signal));
-    log::info!(address = address.to_string(); "controller listens");
+    log::info!(event = "controller_started", address = address.to_string(); "controller listens");
     Ok(ControllerHandle { address, replica, stop, tasks, api: handle_api, storage_ended })
 }
 
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -61,14 +61,14 @@
         }
         inner.dispatcher = Some(dispatcher);
         inner.seen.clear();
-        log::info!(term = term, routers = expected.len(); "dispatcher started");
+        log::info!(event = "dispatcher_started", term = term, routers = expected.len(); "dispatcher started");
     }
 
     /// Ends the dispatcher; grants of its term are no longer accepted by routers that know a later one.
     pub fn resign(&self) {
         let mut inner = self.lock();
         if let Some(dispatcher) = inner.dispatcher.take() {
-            log::info!(term = dispatcher.term(); "dispatcher ended");
+            log::info!(event = "dispatcher_ended", term = dispatcher.term(); "dispatcher ended");
         }
         for waker in inner.wakers.values() {
             waker.notify_waiters();
@@ -95,7 +95,7 @@
     pub fn tick(&self) {
         self.update(|dispatcher, now| {
             for router in dispatcher.expire(now) {
-                log::warn!(router = router; "router silent: its slots are reclaimed");
+                log::warn!(event = "router_silent", router = router; "router silent: its slots are reclaimed");
             }
         });
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -31,7 +31,7 @@
 /// Runs the controller until it is told to stop.
 pub async fn run(args: BaobabfallController) -> Result<(), ControllerError> {
     let level = args.log_level.as_deref().unwrap_or("info");
-    baobabfall_node::json_log::install(level.parse().unwrap_or(log::LevelFilter::Info));
+    baobabfall_node::json_log::install_queued(level.parse().unwrap_or(log::LevelFilter::Info));
     let settings: ControllerSettings = load_settings(&args.settings)?;
     if args.check {
         println!("{}: settings are valid", args.settings.display());
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -90,7 +90,7 @@
             None => {}
         }
         if attempts % ATTEMPTS_PER_LOG == 0 {
-            log::info!("waiting for the other controllers before founding a group");
+            log::info!(event = "group_awaited"; "waiting for the other controllers before founding a group");
         }
         attempts += 1;
         tokio::time::sleep(ATTEMPT_PAUSE).await;
@@ -133,7 +133,7 @@
             let joined: Result<(), _> =
                 peer.call(JOIN_PATH, &token, &request, ATTEMPT_TIMEOUT).await;
             if joined.is_ok() {
-                log::info!("added to the group of controllers");
+                log::info!(event = "group_joined"; "added to the group of controllers");
                 break;
             }
         }
@@ -160,7 +160,7 @@
     if replica.view().members.get(request.identity.id).is_some() {
         return Ok(());
     }
-    log::info!(controller = request.identity.name.as_str(); "adding a controller to the log");
+    log::info!(event = "member_added", controller = request.identity.name.as_str(); "adding a controller to the log");
     let change =
         MemberChange::Add { identity: request.identity, address: request.address.to_string() };
     replica.change_members(change).await.map(|_| ())
@@ -190,7 +190,7 @@
             continue;
         }
         if ask_to_join(&options, &replica, &request).await {
-            log::info!("added to the group of controllers");
+            log::info!(event = "group_joined"; "added to the group of controllers");
             contact = Instant::now();
         }
     }
--- a/crates/controller/src/peer_links.rs
+++ b/crates/controller/src/peer_links.rs
@@ -87,7 +87,7 @@
     /// Sends a message without waiting for it to arrive.
     pub fn send(&mut self, members: &ReplicaMembers, message: ReplicaMessage) {
         let Some(address) = self.address(members, &message.to) else {
-            log::warn!(peer = message.to.name.as_str(); "peer has no known address");
+            log::warn!(event = "peer_unknown", peer = message.to.name.as_str(); "peer has no known address");
             return;
         };
         let link = self.links.get_or_insert_with(address, || PeerLink {
--- a/crates/controller/src/registry_service.rs
+++ b/crates/controller/src/registry_service.rs
@@ -62,7 +62,7 @@
         let version = registry.version();
         drop(registry);
         if version != before {
-            log::info!(upstream = name; "upstream announced");
+            log::info!(event = "upstream_announced", upstream = name, registry_version = version; "upstream announced");
         }
         self.publish(version);
         Ok(())
@@ -75,7 +75,7 @@
         let version = registry.version();
         drop(registry);
         if withdrawn {
-            log::info!(upstream = name, incarnation = incarnation; "upstream withdrawn");
+            log::info!(event = "upstream_withdrawn", upstream = name, incarnation = incarnation; "upstream withdrawn");
         }
         self.publish(version);
     }
@@ -87,7 +87,7 @@
         let version = registry.version();
         drop(registry);
         for name in lapsed {
-            log::warn!(upstream = name; "upstream lapsed: no renewal in time");
+            log::warn!(event = "upstream_lapsed", upstream = name; "upstream lapsed: no renewal in time");
         }
         self.publish(version);
     }
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -364,15 +364,19 @@
     }
 
     fn fail(&mut self, message: String) {
-        log::error!("storage failed; this controller stops: {message}");
+        log::error!(event = "storage_failed"; "storage failed; this controller stops: {message}");
         self.publish(Some(message));
     }
 }
 
 fn log_change(held: &ReplicaView, next: &ReplicaView) {
+    if held.members != next.members {
+        let voters = next.members.voters().count();
+        log::info!(event = "members_changed", voters = voters, members = next.members.iter().count(); "members of the group changed");
+    }
     if held.leads != next.leads || held.term != next.term {
         let leader = next.leader.as_ref().map_or("none", |leader| leader.name.as_str());
-        log::info!(term = next.term, leader = leader, leads = next.leads; "leadership changed");
+        log::info!(event = "leadership_changed", term = next.term, leader = leader, leads = next.leads; "leadership changed");
     }
 }
 
--- a/crates/controller/src/storage_worker.rs
+++ b/crates/controller/src/storage_worker.rs
@@ -120,7 +120,7 @@
     loop {
         match operation() {
             Err(error @ StoreError::DiskFull { .. }) => {
-                log::error!("{error}");
+                log::error!(event = "disk_full"; "{error}");
                 std::thread::sleep(FULL_DISK_PAUSE);
             }
             result => return result,
--- a/crates/core/tests/prompt_windows.rs
+++ b/crates/core/tests/prompt_windows.rs
@@ -1,5 +1,7 @@
 //! Placement of prompts: windows of unread tokens and keepers of prefixes.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod dispatch_fleet;
 
 use baobabfall_core::dispatch_messages::*;
--- a/crates/node/src/json_log.rs
+++ b/crates/node/src/json_log.rs
@@ -1,11 +1,13 @@
 //! Logger that writes one JSON object per line.
 
+use crate::log_queue::LogQueue;
 use crate::units::wall_clock_ms;
 use log::kv::{Error as KvError, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
 use simplelog::{Config, SharedLogger};
 use std::io::Write;
 use std::sync::Mutex;
+use std::time::Duration;
 
 /// Writes log records as JSON lines with time, level, target, message, fields.
 pub struct JsonLogger<W> {
@@ -36,6 +38,17 @@
     }
 }
 
+/// A record as one JSON object, without a line feed.
+fn format_line(record: &Record<'_>) -> String {
+    let mut line = serde_json::Map::new();
+    line.insert("time_ms".into(), wall_clock_ms().into());
+    line.insert("level".into(), record.level().as_str().into());
+    line.insert("target".into(), record.target().into());
+    line.insert("message".into(), record.args().to_string().into());
+    let _ = record.key_values().visit(&mut FieldVisitor(&mut line));
+    serde_json::Value::Object(line).to_string()
+}
+
 impl<W: Write + Send + 'static> Log for JsonLogger<W> {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
         metadata.level() <= self.level
@@ -45,13 +58,7 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        let mut line = serde_json::Map::new();
-        line.insert("time_ms".into(), wall_clock_ms().into());
-        line.insert("level".into(), record.level().as_str().into());
-        line.insert("target".into(), record.target().into());
-        line.insert("message".into(), record.args().to_string().into());
-        let _ = record.key_values().visit(&mut FieldVisitor(&mut line));
-        let text = serde_json::Value::Object(line).to_string();
+        let text = format_line(record);
         if let Ok(mut output) = self.output.lock() {
             // A log line that cannot be written must not end the process.
             let _ = writeln!(output, "{text}");
@@ -88,3 +95,39 @@
         log::set_max_level(level);
     }
 }
+
+/// Longest wait for the last lines at the end of a process.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// Logger that queues its lines, so that no task waits for the output.
+struct QueuedLogger {
+    level: LevelFilter,
+    queue: LogQueue,
+}
+
+impl Log for QueuedLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.enabled(record.metadata()) {
+            let mut line = format_line(record);
+            line.push('\n');
+            self.queue.push(record.level(), line.as_bytes());
+        }
+    }
+
+    fn flush(&self) {
+        self.queue.drain(FLUSH_TIME);
+    }
+}
+
+/// Installs a JSON-lines logger on standard output that never blocks, for
+/// processes that serve requests. Call `log::logger().flush()` at the end.
+pub fn install_queued(level: LevelFilter) {
+    let Ok(queue) = LogQueue::start(std::io::stdout()) else { return install(level) };
+    if log::set_boxed_logger(Box::new(QueuedLogger { level, queue })).is_ok() {
+        log::set_max_level(level);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod http_client;
 pub mod http_server;
 pub mod json_log;
+pub mod log_events;
+pub mod log_queue;
 pub mod messages;
 pub mod node_metrics;
 pub mod operator_messages;
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -149,7 +149,7 @@
     fn apply(&self, answer: DispatchAnswer) -> bool {
         let (term, resync) = (answer.term, answer.resync);
         let Some(verdicts) = self.queue.book().apply_answer(answer) else {
-            log::warn!(term = term; "dispatch answer of an older term rejected");
+            log::warn!(event = "dispatch_answer_stale", term = term; "dispatch answer of an older term rejected");
             return false;
         };
         self.answered_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -33,6 +33,8 @@
 /// Silence of the dispatcher, above its poll interval of 200 ms, beyond which
 /// it may be lost.
 const DISPATCHER_SILENCE: Duration = Duration::from_millis(260);
+/// Successes at the first attempt that are logged, of 256.
+const LOGGED_OF_256: u8 = 16;
 /// Shortest time after which a refused caller may come back, and the width of
 /// the range over which returns are spread.
 const RETURN_WAIT: Duration = Duration::from_millis(300);
@@ -156,10 +158,30 @@
                 self.fallback = Some(response);
                 continue;
             }
+            self.log_end(status.as_u16(), 0);
             return response;
         }
     }
 
+    /// Logs an exchange that ended with an upstream's answer: every failure,
+    /// and of the rest those whose id falls into a fixed sample, so that all
+    /// hosts keep the same ones.
+    pub(crate) fn log_end(&self, status: u16, events: u64) {
+        let call = &self.call;
+        let id = call.head.request_id.as_str();
+        let sample = blake3::hash(id.as_bytes()).as_bytes()[0];
+        if status < 400 && self.attempts == 1 && sample >= LOGGED_OF_256 {
+            return;
+        }
+        log::info!(
+            event = "request_ended", request_id = id, route = call.route.name.as_str(),
+            workspace = call.workspace.as_str(), upstream = self.avoid.as_deref().unwrap_or(""),
+            status = status, attempts = self.attempts, events = events,
+            queued_ms = millis(self.queued), elapsed_ms = millis(call.arrival.elapsed()),
+            routes_version = call.version; "request ended with an upstream's answer"
+        );
+    }
+
     /// Waits for a slot and sends, again and again while that is allowed.
     pub(crate) async fn open_next(
         &mut self,
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -145,6 +145,7 @@
     let call = &run.call;
     match &end {
         RelayEnd::Complete => {
+            run.log_end(opened.parts.status.as_u16(), events);
             opened.complete();
             let _ = sender.send(FrameEvent::End).await;
             return;
--- a/crates/router/src/local_mode.rs
+++ b/crates/router/src/local_mode.rs
@@ -7,6 +7,7 @@
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::{UpstreamAnnouncement, WorkTarget};
 use baobabfall_node::messages::StopKind;
+use baobabfall_node::units::millis;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -55,7 +56,8 @@
     async fn run_local(&self, first_number: u64) -> u64 {
         let Some(mut local) = self.begin(first_number) else { return first_number };
         self.active.store(true, Ordering::Relaxed);
-        log::warn!("no dispatcher answers; local mode begins");
+        let silence_ms = millis(self.state.dispatch.silence());
+        log::warn!(event = "local_mode_begun", silence_ms = silence_ms; "no dispatcher answers; local mode begins");
         let begun = Instant::now();
         let mut usable = Vec::new();
         let mut revision = self.revision();
@@ -72,7 +74,7 @@
         }
         self.active.store(false, Ordering::Relaxed);
         let seconds = begun.elapsed().as_secs();
-        log::info!(seconds = seconds; "a dispatcher answers; local mode ends");
+        log::info!(event = "local_mode_ended", seconds = seconds; "a dispatcher answers; local mode ends");
         local.next_number()
     }
 
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -10,7 +10,7 @@
 
 /// Runs the router until it is asked to stop; a second signal ends it at once.
 pub fn run_process(flags: &BaobabfallRouter) -> Result<(), RouterError> {
-    json_log::install(flags.log_level.unwrap_or(LevelFilter::Info));
+    json_log::install_queued(flags.log_level.unwrap_or(LevelFilter::Info));
     let options = RouterOptions::load(&flags.settings)?;
     if flags.check {
         return Ok(());
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -153,7 +153,7 @@
             done: done.clone(),
         };
         tokio::spawn(supervisor.run(tasks, serving));
-        log::info!(caller = caller.to_string(), fleet = fleet.to_string(); "router started");
+        log::info!(event = "router_started", caller = caller.to_string(), fleet = fleet.to_string(); "router started");
         Ok(RouterHandle { caller, fleet, state, local, servers, abort, done })
     }
 }
@@ -314,14 +314,14 @@
         serving.shutdown().await;
         self.abort.cancel();
         self.done.cancel();
-        log::info!("router ended");
+        log::info!(event = "router_ended"; "router ended");
     }
 
     async fn stop_gracefully(&self, serving: &mut JoinSet<()>) {
         self.wait_for_announcement().await;
         let drain = &self.state.drain;
         drain.advance(DrainPhase::Refusing);
-        log::info!("new work is refused");
+        log::info!(event = "stop_refusing"; "new work is refused");
         if self.state.options.close_on_stop {
             self.servers.advance(StopPhase::Draining);
         }
@@ -348,7 +348,7 @@
             false => LAST_REPORTS_TIME,
         };
         let _ = tokio::time::timeout(last, reported).await;
-        log::info!(in_progress = self.state.in_progress(); "the router has drained");
+        log::info!(event = "stop_drained", in_progress = self.state.in_progress(); "the router has drained");
         // A planned stop leaves the process to its operator.
         drain.requested().await;
         self.servers.advance(StopPhase::Draining);
@@ -364,14 +364,14 @@
         loop {
             self.wait_until(|state| state.drain.is_requested() || is_planned(state)).await;
             drain.advance(DrainPhase::Announced);
-            log::info!("a stop is announced");
+            log::info!(event = "stop_announced"; "a stop is announced");
             let cancelled =
                 self.wait_until(|state| !state.drain.is_requested() && !is_planned(state));
             if tokio::time::timeout(notice, cancelled).await.is_err() {
                 return;
             }
             drain.revoke();
-            log::info!("the announced stop is cancelled");
+            log::info!(event = "stop_cancelled"; "the announced stop is cancelled");
         }
     }
 
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -148,7 +148,7 @@
             let age = Duration::from_millis(update.age_ms);
             self.metrics.edit_in_force.record(age.as_secs_f64(), &[]);
             self.metrics.table_revision.record(update.to, &[]);
-            log::info!(revision = update.to; "workspace table in force");
+            log::info!(event = "workspaces_in_force", revision = update.to, age_ms = update.age_ms; "workspace table in force");
         }
         newer
     }
