--- a/crates/node/src/log_queue.rs
+++ b/crates/node/src/log_queue.rs
@@ -17,9 +17,9 @@
 #[derive(Debug, Default)]
 struct QueueState {
     bytes: Vec<u8>,
-    /// Lines dropped since the last note, by whether they were warnings.
+    /// Lines dropped that no note has told yet.
+    untold: DroppedLines,
     dropped: DroppedLines,
-    total: DroppedLines,
     writing: bool,
 }
 
@@ -65,8 +65,8 @@
         let limit = if warning { BYTE_LIMIT } else { BYTE_LIMIT / 2 };
         let mut state = self.lock();
         if state.bytes.len() + line.len() > limit {
-            let QueueState { dropped, total, .. } = &mut *state;
-            for counts in [dropped, total] {
+            let QueueState { untold, dropped, .. } = &mut *state;
+            for counts in [untold, dropped] {
                 match warning {
                     true => counts.warnings += 1,
                     false => counts.info += 1,
@@ -82,7 +82,7 @@
 
     /// Lines dropped since the start.
     pub fn dropped(&self) -> DroppedLines {
-        self.lock().total
+        self.lock().dropped
     }
 
     /// Waits until everything is written, for at most `limit`.
@@ -108,7 +108,7 @@
         }
         state.writing = true;
         let mut bytes = std::mem::take(&mut state.bytes);
-        let dropped = std::mem::take(&mut state.dropped);
+        let dropped = std::mem::take(&mut state.untold);
         drop(state);
         if dropped != DroppedLines::default() {
             let DroppedLines { info, warnings } = dropped;
