--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -223,6 +223,16 @@
     false
 }
 
+/// The leader's address, as the first controller that answers knows it.
+pub async fn find_leader(addresses: &[SocketAddr], token: &str) -> Option<SocketAddr> {
+    for address in addresses {
+        if let Some(leader) = ask_member(*address, token).await {
+            return Some(leader);
+        }
+    }
+    None
+}
+
 async fn ask_member(address: SocketAddr, token: &str) -> Option<SocketAddr> {
     let client = PeerClient::new(address);
     let presence: ReplicaPresence =
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -63,6 +63,10 @@
     LogEvent { name: "log_lines_dropped", meaning: "Lines found no room; counts by severity." },
     LogEvent { name: "member_added", meaning: "The leader adds a controller to the group." },
     LogEvent { name: "members_changed", meaning: "The membership of the group changed." },
+    LogEvent {
+        name: "metrics_unavailable",
+        meaning: "Metrics cannot be served; the role works without them.",
+    },
     LogEvent { name: "peer_unknown", meaning: "A message has no address to go to." },
     LogEvent { name: "process_failed", meaning: "The process ends with an error." },
     LogEvent { name: "process_started", meaning: "The process started." },
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -56,6 +56,8 @@
     pub answers: Counter<u64>,
     /// Retries by workspace.
     pub retries: Counter<u64>,
+    /// Seconds that requests wait for a slot, by model.
+    pub queue_wait: Histogram<f64>,
     /// Seconds from arrival to the first token, by workspace and model.
     pub first_token: Histogram<f64>,
     /// Seconds between tokens, by model.
@@ -97,6 +99,11 @@
             refusals: meter.u64_counter("baobabfall_refusals").build(),
             answers: meter.u64_counter("baobabfall_answers").build(),
             retries: meter.u64_counter("baobabfall_retries").build(),
+            queue_wait: meter
+                .f64_histogram("baobabfall_queue_wait")
+                .with_unit("s")
+                .with_boundaries(FIRST_TOKEN_BOUNDS.to_vec())
+                .build(),
             first_token: meter
                 .f64_histogram("baobabfall_first_token")
                 .with_unit("s")
--- /dev/null
+++ b/crates/router/src/exchange_meter.rs
@@ -0,0 +1,82 @@
+//! Counters and histograms of one exchange, under the names of the burn report.
+
+use crate::exchange_run::ExchangeCall;
+use baobabfall_node::node_metrics::{AnswerCompleteness, NodeMetrics};
+use opentelemetry::KeyValue;
+use std::time::Duration;
+
+/// How an exchange ended, as far as its request may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ExchangeOutcome {
+    /// An upstream's answer was passed on.
+    Finished,
+    /// It is known not to have run.
+    RefusedNotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl ExchangeOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Finished => "finished",
+            Self::RefusedNotRun => "refused_not_run",
+            Self::Unknown => "outcome_unknown",
+        }
+    }
+}
+
+/// Records one exchange. One that is dropped without an outcome was cancelled
+/// by its caller.
+#[derive(Debug)]
+pub(crate) struct ExchangeMeter {
+    metrics: NodeMetrics,
+    labels: [KeyValue; 2],
+    counted: bool,
+}
+
+impl ExchangeMeter {
+    pub(crate) fn new(metrics: &NodeMetrics, call: &ExchangeCall) -> Self {
+        let labels = [
+            KeyValue::new("workspace", call.workspace.clone()),
+            KeyValue::new("model", call.service.clone()),
+        ];
+        Self { metrics: metrics.clone(), labels, counted: false }
+    }
+
+    pub(crate) fn record_queue_wait(&self, wait: Duration) {
+        self.metrics.queue_wait.record(wait.as_secs_f64(), &self.labels[1..]);
+    }
+
+    pub(crate) fn record_first_event(&self, elapsed: Duration) {
+        self.metrics.first_token.record(elapsed.as_secs_f64(), &self.labels);
+    }
+
+    pub(crate) fn count_retry(&self) {
+        self.metrics.retries.add(1, &self.labels[..1]);
+    }
+
+    pub(crate) fn count_answer(&self, completeness: AnswerCompleteness) {
+        let [workspace, model] = self.labels.clone();
+        let labels = [workspace, model, KeyValue::new("completeness", completeness.label())];
+        self.metrics.answers.add(1, &labels);
+    }
+
+    pub(crate) fn end(&mut self, outcome: ExchangeOutcome) {
+        self.count(outcome.label());
+    }
+
+    fn count(&mut self, outcome: &'static str) {
+        if !std::mem::replace(&mut self.counted, true) {
+            let [workspace, model] = self.labels.clone();
+            let labels = [workspace, model, KeyValue::new("outcome", outcome)];
+            self.metrics.requests.add(1, &labels);
+        }
+    }
+}
+
+impl Drop for ExchangeMeter {
+    fn drop(&mut self) {
+        self.count("cancelled");
+    }
+}
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -1,6 +1,7 @@
 //! One exchange: queueing, sending, and what follows from each outcome.
 
 use crate::exchange_body::{ExchangeBody, frame_body};
+use crate::exchange_meter::{ExchangeMeter, ExchangeOutcome};
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
 use crate::exchange_send::{OpenExchange, SendFailure, passed_head, send_call};
 use crate::exchange_state::{ExchangeState, ProgressGuard};
@@ -10,6 +11,7 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::RouteRow;
 use baobabfall_core::upstream_registry::{UpstreamKind, WorkTarget};
+use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::units::millis;
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
@@ -103,6 +105,7 @@
 pub struct ExchangeRun<P: ExchangeProtocol> {
     pub(crate) state: Arc<ExchangeState<P>>,
     pub(crate) call: Arc<ExchangeCall>,
+    pub(crate) meter: ExchangeMeter,
     _progress: ProgressGuard,
     /// Upstreams to which a byte of the request was sent.
     attempts: u32,
@@ -118,7 +121,9 @@
 impl<P: ExchangeProtocol> ExchangeRun<P> {
     /// Prepares a run.
     pub fn new(state: Arc<ExchangeState<P>>, call: ExchangeCall, progress: ProgressGuard) -> Self {
+        let meter = ExchangeMeter::new(&state.router.metrics, &call);
         Self {
+            meter,
             state,
             call: Arc::new(call),
             _progress: progress,
@@ -158,15 +163,17 @@
                 self.fallback = Some(response);
                 continue;
             }
-            self.log_end(status.as_u16(), 0);
+            self.end_answered(status.as_u16(), 0);
             return response;
         }
     }
 
-    /// Logs an exchange that ended with an upstream's answer: every failure,
-    /// and of the rest those whose id falls into a fixed sample, so that all
-    /// hosts keep the same ones.
-    pub(crate) fn log_end(&self, status: u16, events: u64) {
+    /// Counts and logs an exchange that ended with an upstream's answer: every
+    /// failure, and of the rest those whose id falls into a fixed sample, so
+    /// that all hosts keep the same ones.
+    pub(crate) fn end_answered(&mut self, status: u16, events: u64) {
+        self.meter.end(ExchangeOutcome::Finished);
+        self.meter.count_answer(AnswerCompleteness::Whole);
         let call = &self.call;
         let id = call.head.request_id.as_str();
         let sample = blake3::hash(id.as_bytes()).as_bytes()[0];
@@ -235,10 +242,14 @@
     pub(crate) fn may_try_again(&self, ran: bool) -> bool {
         let route = &self.call.route;
         let allowed = !ran || route.kind.is_repeatable();
-        allowed
+        let again = allowed
             && !self.is_over()
             && self.attempts < route.attempts
-            && self.state.take_retry(&self.call.service)
+            && self.state.take_retry(&self.call.service);
+        if again {
+            self.meter.count_retry();
+        }
+        again
     }
 
     /// Waits while the request can still be answered on time. Without word
@@ -280,6 +291,7 @@
         let begun = Instant::now();
         let granted = self.wait_in_queue(request).await;
         self.queued += begun.elapsed();
+        self.meter.record_queue_wait(begun.elapsed());
         granted.map_err(|exit| match exit {
             QueueExit::Deadline => (ErrorKind::DeadlineBeforeDispatch, None),
             QueueExit::Refused(wait) => (ErrorKind::QueueFull, Some(wait)),
@@ -300,6 +312,10 @@
             false => kind,
         };
         let answer = kind.answer();
+        self.meter.end(match answer.not_run {
+            true => ExchangeOutcome::RefusedNotRun,
+            false => ExchangeOutcome::Unknown,
+        });
         self.state.router.metrics.count_refusal(answer.code);
         log::info!(
             event = "request_refused", request_id = call.head.request_id.as_str(),
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -2,11 +2,13 @@
 
 use crate::event_splitter::EventSplitter;
 use crate::exchange_body::FrameEvent;
+use crate::exchange_meter::ExchangeOutcome;
 use crate::exchange_protocol::ExchangeProtocol;
 use crate::exchange_run::ExchangeRun;
 use crate::exchange_send::OpenExchange;
 use baobabfall_core::dispatch_messages::LeaseEnd;
 use baobabfall_core::route_table::RepetitionKind;
+use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::units::millis;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc::Sender;
@@ -27,7 +29,7 @@
 
 /// Relays an answer as it arrives, without looking at its content.
 pub(crate) async fn pump_frames<P: ExchangeProtocol>(
-    run: ExchangeRun<P>,
+    mut run: ExchangeRun<P>,
     mut opened: OpenExchange,
     sender: Sender<FrameEvent>,
 ) {
@@ -48,7 +50,7 @@
             }
         }
     };
-    finish(&run, opened, &sender, end, 0).await;
+    finish(&mut run, opened, &sender, end, 0).await;
 }
 
 /// Relays an event stream. A resumable one goes on at another upstream when it
@@ -65,7 +67,7 @@
     loop {
         let end = relay_events(&run, &mut opened, &mut splitter, &sender).await;
         let RelayEnd::Broken(reason) = &end else {
-            return finish(&run, opened, &sender, end, splitter.events()).await;
+            return finish(&mut run, opened, &sender, end, splitter.events()).await;
         };
         let resumable = run.call.route.kind == RepetitionKind::ResumableStream;
         let again = resumable && run.may_try_again(true);
@@ -76,6 +78,8 @@
             "event stream broke off: {reason}"
         );
         if !again {
+            run.meter.end(ExchangeOutcome::Unknown);
+            run.meter.count_answer(AnswerCompleteness::BrokenWithError);
             opened.lease.finish(LeaseEnd::Failed);
             return;
         }
@@ -125,6 +129,7 @@
         };
         if before == 0 && splitter.events() > 0 {
             meter.set_first_token(Instant::now());
+            run.meter.record_first_event(run.call.arrival.elapsed());
             // The dispatcher grants prompts as earlier ones are read.
             run.state.router.queue.notify();
         }
@@ -136,23 +141,32 @@
 }
 
 async fn finish<P: ExchangeProtocol>(
-    run: &ExchangeRun<P>,
+    run: &mut ExchangeRun<P>,
     opened: OpenExchange,
     sender: &Sender<FrameEvent>,
     end: RelayEnd,
     events: u64,
 ) {
-    let call = &run.call;
     match &end {
         RelayEnd::Complete => {
-            run.log_end(opened.parts.status.as_u16(), events);
+            run.end_answered(opened.parts.status.as_u16(), events);
             opened.complete();
             let _ = sender.send(FrameEvent::End).await;
             return;
         }
-        RelayEnd::CallerGone | RelayEnd::Deadline => opened.lease.finish(LeaseEnd::Finished),
-        RelayEnd::Broken(_) => opened.lease.finish(LeaseEnd::Failed),
+        RelayEnd::CallerGone => opened.lease.finish(LeaseEnd::Finished),
+        RelayEnd::Deadline => {
+            run.meter.end(ExchangeOutcome::Unknown);
+            run.meter.count_answer(AnswerCompleteness::BrokenWithError);
+            opened.lease.finish(LeaseEnd::Finished);
+        }
+        RelayEnd::Broken(_) => {
+            run.meter.end(ExchangeOutcome::Unknown);
+            run.meter.count_answer(AnswerCompleteness::BrokenWithError);
+            opened.lease.finish(LeaseEnd::Failed);
+        }
     }
+    let call = &run.call;
     log::info!(
         event = "answer_cut", request_id = call.head.request_id.as_str(),
         route = call.route.name.as_str(), events = events,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod event_splitter;
 pub mod exchange_api;
 pub mod exchange_body;
+mod exchange_meter;
 pub mod exchange_protocol;
 pub mod exchange_run;
 mod exchange_send;
--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -8,6 +8,7 @@
 use baobabfall_core::retry_window::FleetBudget;
 use baobabfall_core::route_table::*;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
+use baobabfall_node::units::millis;
 use baobabfall_router::exchange_protocol::*;
 use baobabfall_router::exchange_state::{ExchangeOptions, ExchangeState};
 use baobabfall_router::{Router, RouterHandle, RouterListeners, RouterOptions, RouterSettings};
@@ -57,7 +58,7 @@
     fn stamp(&self, headers: &mut HeaderMap, stamp: &ForwardStamp<'_>) {
         headers.remove(KEY);
         headers.remove(WORKSPACE);
-        headers.insert(WAIT, HeaderValue::from(stamp.remaining.as_millis() as u64));
+        headers.insert(WAIT, HeaderValue::from(millis(stamp.remaining)));
         headers.insert(UPSTREAM, HeaderValue::from_str(stamp.upstream).unwrap());
         if let Some(workspace) = stamp.workspace {
             headers.insert(WORKSPACE, HeaderValue::from_str(workspace).unwrap());
@@ -82,7 +83,7 @@
             Response::new(Full::new(Bytes::from_static(kind.answer().code.as_bytes())));
         *response.status_mut() = StatusCode::from_u16(kind.answer().status).unwrap();
         if let Some(wait) = retry_after {
-            let value = HeaderValue::from(wait.as_millis() as u64);
+            let value = HeaderValue::from(millis(wait));
             response.headers_mut().insert("x-retry-ms", value);
         }
         response
