baobabctl explain merges the log lines of a request

Cause: an operator had to merge the files of several hosts by hand, and clocks that step back put lines out of order. Change: explain ID FILE... prints the lines in time order, keeps the order of each file, and says what it skipped.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -103,6 +103,13 @@
                 required outcome: String
             }
         }
+        /// Merges the log lines of a request from several files. Example: baobabctl explain 9c41d07b logs/*
+        cmd explain {
+            /// Id of the request.
+            required id: String
+            /// Log file, repeatable.
+            repeated file: PathBuf
+        }
         /// Lists the controllers of the replicated log. Example: baobabctl controllers
         cmd controllers {}
         /// Removes a controller for good. Example: baobabctl remove-controller controller-3
@@ -138,6 +145,7 @@
     Fairness(Fairness),
     Stop(Stop),
     Actions(Actions),
+    Explain(Explain),
     Controllers(Controllers),
     RemoveController(RemoveController),
     RemoveNode(RemoveNode),
@@ -272,6 +280,12 @@
     pub outcome: String,
 }
 
+#[derive(Debug)]
+pub struct Explain {
+    pub id: String,
+    pub file: Vec<PathBuf>,
+}
+
 #[derive(Debug)]
 pub struct Controllers;
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod control_client;
 pub mod error;
+pub mod explain;
 pub mod options;
 pub mod output;
 pub mod progress;
@@ -30,6 +31,7 @@
         BaobabctlCmd::Fairness(_) => view_commands::fairness(&options).await,
         BaobabctlCmd::Stop(stop) => change_commands::stop(&options, stop).await,
         BaobabctlCmd::Actions(actions) => change_commands::actions(&options, actions).await,
+        BaobabctlCmd::Explain(explain) => explain::run(&explain.id, &explain.file),
         BaobabctlCmd::Controllers(_) => change_commands::controllers(&options).await,
         BaobabctlCmd::RemoveController(remove) => {
             change_commands::remove_controller(&options, remove).await
