--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -149,6 +149,10 @@
 impl Site {
     /// Starts a router before upstreams that play the given scripts.
     async fn start(scripts: Vec<Vec<Vec<Step>>>) -> Self {
+        Self::start_with(scripts, "").await
+    }
+
+    async fn start_with(scripts: Vec<Vec<Vec<Step>>>, limits: &str) -> Self {
         let mut upstreams = Vec::new();
         let mut announcements: Vec<UpstreamAnnouncement> = Vec::new();
         for (index, script) in scripts.into_iter().enumerate() {
@@ -159,7 +163,7 @@
         let controller = FakeController::start(announcements).await;
         controller.script().routes = Some(Arc::new(table(5)));
         let folder = tempfile::TempDir::new().unwrap();
-        let text = settings_text(folder.path(), &[controller.address], "");
+        let text = settings_text(folder.path(), &[controller.address], limits);
         let settings: RouterSettings =
             baobabfall_node::settings::parse_settings(std::path::Path::new("t.toml"), &text)
                 .unwrap();
@@ -427,6 +431,28 @@
     tokio::time::timeout(support::PATIENCE, site.handle.join()).await.expect("the router ends");
 }
 
+/// Guards against idle callers who keep new ones out: beyond half of the room
+/// connections close after their answer, and those that wait are accepted.
+#[tokio::test]
+async fn crowded_router_closes_connections() {
+    let site = Site::start_with(vec![vec![]], "connections = 4").await;
+    let mut idle = Vec::new();
+    for _ in 0..2 {
+        idle.push(tokio::net::TcpStream::connect(site.handle.caller_address()).await.unwrap());
+    }
+    wait_for("two connections", || site.handle.state().connection_room.available_permits() == 2)
+        .await;
+    for _ in 0..10 {
+        let answer = site.call(Method::GET, "/none/", &[]).await;
+        assert_eq!(answer.status.as_u16(), 404);
+        assert_eq!(answer.header("connection"), "close");
+    }
+    drop(idle);
+    wait_for("room", || site.handle.state().connection_room.available_permits() == 4).await;
+    let answer = site.call(Method::GET, "/none/", &[]).await;
+    assert_eq!(answer.header("connection"), "");
+}
+
 /// Guards against an older route table that replaces a newer one.
 #[tokio::test]
 async fn set_routes_never_reverts() {
