Prefixes have a home by rendezvous hashing; keepers may hold three windows

Cause: a new dispatcher knew no keepers, so every prefix was placed anew after the loss of a leader, and at two windows a keeper was left for another engine that had to read the prefix again. Ruled out: waiting for the keeper without bound (late first tokens). Change: a prefix without a known keeper goes to the same engine at every dispatcher while that one has room; KEEPER_WINDOWS 3.

--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -108,11 +108,15 @@
     pub places: Vec<TargetPlace>,
     /// Prompt tokens granted to it whose requests have no first token yet.
     pub prefill: u64,
+    /// Hash of the name, for rendezvous hashing.
+    pub seed: u64,
 }
 
 impl UpstreamState {
     pub fn new(name: &str, incarnation: u64) -> Self {
+        let hash = blake3::hash(name.as_bytes());
         Self {
+            seed: hash.as_bytes().first_chunk::<8>().map_or(0, |part| u64::from_le_bytes(*part)),
             name: name.to_owned(),
             incarnation,
             announcement: None,
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -25,7 +25,7 @@
 /// Most grants of one answer; it keeps the message under its size limit.
 const GRANTS_PER_ANSWER: usize = 1024;
 /// Windows of unread prompts that an upstream may hold for prefixes it keeps.
-const KEEPER_WINDOWS: u64 = 2;
+const KEEPER_WINDOWS: u64 = 3;
 
 /// Fair dispatcher of one term.
 ///
@@ -127,6 +127,16 @@
     pub(crate) changing: Vec<usize>,
 }
 
+/// Weight of an upstream for a prefix; mixes both evenly (64-bit finalizer of
+/// MurmurHash3).
+fn rendezvous_weight(prefix: u64, seed: u64) -> u64 {
+    let mut mixed = prefix ^ seed;
+    for factor in [0xff51_afd7_ed55_8ccd_u64, 0xc4ce_b9fe_1a85_ec53] {
+        mixed = (mixed ^ (mixed >> 33)).wrapping_mul(factor);
+    }
+    mixed ^ (mixed >> 33)
+}
+
 impl SlotDispatcher {
     /// Starts a dispatcher in recovery.
     pub fn new(now: Duration, term: u64, settings: DispatchSettings) -> Self {
@@ -288,7 +298,12 @@
         let keepers = next.prefix.map_or_else(Vec::new, |prefix| {
             self.prefixes.find(now, self.settings.placement.prefix_lifetime, prefix)
         });
-        let affine = self.best_keeper(now, TargetPlace { pool, index }, &keepers);
+        let place = TargetPlace { pool, index };
+        let affine =
+            match next.prompt.and_then(|prompt| prompt.prefix).filter(|_| keepers.is_empty()) {
+                Some(prefix) => self.prefix_home(now, place, prefix),
+                None => self.best_keeper(now, place, &keepers),
+            };
         let avoid = next.avoid.as_ref().and_then(|name| self.upstream_names.get(name).copied());
         let zone = self.routers[next.router].zone;
         let free = &self.pools[pool].targets[index].free;
@@ -333,6 +348,20 @@
     /// The lowest account that a free slot of the pool can serve, and the
     /// index of its target. Among targets of the same workspace the one that
     /// waited longest is served.
+    /// The upstream for a prefix of which no keeper is known: the same one at
+    /// every dispatcher (rendezvous hashing), because a new dispatcher knows no
+    /// keepers while the upstreams still hold what they read.
+    fn prefix_home(&self, now: Duration, place: TargetPlace, prefix: u64) -> Option<usize> {
+        let members = self.pools[place.pool].members.iter().copied();
+        let free = members.filter(|id| {
+            let upstream = &self.upstreams[*id];
+            upstream.places.contains(&place)
+                && upstream.running < self.usable_slots(now, *id)
+                && upstream.prefill < upstream.capacity.window()
+        });
+        free.max_by_key(|id| rendezvous_weight(prefix, self.upstreams[*id].seed))
+    }
+
     /// The least loaded upstream that keeps a prefix. It may hold more unread
     /// prompts than others, because reading the prefix again elsewhere costs
     /// more than the longer wait.
