--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -346,10 +346,10 @@
     /// the least loaded, then one in the router's zone.
     ///
     /// ```
-    /// use baobabfall_core::placement::{FreeSlots, SlotPreference};
+    /// use baobabfall_core::placement::{FreeSlots, SlotLoad, SlotPreference};
     /// let mut free = FreeSlots::default();
-    /// free.set(0, 7, 1, 8);
-    /// free.set(1, 3, 1, 8);
+    /// free.set(0, 7, SlotLoad { running: 1, slots: 8, ..SlotLoad::default() });
+    /// free.set(1, 3, SlotLoad { running: 1, slots: 8, ..SlotLoad::default() });
     /// let preference = SlotPreference { zone: 1, ..SlotPreference::default() };
     /// assert_eq!(free.choose(&preference), Some(3));
     /// assert_eq!(free.choose(&SlotPreference { avoid: Some(3), ..preference }), Some(7));
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -77,6 +77,7 @@
 ///         cost_hint: 0,
 ///         prefix: None,
 ///         avoid: None,
+///         prompts: vec![],
 ///     }],
 ///     usage: vec![],
 ///     charges: vec![],
