--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -1,12 +1,13 @@
 //! The caller listener of a site with routes: from a request's head to its run.
 
+use crate::drain::DrainPhase;
 use crate::exchange_body::ExchangeBody;
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
 use crate::exchange_run::{ExchangeCall, ExchangeRun};
 use crate::exchange_state::ExchangeState;
 use crate::request_order::end_to_end_headers;
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_core::route_table::{OPEN_WORKSPACE, RouteIndex, RouteRow};
+use baobabfall_core::route_table::{OPEN_WORKSPACE, RepetitionKind, RouteIndex, RouteRow};
 use baobabfall_node::http_server::read_body;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -19,6 +20,12 @@
 
 /// Time after which a caller may come back while the router is not ready.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// Time after which a caller of a stopping router may come back: at once, since
+/// other routers serve.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+/// Streams of routes whose time-out is beyond this part of the time of a stop
+/// may outlast it. Streams rarely use more than a part of their time-out.
+const OUTLAST_SHARE: f64 = 1.5;
 /// Longest wait for room for a body.
 const BODY_ROOM_WAIT: Duration = Duration::from_millis(100);
 /// Room taken for a body whose length is not told beforehand.
@@ -75,6 +82,9 @@
     let head = state.protocol.read_head(parts)?;
     let route = routes.find(&head.host, parts.uri.path()).ok_or(ErrorKind::NotFound)?.clone();
     let (workspace, named) = workspace_of(&routes, &route, &head)?;
+    if may_outlast_stop(state, &route) {
+        return Err(IntakeFault { kind: ErrorKind::Stopping, retry_after: Some(STOPPING_RETRY) });
+    }
     let deadline = head.deadline.unwrap_or(route.timeout()).min(route.timeout());
     let body = receive_body(state, &routes, parts, body).await?;
     let service = route.pick_service(rand::random()).to_owned();
@@ -103,6 +113,15 @@
     })
 }
 
+/// True when the router is stopping and the answer may take longer than running
+/// work is given. It would be cut and could not go on elsewhere.
+fn may_outlast_stop<P: ExchangeProtocol>(state: &ExchangeState<P>, route: &RouteRow) -> bool {
+    let running = state.router.options.settings.limits.stop_running;
+    route.kind == RepetitionKind::Stream
+        && state.router.drain.phase() > DrainPhase::Serving
+        && running.is_some_and(|limit| route.timeout() > limit.0.mul_f64(OUTLAST_SHARE))
+}
+
 /// The workspace that is charged, and whether upstreams are told its name.
 fn workspace_of(
     routes: &RouteIndex,
--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -120,6 +120,7 @@
             route("/once/", RepetitionKind::Once, 2),
             route("/stream/", RepetitionKind::Stream, 2),
             route("/resume/", RepetitionKind::ResumableStream, 2),
+            RouteRow { timeout_ms: 60_000, ..route("/long/", RepetitionKind::Stream, 1) },
             route("/public/", RepetitionKind::Idempotent, 1),
             brief,
         ],
@@ -344,6 +345,19 @@
     assert_eq!(site.work(0) + site.work(1), 2, "no more attempts than the route allows");
 }
 
+/// Guards against a promise that nothing ran when an earlier attempt may have:
+/// the last upstream refuses, and the caller is still told the truth.
+#[tokio::test]
+async fn exchange_refusal_after_a_run_promises_nothing() {
+    let cut = || vec![Step::Write("HTTP/1.1 200 OK\r\n".to_owned()), Step::Close];
+    let refuse = || answer_with(503, "x-not-run: 1\r\n", "full");
+    let site = Site::start(vec![vec![cut(), refuse()], vec![refuse(), cut()]]).await;
+    // The first grant goes to the first upstream, which cuts its answer.
+    let answer = site.call(Method::GET, "/read/x", &[]).await;
+    assert_eq!(answer.status.as_u16(), 502);
+    assert_eq!((site.work(0), site.work(1)), (1, 1));
+}
+
 /// Guards against events that are missing, doubled or joined with those of
 /// another run when a stream goes on elsewhere.
 #[tokio::test]
@@ -431,6 +445,21 @@
     tokio::time::timeout(support::PATIENCE, site.handle.join()).await.expect("the router ends");
 }
 
+/// Guards against streams that a stop cuts because they were taken while it was
+/// under way: those that may outlast it are sent to another router at once.
+#[tokio::test]
+async fn stop_refuses_streams_that_outlast_it() {
+    let site = Site::start_with(vec![vec![good("a")]], "stop_running = \"1s\"").await;
+    site.handle.begin_stop();
+    wait_for("the notice", || !site.state.is_ready()).await;
+    let answer = site.call(Method::POST, "/long/x", &[]).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stopping"));
+    assert!(answer.header("x-retry-ms").parse::<u64>().unwrap() <= 50);
+    assert_eq!(site.work(0), 0);
+    let answer = site.call(Method::GET, "/read/x", &[]).await;
+    assert_eq!(answer.status.as_u16(), 200, "other work is still taken");
+}
+
 /// Guards against idle callers who keep new ones out: beyond half of the room
 /// connections close after their answer, and those that wait are accepted.
 #[tokio::test]
