--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,7 +12,8 @@
 const SHORT_MEAN_DIVISOR: u64 = 8;
 /// Weight of a new first-token time in the long-term mean is one of these.
 const LONG_MEAN_DIVISOR: u64 = 128;
-/// First window of unread prompt tokens.
+/// First window of unread prompt tokens: some usual prompts, so that a new
+/// engine is neither idle nor flooded before its first answers tell more.
 const FIRST_WINDOW: u64 = 16_384;
 /// Smallest window: about one usual prompt.
 const LEAST_WINDOW: u64 = 4_096;
@@ -373,10 +374,25 @@
     }
 }
 
-/// Upstreams that keep one prefix, the latest first.
-const KEEPER_LIMIT: usize = 4;
+/// Upstreams that are known to hold one prefix, the latest first. Each further
+/// copy takes engine memory from other prefixes.
+const HOLDER_LIMIT: usize = 4;
 
-/// Which upstreams read a prefix lately, in a table of fixed size.
+/// Bounded table from prompt prefix to the upstreams that read it last.
+///
+/// Colliding prefixes overwrite each other, which costs at most a cache miss.
+///
+/// ```
+/// use baobabfall_core::placement::PrefixHints;
+/// use std::time::Duration;
+/// let mut hints = PrefixHints::new(8);
+/// let (now, lifetime) = (Duration::from_secs(1), Duration::from_secs(30));
+/// hints.record(now, 5, 2);
+/// hints.record(now, 5, 7);
+/// assert_eq!(hints.find(now, lifetime, 5), [7, 2]);
+/// hints.record(now, 13, 1); // shares a place with prefix 5
+/// assert!(hints.find(now, lifetime, 5).is_empty());
+/// ```
 #[derive(Clone, Debug)]
 pub struct PrefixHints {
     slots: Vec<PrefixSlot>,
@@ -385,7 +401,7 @@
 #[derive(Clone, Debug, Default)]
 struct PrefixSlot {
     prefix: u64,
-    keepers: Vec<(usize, Duration)>,
+    holders: Vec<(usize, Duration)>,
 }
 
 impl PrefixHints {
@@ -400,11 +416,11 @@
         let slot = &mut self.slots[slot];
         if slot.prefix != prefix {
             slot.prefix = prefix;
-            slot.keepers.clear();
+            slot.holders.clear();
         }
-        slot.keepers.retain(|(held, _)| *held != upstream);
-        slot.keepers.truncate(KEEPER_LIMIT - 1);
-        slot.keepers.insert(0, (upstream, now));
+        slot.holders.retain(|(held, _)| *held != upstream);
+        slot.holders.truncate(HOLDER_LIMIT - 1);
+        slot.holders.insert(0, (upstream, now));
     }
 
     /// Upstreams that read a prefix within `lifetime`.
@@ -413,7 +429,7 @@
         if slot.prefix != prefix {
             return Vec::new();
         }
-        let fresh = slot.keepers.iter().filter(|(_, at)| now < *at + lifetime);
+        let fresh = slot.holders.iter().filter(|(_, at)| now < *at + lifetime);
         fresh.map(|(upstream, _)| *upstream).collect()
     }
 
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -24,8 +24,9 @@
 
 /// Most grants of one answer; it keeps the message under its size limit.
 const GRANTS_PER_ANSWER: usize = 1024;
-/// Windows of unread prompts that an upstream may hold for prefixes it keeps.
-const KEEPER_WINDOWS: u64 = 3;
+/// Windows of unread prompts that an upstream may have for prefixes it holds.
+/// With two, prefixes were read again elsewhere for a quarter more tokens.
+const HOLDER_WINDOWS: u64 = 3;
 
 /// Fair dispatcher of one term.
 ///
@@ -296,14 +297,14 @@
         let target = self.pools[pool].targets[index].target;
         let queue = self.workspaces[workspace].queues.get_mut(&target);
         let Some(next) = queue.and_then(|queue| queue.take_next()) else { return false };
-        let keepers = next.prefix.map_or_else(Vec::new, |prefix| {
+        let holders = next.prefix.map_or_else(Vec::new, |prefix| {
             self.prefixes.find(now, self.settings.placement.prefix_lifetime, prefix)
         });
         let place = TargetPlace { pool, index };
         let affine =
-            match next.prompt.and_then(|prompt| prompt.prefix).filter(|_| keepers.is_empty()) {
-                Some(prefix) => self.prefix_home(now, place, prefix),
-                None => self.best_keeper(now, place, &keepers),
+            match next.prompt.and_then(|prompt| prompt.prefix).filter(|_| holders.is_empty()) {
+                Some(prefix) => self.rendezvous_upstream(now, place, prefix),
+                None => self.least_loaded_holder(now, place, &holders),
             };
         let avoid = next.avoid.as_ref().and_then(|name| self.upstream_names.get(name).copied());
         let zone = self.routers[next.router].zone;
@@ -330,7 +331,7 @@
             charge: weighted_cost(estimate, weight),
             first_token: false,
             prefill: next.prompt.map_or(0, |prompt| {
-                let read = if keepers.contains(&upstream) { 0 } else { prompt.shared };
+                let read = if holders.contains(&upstream) { 0 } else { prompt.shared };
                 u64::from(prompt.own) + u64::from(read)
             }),
             target_ms: next.prompt.map_or(0, |prompt| prompt.target_ms),
@@ -349,10 +350,10 @@
     /// The lowest account that a free slot of the pool can serve, and the
     /// index of its target. Among targets of the same workspace the one that
     /// waited longest is served.
-    /// The upstream for a prefix of which no keeper is known: the same one at
+    /// The upstream for a prefix of which no holder is known: the same one at
     /// every dispatcher (rendezvous hashing), because a new dispatcher knows no
-    /// keepers while the upstreams still hold what they read.
-    fn prefix_home(&self, now: Duration, place: TargetPlace, prefix: u64) -> Option<usize> {
+    /// holders while the upstreams still hold what they read.
+    fn rendezvous_upstream(&self, now: Duration, place: TargetPlace, prefix: u64) -> Option<usize> {
         let members = self.pools[place.pool].members.iter().copied();
         let free = members.filter(|id| {
             let upstream = &self.upstreams[*id];
@@ -363,16 +364,21 @@
         free.max_by_key(|id| rendezvous_weight(prefix, self.upstreams[*id].seed))
     }
 
-    /// The least loaded upstream that keeps a prefix. It may hold more unread
+    /// The least loaded upstream that holds a prefix. It may hold more unread
     /// prompts than others, because reading the prefix again elsewhere costs
     /// more than the longer wait.
-    fn best_keeper(&self, now: Duration, place: TargetPlace, keepers: &[usize]) -> Option<usize> {
-        let usable = keepers.iter().copied().filter(|id| {
+    fn least_loaded_holder(
+        &self,
+        now: Duration,
+        place: TargetPlace,
+        holders: &[usize],
+    ) -> Option<usize> {
+        let usable = holders.iter().copied().filter(|id| {
             let upstream = &self.upstreams[*id];
             // The index of an upstream that is gone may belong to another one by now.
             upstream.places.contains(&place)
                 && upstream.running < self.usable_slots(now, *id)
-                && upstream.prefill < KEEPER_WINDOWS * upstream.capacity.window()
+                && upstream.prefill < HOLDER_WINDOWS * upstream.capacity.window()
         });
         usable.min_by_key(|id| (self.upstreams[*id].prefill, self.upstreams[*id].running))
     }
--- a/crates/core/tests/prompt_windows.rs
+++ b/crates/core/tests/prompt_windows.rs
@@ -1,4 +1,4 @@
-//! Placement of prompts: windows of unread tokens and keepers of prefixes.
+//! Placement of prompts: windows of unread tokens and holders of prefixes.
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
@@ -51,7 +51,7 @@
 /// Guards against prefixes that are read again: requests go to the engine that
 /// keeps theirs, also when another one is less loaded.
 #[test]
-fn dispatch_prefix_goes_to_keeper() {
+fn dispatch_prefix_goes_to_holder() {
     let engines = ["e0", "e1", "e2"].map(|name| engine(name, &["m"], 48));
     let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
     let mut router = ManualRouter::new("r");
@@ -64,49 +64,49 @@
 }
 
 /// Guards against prefixes that are all read again after a dispatcher was
-/// lost: its successor, which knows no keepers, places them as it did.
+/// lost: its successor, which knows no holders, places them as it did.
 #[test]
-fn dispatch_prefix_home_survives_dispatcher() {
+fn dispatch_placement_survives_dispatcher() {
     let engines: Vec<_> = (0..9).map(|n| engine(&format!("e{n}"), &["m"], 48)).collect();
     let placed = |order: &[u64]| {
         let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 999)], &engines);
         let mut router = ManualRouter::new("r");
-        let mut homes: Vec<(u64, String)> = Vec::new();
+        let mut placements: Vec<(u64, String)> = Vec::new();
         for (step, prefix) in order.iter().enumerate() {
             let now = START + ms(u64::try_from(step).unwrap() * 100);
             let note = with_prompts(vec![prompt(*prefix, 6_000, 500)]);
             send(&mut dispatcher, now, &router.report(vec![note], vec![]));
             let grants = router.receive(now, &mut dispatcher);
-            homes.push((*prefix, grants[0].upstream.name.clone()));
+            placements.push((*prefix, grants[0].upstream.name.clone()));
             let end = usage(&grants[0], 10, Some(LeaseEnd::Finished));
             send(&mut dispatcher, now, &router.report(vec![entry("a", 0, 0)], vec![end]));
             router.receive(now, &mut dispatcher);
         }
-        homes.sort();
-        homes
+        placements.sort();
+        placements
     };
     let forward: Vec<u64> = (0..60).collect();
     let backward: Vec<u64> = (0..60).rev().collect();
-    let homes = placed(&forward);
-    assert_eq!(homes, placed(&backward));
+    let placements = placed(&forward);
+    assert_eq!(placements, placed(&backward));
     for name in engines.iter().map(|engine| &engine.name) {
-        let count = homes.iter().filter(|(_, home)| home == name).count();
-        assert!((1..=16).contains(&count), "{name} is home of {count} of 60 prefixes");
+        let count = placements.iter().filter(|(_, upstream)| upstream == name).count();
+        assert!((1..=16).contains(&count), "{name} holds {count} of 60 prefixes");
     }
 }
 
 /// Guards against work at an upstream of another service: the place of a
-/// keeper that is gone may belong to an upstream that serves something else.
+/// holder that is gone may belong to an upstream that serves something else.
 #[test]
-fn dispatch_keeper_replaced_by_other_service() {
+fn dispatch_holder_replaced_by_other_service() {
     let engines = ["e0", "e1"].map(|name| engine(name, &["m"], 48));
     let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
     let mut router = ManualRouter::new("r");
     let note = || with_prompts(vec![prompt(7, 6_000, 500)]);
     send(&mut dispatcher, START, &router.report(vec![note()], vec![]));
     let grants = router.receive(START, &mut dispatcher);
-    let home = grants[0].upstream.name.clone();
-    let stays = engine(if home == "e0" { "e1" } else { "e0" }, &["m"], 48);
+    let chosen = grants[0].upstream.name.clone();
+    let stays = engine(if chosen == "e0" { "e1" } else { "e0" }, &["m"], 48);
     let end = usage(&grants[0], 10, Some(LeaseEnd::Finished));
     send(&mut dispatcher, START, &router.report(vec![entry("a", 0, 0)], vec![end]));
     router.receive(START, &mut dispatcher);
