Routers place requests of plain services themselves

Change: a router chooses an upstream of a service without an engine itself: the least loaded by its own count, weighed by the share of faults, barred after three failures. A refusal by an upstream hands the service back to the dispatcher for a second, so that shares are fair where they matter. The table of prefix holders has 131,072 places. Log lines and a gauge tell when callers' connections fill half of their room.

Tests: the choice alone (7 cases), and through a router: no grant needed, a refusal leads back to the dispatcher, a leaving upstream gets nothing. The last failed first: the registry lists leaving upstreams. The service of the older tests now has an engine, because they test what follows a grant.

--- a/crates/core/src/dispatch_settings.rs
+++ b/crates/core/src/dispatch_settings.rs
@@ -72,7 +72,8 @@
     pub known_upstreams_grace: Duration,
     /// Lifetime of a prefix hint.
     pub prefix_lifetime: Duration,
-    /// Number of prefix hints held.
+    /// Number of prefix hints held. Each prefix has one place, so there must be
+    /// many more places than prefixes in use, or they displace each other.
     pub prefix_slots: usize,
 }
 
@@ -91,7 +92,7 @@
             slow_start_step: Duration::from_millis(250),
             known_upstreams_grace: Duration::from_secs(3),
             prefix_lifetime: Duration::from_secs(30),
-            prefix_slots: 16_384,
+            prefix_slots: 131_072,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control_state;
 pub mod cost_estimate;
 pub mod decision_workload;
+pub mod direct_placement;
 pub mod dispatch_fairness;
 mod dispatch_intake;
 mod dispatch_ledger;
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -19,6 +19,11 @@
         name: "attempt_failed",
         meaning: "An upstream gave no answer that can be passed on; `again` tells whether another one is tried.",
     },
+    LogEvent {
+        name: "connections_crowded",
+        meaning: "Callers' connections fill half of their room; each is closed after its answer.",
+    },
+    LogEvent { name: "connections_relieved", meaning: "Callers' connections are kept open again." },
     LogEvent { name: "controller_started", meaning: "A controller listens." },
     LogEvent {
         name: "disk_full",
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -72,6 +72,8 @@
     pub queued: Gauge<u64>,
     /// Requests that run.
     pub running: Gauge<u64>,
+    /// Callers' connections that are open.
+    pub connections: Gauge<u64>,
     /// Bytes of control messages, by direction.
     pub control_bytes: Counter<u64>,
 }
@@ -123,6 +125,7 @@
             table_revision: meter.u64_gauge("baobabfall_table_revision").build(),
             queued: meter.u64_gauge("baobabfall_queued").build(),
             running: meter.u64_gauge("baobabfall_running").build(),
+            connections: meter.u64_gauge("baobabfall_connections").build(),
             control_bytes: meter.u64_counter("baobabfall_control_bytes").build(),
             provider: Arc::new(provider),
         };
--- /dev/null
+++ b/crates/router/src/direct_slots.rs
@@ -0,0 +1,76 @@
+//! Slots of plain services that the router takes without the dispatcher.
+
+use crate::lease_book::{GrantedSlot, LeaseMeter};
+use crate::table_view::FleetView;
+use baobabfall_core::direct_placement::{DirectCandidate, DirectPlacement};
+use baobabfall_core::dispatch_messages::{LeaseEnd, LeaseId, UpstreamRoute};
+use baobabfall_core::upstream_registry::WorkTarget;
+use baobabfall_node::messages::StopKind;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::time::Instant;
+
+/// Slots that the router takes itself.
+#[derive(Debug)]
+pub struct DirectSlots {
+    placement: Mutex<DirectPlacement>,
+    started: Instant,
+}
+
+impl DirectSlots {
+    /// No slot in use.
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self { placement: Mutex::default(), started: Instant::now() })
+    }
+
+    fn placement(&self) -> MutexGuard<'_, DirectPlacement> {
+        self.placement.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a slot of an announced upstream other than `avoid`; `None` when the
+    /// dispatcher has to decide.
+    pub fn take(
+        &self,
+        fleet: &FleetView,
+        target: &WorkTarget,
+        avoid: Option<&str>,
+    ) -> Option<GrantedSlot> {
+        let mut upstreams = fleet.upstreams();
+        let mut placement = self.placement();
+        placement.retain(|name| upstreams.iter().any(|upstream| upstream.name == name));
+        upstreams.retain(|upstream| {
+            !upstream.leaving
+                && upstream.can_serve(target)
+                && Some(upstream.name.as_str()) != avoid
+                && !fleet.is_stopping(StopKind::Upstream, &upstream.name)
+        });
+        let candidates: Vec<DirectCandidate<'_>> = upstreams
+            .iter()
+            .map(|upstream| DirectCandidate {
+                name: &upstream.name,
+                incarnation: upstream.incarnation,
+                slots: upstream.concurrency,
+            })
+            .collect();
+        let now = self.started.elapsed();
+        let chosen = placement.choose(now, &target.name, &candidates, rand::random())?;
+        let upstream = &upstreams[chosen];
+        Some(GrantedSlot {
+            lease: LeaseId::default(),
+            route: UpstreamRoute {
+                name: upstream.name.clone(),
+                incarnation: upstream.incarnation,
+                address: upstream.address,
+                honours_fencing: upstream.honours_fencing,
+                resume: upstream.resume,
+                cancel: upstream.cancel,
+            },
+            meter: Arc::new(LeaseMeter::start()),
+        })
+    }
+
+    /// Gives a slot back.
+    pub fn give_back(&self, service: &str, route: &UpstreamRoute, end: LeaseEnd) {
+        let now = self.started.elapsed();
+        self.placement().record_end(now, service, &route.name, route.incarnation, end);
+    }
+}
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -89,13 +89,10 @@
     let body = receive_body(state, &routes, parts, body).await?;
     let service = route.pick_service(rand::random()).to_owned();
     let version = routes.table().version;
-    let event_tokens = routes
-        .table()
-        .services
-        .iter()
-        .find(|held| held.name == service)
-        .and_then(|held| held.engine.as_ref())
-        .map_or(0, |engine| engine.event_tokens);
+    let held = routes.table().services.iter().find(|held| held.name == service);
+    let engine = held.and_then(|held| held.engine.as_ref());
+    let plain = held.is_some() && engine.is_none() && !route.kind.is_stream();
+    let event_tokens = engine.map_or(0, |engine| engine.event_tokens);
     Ok(ExchangeCall {
         method: parts.method.clone(),
         target: parts.uri.path_and_query().cloned().ok_or(ErrorKind::MalformedRequest)?,
@@ -105,6 +102,7 @@
         workspace,
         service,
         event_tokens,
+        plain,
         version,
         arrival,
         deadline: arrival + deadline,
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -60,6 +60,9 @@
     pub service: String,
     /// Tokens in one event of the service's streams.
     pub event_tokens: u32,
+    /// True when the service is no model engine: the router may choose an
+    /// upstream without the dispatcher while none is full.
+    pub plain: bool,
     /// Workspace that is charged.
     pub workspace: String,
     /// True when upstreams are told the workspace.
@@ -274,12 +277,26 @@
         }
     }
 
+    /// A slot of a plain service that needs no decision of the dispatcher. A
+    /// router that gets no answers from it does not know who left.
+    fn take_directly(&self, target: &WorkTarget) -> Option<SlotLease> {
+        let router = &self.state.router;
+        if !self.call.plain || router.dispatch.is_lost() {
+            return None;
+        }
+        let slot = router.direct.take(&router.fleet, target, self.avoid.as_deref())?;
+        Some(SlotLease::direct(&router.direct, &self.call.service, slot))
+    }
+
     async fn wait_for_slot(&mut self) -> Result<SlotLease, (ErrorKind, Option<Duration>)> {
         let call = &self.call;
         let target = WorkTarget { kind: UpstreamKind::Service, name: call.service.clone() };
         if self.avoid.is_some() && self.state.router.fleet.serving(&target) < 2 {
             self.avoid = None;
         }
+        if let Some(lease) = self.take_directly(&target) {
+            return Ok(lease);
+        }
         let request = QueueRequest {
             key: (target, call.workspace.clone()),
             cost_hint: call.cost_hint(),
@@ -337,7 +354,10 @@
         let (kind, reason) = match collected {
             Ok(Ok(collected)) => {
                 let response = passed_head(&opened.parts);
-                opened.complete();
+                // The dispatcher judges upstreams by connections; a router's own
+                // choice is made for each request and can use the status too.
+                let failed = opened.lease.is_direct() && response.status().is_server_error();
+                opened.complete(if failed { LeaseEnd::Failed } else { LeaseEnd::Finished });
                 let body = Full::new(collected.to_bytes());
                 return Ok(response.map(|()| ExchangeBody::from(body)));
             }
--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -34,9 +34,9 @@
 
 impl OpenExchange {
     /// Ends an exchange whose answer was read whole.
-    pub(crate) fn complete(self) {
+    pub(crate) fn complete(self, end: LeaseEnd) {
         self.connection.give_back_for(self.idle_time);
-        self.lease.finish(LeaseEnd::Finished);
+        self.lease.finish(end);
     }
 }
 
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -150,7 +150,7 @@
     match &end {
         RelayEnd::Complete => {
             run.end_answered(opened.parts.status.as_u16(), events);
-            opened.complete();
+            opened.complete(LeaseEnd::Finished);
             let _ = sender.send(FrameEvent::End).await;
             return;
         }
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -1,5 +1,6 @@
 //! The router's queue: tickets of waiting requests and guards of granted slots.
 
+use crate::direct_slots::DirectSlots;
 use crate::lease_book::{
     GrantedSlot, LeaseBook, QueueKey, QueueVerdict, VerdictList, WaitingRequest,
 };
@@ -135,10 +136,19 @@
     }
 }
 
+/// Where the use of a slot is accounted.
+#[derive(Debug)]
+enum LeaseKeeper {
+    /// In the book that the dispatcher gets reports of.
+    Queue(Arc<SharedQueue>),
+    /// In this router alone.
+    Direct { slots: Arc<DirectSlots>, service: String },
+}
+
 /// A slot in use; dropping it frees the slot.
 #[derive(Debug)]
 pub struct SlotLease {
-    queue: Arc<SharedQueue>,
+    keeper: LeaseKeeper,
     slot: GrantedSlot,
     end_on_drop: LeaseEnd,
     ended: bool,
@@ -146,7 +156,19 @@
 
 impl SlotLease {
     fn new(queue: &Arc<SharedQueue>, slot: GrantedSlot) -> Self {
-        Self { queue: Arc::clone(queue), slot, end_on_drop: LeaseEnd::Unused, ended: false }
+        let keeper = LeaseKeeper::Queue(Arc::clone(queue));
+        Self { keeper, slot, end_on_drop: LeaseEnd::Unused, ended: false }
+    }
+
+    /// A slot that the router took itself.
+    pub fn direct(slots: &Arc<DirectSlots>, service: &str, slot: GrantedSlot) -> Self {
+        let keeper = LeaseKeeper::Direct { slots: Arc::clone(slots), service: service.to_owned() };
+        Self { keeper, slot, end_on_drop: LeaseEnd::Unused, ended: false }
+    }
+
+    /// True when the dispatcher does not know of the slot.
+    pub fn is_direct(&self) -> bool {
+        matches!(self.keeper, LeaseKeeper::Direct { .. })
     }
 
     /// The upstream that the slot belongs to.
@@ -175,8 +197,15 @@
     pub fn release(&mut self, end: LeaseEnd) {
         if !self.ended {
             self.ended = true;
-            self.queue.book().end_lease(self.slot.lease, end);
-            self.queue.notify();
+            match &self.keeper {
+                LeaseKeeper::Queue(queue) => {
+                    queue.book().end_lease(self.slot.lease, end);
+                    queue.notify();
+                }
+                LeaseKeeper::Direct { slots, service } => {
+                    slots.give_back(service, &self.slot.route, end);
+                }
+            }
         }
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::action_client::ActionClient;
 use crate::caller_api;
+use crate::direct_slots::DirectSlots;
 use crate::dispatch_client::DispatchClient;
 use crate::drain::{DrainPhase, DrainState};
 use crate::error::RouterError;
@@ -47,6 +48,8 @@
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 /// How often upstreams in use are looked at.
 const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+/// How often callers' connections are counted for the log and the metrics.
+const CROWD_INTERVAL: Duration = Duration::from_millis(250);
 /// How long the end of a graceful stop waits for the last reports.
 const LAST_REPORTS_TIME: Duration = Duration::from_secs(1);
 
@@ -235,6 +238,7 @@
         drain: DrainState::new(),
         in_progress: Arc::new(AtomicU32::new(0)),
         queue,
+        direct: DirectSlots::new(),
         link,
         options,
     }))
@@ -267,6 +271,7 @@
     });
     let relays = Arc::clone(&state.relays);
     tasks.spawn(async move { relays.run().await });
+    tasks.spawn(watch_connections(Arc::clone(state)));
     if state.options.health_checks {
         tasks.spawn(watch_upstreams(Arc::clone(state)));
     }
@@ -275,6 +280,36 @@
     }
 }
 
+/// Tells when callers' connections fill most of their room and when they no
+/// longer do.
+async fn watch_connections(state: Arc<RouterState>) {
+    let mut crowded = false;
+    loop {
+        tokio::time::sleep(CROWD_INTERVAL).await;
+        let open = state.open_connections();
+        state.metrics.connections.record(u64::try_from(open).unwrap_or(u64::MAX), &[]);
+        if state.is_crowded() == crowded {
+            continue;
+        }
+        crowded = !crowded;
+        let limit = state.options.settings.limits.connections;
+        let running = state.in_progress();
+        let queued = state.queue.book().queued();
+        match crowded {
+            true => log::info!(
+                event = "connections_crowded", open = open, limit = limit,
+                in_progress = running, queued = queued;
+                "callers' connections are closed after each answer"
+            ),
+            false => log::info!(
+                event = "connections_relieved", open = open, limit = limit,
+                in_progress = running, queued = queued;
+                "callers' connections are kept open again"
+            ),
+        }
+    }
+}
+
 /// Checks the upstreams on which a request runs for long, so that one that
 /// vanished without closing its connections is noticed.
 async fn watch_upstreams(state: Arc<RouterState>) {
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -1,6 +1,7 @@
 //! Parts of a running router that its tasks share.
 
 use crate::action_client::ActionClient;
+use crate::direct_slots::DirectSlots;
 use crate::dispatch_client::DispatchClient;
 use crate::drain::{DrainPhase, DrainState};
 use crate::health_probe::HealthProbe;
@@ -31,6 +32,8 @@
     pub fleet: Arc<FleetView>,
     /// Waiting requests and held slots.
     pub queue: Arc<SharedQueue>,
+    /// Slots of plain services that are taken without the dispatcher.
+    pub direct: Arc<DirectSlots>,
     /// Connections to the controllers.
     pub link: Arc<LeaderLink>,
     /// Exchange with the dispatcher.
@@ -80,8 +83,13 @@
     /// True when callers' connections fill most of their room. They are then
     /// closed after each answer, because new callers find no other way in.
     pub fn is_crowded(&self) -> bool {
+        self.open_connections() > self.options.settings.limits.connections / 2
+    }
+
+    /// Callers' connections that are open.
+    pub fn open_connections(&self) -> usize {
         let limit = self.options.settings.limits.connections;
-        self.connection_room.available_permits() < limit / 2
+        limit.saturating_sub(self.connection_room.available_permits())
     }
 
     /// Requests in progress.
--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -111,6 +111,15 @@
     }
 }
 
+/// A route to a service that is no engine, for which a request waits 200 ms.
+fn plain(prefix: &str, kind: RepetitionKind) -> RouteRow {
+    RouteRow {
+        objective_ms: 500,
+        shares: vec![RouteShare { service: "lookups".to_owned(), weight: 1 }],
+        ..route(prefix, kind, 1)
+    }
+}
+
 fn table(version: u64) -> RouteTable {
     let brief = RouteRow { timeout_ms: 300, ..route("/brief/", RepetitionKind::Idempotent, 1) };
     RouteTable {
@@ -120,16 +129,26 @@
             route("/once/", RepetitionKind::Once, 2),
             route("/stream/", RepetitionKind::Stream, 2),
             route("/resume/", RepetitionKind::ResumableStream, 2),
+            plain("/plain/", RepetitionKind::Idempotent),
+            plain("/plain-once/", RepetitionKind::Once),
             RouteRow { timeout_ms: 60_000, ..route("/long/", RepetitionKind::Stream, 1) },
             route("/public/", RepetitionKind::Idempotent, 1),
             brief,
         ],
-        services: vec![ServiceRow {
-            name: "cases".to_owned(),
-            health_path: "/h".to_owned(),
-            connections: 9,
-            engine: None,
-        }],
+        services: vec![
+            ServiceRow {
+                name: "cases".to_owned(),
+                health_path: "/h".to_owned(),
+                connections: 9,
+                engine: Some(EngineRow { slots: 4, memory_tokens: 1_000, event_tokens: 1 }),
+            },
+            ServiceRow {
+                name: "lookups".to_owned(),
+                health_path: "/h".to_owned(),
+                connections: 9,
+                engine: None,
+            },
+        ],
         workspaces: Some(vec![WorkspaceKeys {
             name: "team-a".to_owned(),
             priority: None,
@@ -158,7 +177,12 @@
         let mut announcements: Vec<UpstreamAnnouncement> = Vec::new();
         for (index, script) in scripts.into_iter().enumerate() {
             let upstream = FakeUpstream::start(script).await;
-            announcements.push(service_announcement(&format!("u{index}"), upstream.address));
+            let name = format!("u{index}");
+            let announcement = service_announcement(&name, upstream.address);
+            let lookups = service_announcement(&format!("{name}-plain"), upstream.address);
+            announcements.push(announcement);
+            announcements
+                .push(UpstreamAnnouncement { serves: vec!["lookups".to_owned()], ..lookups });
             upstreams.push(upstream);
         }
         let controller = FakeController::start(announcements).await;
@@ -358,6 +382,53 @@
     assert_eq!((site.work(0), site.work(1)), (1, 1));
 }
 
+/// Guards against plain services that wait for a loaded dispatcher while their
+/// upstreams are free.
+#[tokio::test]
+async fn exchange_plain_needs_no_grant() {
+    let site = Site::start(vec![vec![good("a")]]).await;
+    site.controller.script().slots = 0;
+    wait_for("the dispatcher", || !site.handle.state().dispatch.is_lost()).await;
+    let answer = site.call(Method::POST, "/plain-once/x", &[]).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "a"));
+    let log = site.upstreams[0].log();
+    assert_eq!(header_of(&log.requests[0].0, "x-upstream"), "u0-plain");
+}
+
+/// Guards against unequal shares of a plain service that is full: after an
+/// upstream refused work, requests wait for the dispatcher again.
+#[tokio::test]
+async fn exchange_plain_refused_waits_for_grant() {
+    let refuse = || answer_with(503, "x-not-run: 1\r\n", "full");
+    let site = Site::start(vec![vec![refuse(), good("a")]]).await;
+    site.controller.script().slots = 0;
+    wait_for("the dispatcher", || !site.handle.state().dispatch.is_lost()).await;
+    for _ in 0..2 {
+        let answer = site.call(Method::POST, "/plain-once/x", &[]).await;
+        assert_eq!(answer.status.as_u16(), 503);
+        assert_ne!(answer.header("x-retry-ms"), "", "the caller is told when to come back");
+    }
+    assert_eq!(site.work(0), 1, "the second request must not reach the full upstream");
+}
+
+/// Guards against work for an upstream that is about to stop.
+#[tokio::test]
+async fn exchange_plain_avoids_leaving_upstream() {
+    let site = Site::start(vec![vec![good("a")]]).await;
+    {
+        let mut script = site.controller.script();
+        script.slots = 0;
+        script.upstreams.iter_mut().for_each(|upstream| upstream.leaving = true);
+        script.registry_version += 1;
+    }
+    wait_for("the notice", || {
+        site.handle.state().fleet.registry().upstreams.iter().all(|upstream| upstream.leaving)
+    })
+    .await;
+    let answer = site.call(Method::POST, "/plain-once/x", &[]).await;
+    assert_eq!((answer.status.as_u16(), site.work(0)), (503, 0));
+}
+
 /// Guards against events that are missing, doubled or joined with those of
 /// another run when a stream goes on elsewhere.
 #[tokio::test]
