Add baobabfall-soak, a fault soak of the real programs

Change: a program that starts controllers and routers as processes and stand-in upstreams, draws overlapping faults from a seed (kills, pauses, SIGTERM, torn log tails, delayed, reset, silent and one-way links through loopback proxies, crashing and lying upstreams), lets callers and two racing operators use the site, stops each router once without other faults, and checks eight promises. A controller gains `control.advertise`, so that others reach it through a proxy.

Ruled out: proxies by name of the settings alone, because controllers learn each other's addresses from the membership.

Clocks are not moved: that needs rights that a test does not have.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -134,11 +134,12 @@
         address: options.settings.control.listen,
         reason: error.to_string(),
     })?;
+    let reached = options.settings.control.advertise.unwrap_or(address);
     let clock = Instant::now();
     let metrics = NodeMetrics::new().map_err(ControllerError::Metrics)?;
     let heard = PeerBook::default();
     let OpenedReplica { driver, replica, identity, joins, storage_ended } =
-        open_replica(&options, clock, address, heard.clone()).await?;
+        open_replica(&options, clock, reached, heard.clone()).await?;
     let registry = RegistryService::new(clock, options.announcement_lapse);
     let tracker = NodeTracker::default();
     let dispatch = DispatchService::new(clock, replica.clone());
@@ -171,11 +172,11 @@
     tasks.spawn(until_draining(driver.run(), signal.clone()));
     if api.options.settings.group.is_some() {
         let options = ControllerOptions::clone(&api.options);
-        let staying = stay_in_group(options, replica.clone(), identity, address);
+        let staying = stay_in_group(options, replica.clone(), identity, reached);
         tasks.spawn(until_draining(staying, signal.clone()));
     } else if joins {
         let options = ControllerOptions::clone(&api.options);
-        let joining = join_group(options, replica.clone(), identity, address);
+        let joining = join_group(options, replica.clone(), identity, reached);
         tasks.spawn(until_draining(joining, signal.clone()));
     }
     tasks.spawn(until_draining(record_metrics(api.clone()), signal.clone()));
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -71,6 +71,9 @@
     /// Time after which an announcement that is not renewed lapses.
     #[serde(default)]
     pub announcement_lapse: Option<TimeSpan>,
+    /// Where other processes connect to, when it is not `listen`.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
 }
 
 /// One controller of the first start.
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,109 @@
+//! Randomized fault soak: the real programs as separate processes, faults from
+//! outside them, and checks of what callers, operators and upstreams see.
+
+pub mod cli;
+pub mod error;
+pub mod fault_proxy;
+pub mod fault_schedule;
+pub mod promise_check;
+pub mod role_process;
+pub mod soak_load;
+pub mod soak_run;
+pub mod soak_site;
+
+use cli::BaobabfallSoak;
+use error::SoakError;
+use fault_schedule::SiteSize;
+use promise_check::PROMISES;
+use soak_run::{RunOutcome, RunPlan, play_seed};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Seconds of load of one seed when the arguments do not say.
+const SECONDS_DEFAULT: u64 = 16;
+
+/// Plays the seeds that the arguments name; true when every promise held.
+pub fn run(flags: &BaobabfallSoak) -> Result<bool, SoakError> {
+    let size = SiteSize {
+        controllers: flags.controllers.unwrap_or(3),
+        routers: flags.routers.unwrap_or(3),
+        upstreams: flags.upstreams.unwrap_or(4),
+    };
+    if !matches!(size.controllers, 3 | 5) || size.routers == 0 || size.upstreams < 2 {
+        let message = "Use 3 or 5 controllers, a router or more, and two upstreams or more.";
+        return Err(SoakError::Usage(message.to_owned()));
+    }
+    let programs = match &flags.programs {
+        Some(folder) => folder.clone(),
+        None => own_folder()?,
+    };
+    let span = Duration::from_secs(flags.seconds.unwrap_or(SECONDS_DEFAULT));
+    let first = match flags.fresh {
+        true => clock_seed(),
+        false => flags.first_seed.unwrap_or(1),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let mut failed = 0;
+    for seed in first..first + flags.seeds.unwrap_or(1) {
+        let folder = tempfile::tempdir()?;
+        let plan = RunPlan { seed, span, size, programs: &programs, folder: folder.path() };
+        let outcome = runtime.block_on(play_seed(plan))?;
+        print_outcome(&outcome);
+        if !outcome.broken.is_empty() {
+            failed += 1;
+            keep_logs(folder, flags.keep.as_deref(), seed)?;
+        }
+    }
+    println!("{} promises checked; seeds with a broken one: {failed}", PROMISES.len());
+    Ok(failed == 0)
+}
+
+fn own_folder() -> Result<PathBuf, SoakError> {
+    let program = std::env::current_exe()?;
+    Ok(program.parent().map(Path::to_owned).unwrap_or_default())
+}
+
+fn clock_seed() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_secs()
+}
+
+fn keep_logs(folder: tempfile::TempDir, keep: Option<&Path>, seed: u64) -> Result<(), SoakError> {
+    let Some(keep) = keep else { return Ok(()) };
+    std::fs::create_dir_all(keep)?;
+    let kept = keep.join(format!("seed-{seed}"));
+    let held = folder.keep();
+    if std::fs::rename(&held, &kept).is_err() {
+        println!("  logs: {}", held.display());
+        return Ok(());
+    }
+    println!("  logs: {}", kept.display());
+    Ok(())
+}
+
+fn print_outcome(outcome: &RunOutcome) {
+    let RunOutcome { seed, faults, calls, executions, edits, calm_stops, .. } = outcome;
+    let recovered = match outcome.recovered {
+        Some(time) => format!("works again after {} ms", time.as_millis()),
+        None => "does not work again".to_owned(),
+    };
+    println!(
+        "seed {seed}: {} faults, {calls} calls, {executions} executions, {edits} edits, \
+         {calm_stops} calm stops, {recovered}",
+        faults.len()
+    );
+    let verdicts: Vec<String> =
+        outcome.verdicts.iter().map(|(name, count)| format!("{name} {count}")).collect();
+    println!("  {}", verdicts.join(", "));
+    if outcome.broken.is_empty() {
+        return;
+    }
+    for fault in faults {
+        let end = fault.at + fault.lasting;
+        let (from, to) = (fault.at.as_millis(), end.as_millis());
+        println!("  {from:>6} to {to:>6} ms  {}: {:?}", fault.kind.label(), fault.kind);
+    }
+    for broken in &outcome.broken {
+        println!("  BROKEN {broken}");
+    }
+}
--- /dev/null
+++ b/crates/soak/src/promise_check.rs
@@ -0,0 +1,221 @@
+//! The promises that a run checks, from what callers, operators and upstreams saw.
+
+use baobabfall_bench::answer_check::CallVerdict;
+use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_standin::upstream_state::ExecutionRecord;
+use std::fmt;
+use std::time::Duration;
+
+/// What a call asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallKindName {
+    /// A streamed model answer.
+    Stream,
+    /// A protected action.
+    Action,
+    /// A call that may be repeated.
+    Read,
+}
+
+/// One call as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Id of the request.
+    pub request_id: String,
+    /// Idempotency key of an action.
+    pub key: Option<String>,
+    /// What it asked for.
+    pub kind: CallKindName,
+    /// Router that got it.
+    pub router: usize,
+    /// When it was sent, since the start of the load.
+    pub begun: Duration,
+    /// When it ended.
+    pub ended: Duration,
+    /// What became of it.
+    pub verdict: CallVerdict,
+    /// Status of the answer; zero without one.
+    pub status: u16,
+    /// Number of the sending, from 0.
+    pub sending: u32,
+}
+
+/// An edit of the table that was acknowledged.
+#[derive(Clone, Debug)]
+pub struct EditRecord {
+    /// Id of the edit.
+    pub edit_id: String,
+    /// Revision that it made.
+    pub revision: u64,
+    /// Digest of the table at that revision.
+    pub digest: String,
+    /// When the acknowledgement arrived.
+    pub acknowledged: Duration,
+}
+
+/// A revision that a controller named as the newest, or a router as in force.
+#[derive(Clone, Debug)]
+pub struct RevisionSight {
+    /// Who named it.
+    pub place: String,
+    /// When it was asked.
+    pub begun: Duration,
+    /// The revision.
+    pub revision: u64,
+}
+
+/// A planned stop of a router without any other fault near it.
+#[derive(Clone, Copy, Debug)]
+pub struct CalmStop {
+    /// The router.
+    pub router: usize,
+    /// When it got SIGTERM.
+    pub at: Duration,
+}
+
+/// All that was seen in a run.
+#[derive(Clone, Debug, Default)]
+pub struct RunEvidence {
+    /// Calls.
+    pub calls: Vec<CallRecord>,
+    /// Executions at the upstreams.
+    pub executions: Vec<ExecutionRecord>,
+    /// Acknowledged edits.
+    pub edits: Vec<EditRecord>,
+    /// Revisions that controllers named.
+    pub sights: Vec<RevisionSight>,
+    /// Table revision and digest at the end, from the leader.
+    pub last_table: Option<(u64, String)>,
+    /// Revision in force at each router at the end.
+    pub router_revisions: Vec<(String, Option<u64>)>,
+    /// Planned stops without other faults.
+    pub calm_stops: Vec<CalmStop>,
+    /// Processes that did not end in time after SIGTERM, or ended unasked.
+    pub process_faults: Vec<String>,
+    /// What did not work again after the last fault.
+    pub not_recovered: Vec<String>,
+}
+
+/// A promise that did not hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrokenPromise {
+    /// The promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for BrokenPromise {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.promise, self.detail)
+    }
+}
+
+/// Names of every promise that [`check_promises`] checks.
+pub const PROMISES: [&str; 8] = [
+    "answers are whole and their caller's",
+    "an action runs at most once",
+    "a refusal that says so did not run",
+    "an acknowledged action ran",
+    "an accepted table never reverts",
+    "a planned stop cuts nothing",
+    "processes end only when asked, and then in time",
+    "the site works again after the last fault",
+];
+
+/// Checks every promise.
+///
+/// ```
+/// use baobabfall_soak::promise_check::{RunEvidence, check_promises};
+/// let evidence = RunEvidence { last_table: Some((0, String::new())), ..RunEvidence::default() };
+/// assert!(check_promises(&evidence).is_empty());
+/// ```
+pub fn check_promises(evidence: &RunEvidence) -> Vec<BrokenPromise> {
+    let mut broken = Vec::new();
+    let mut report = |promise: usize, detail: String| {
+        broken.push(BrokenPromise { promise: PROMISES[promise], detail });
+    };
+    let ran = count_by(evidence.executions.iter().map(|record| record.request_id.as_str()));
+    let ran_key = count_by(evidence.executions.iter().filter_map(|record| record.key.as_deref()));
+    for call in &evidence.calls {
+        let id = &call.request_id;
+        // A resent action may get the record of its first answer in the place of the answer.
+        let recorded = call.kind == CallKindName::Action && call.sending > 0;
+        match call.verdict {
+            CallVerdict::Wrong if !recorded => report(0, format!("{id} got a wrong answer")),
+            CallVerdict::SilentlyShort => report(0, format!("{id} ended short as if whole")),
+            CallVerdict::NotRun if ran.contains_key(id.as_str()) => {
+                report(2, format!("{id} was refused as not run with {} and ran", call.status));
+            }
+            CallVerdict::Complete if !ran.contains_key(id.as_str()) => {
+                report(3, format!("{id} was answered and no upstream ran it"));
+            }
+            _ => {}
+        }
+        let stopped = evidence.calm_stops.iter().find(|stop| {
+            stop.router == call.router && call.begun < stop.at && call.ended > stop.at
+        });
+        let cut = matches!(
+            call.verdict,
+            CallVerdict::Broken | CallVerdict::Failed | CallVerdict::ErrorEvent
+        );
+        if let Some(stop) = stopped.filter(|_| cut) {
+            let detail = format!("{id} ended {:?} at router {}", call.verdict, stop.router + 1);
+            report(5, detail);
+        }
+    }
+    for (key, count) in ran_key.iter().filter(|(_, count)| **count > 1) {
+        report(1, format!("{key} ran {count} times"));
+    }
+    check_table(evidence, &mut report);
+    evidence.process_faults.iter().for_each(|fault| report(6, fault.clone()));
+    evidence.not_recovered.iter().for_each(|fault| report(7, fault.clone()));
+    broken
+}
+
+fn check_table(evidence: &RunEvidence, report: &mut impl FnMut(usize, String)) {
+    let mut edits: Vec<&EditRecord> = evidence.edits.iter().collect();
+    edits.sort_by_key(|edit| edit.revision);
+    for pair in edits.windows(2) {
+        if pair[0].revision == pair[1].revision && pair[0].edit_id != pair[1].edit_id {
+            let (first, second) = (&pair[0].edit_id, &pair[1].edit_id);
+            report(4, format!("{first} and {second} got revision {}", pair[0].revision));
+        }
+    }
+    for sight in &evidence.sights {
+        let newer = edits
+            .iter()
+            .filter(|edit| edit.acknowledged < sight.begun)
+            .find(|edit| edit.revision > sight.revision);
+        if let Some(edit) = newer {
+            let RevisionSight { place, revision, .. } = sight;
+            report(4, format!("{place} named {revision} after {} was accepted", edit.revision));
+        }
+    }
+    let highest = edits.last().map_or(0, |edit| edit.revision);
+    match &evidence.last_table {
+        None => report(4, "no controller named the table at the end".to_owned()),
+        Some((revision, _)) if *revision < highest => {
+            report(4, format!("the last table is {revision}; {highest} was accepted"));
+        }
+        Some((revision, digest)) => {
+            let same = edits.iter().find(|edit| edit.revision == *revision);
+            if let Some(edit) = same.filter(|edit| edit.digest != *digest) {
+                report(4, format!("{revision} has other content than {} made", edit.edit_id));
+            }
+        }
+    }
+    for (router, revision) in &evidence.router_revisions {
+        if revision.is_none_or(|revision| revision < highest) {
+            report(4, format!("{router} has {revision:?} in force; {highest} was accepted"));
+        }
+    }
+}
+
+fn count_by<'a>(names: impl Iterator<Item = &'a str>) -> SortedMap<&'a str, u32> {
+    let mut counts = SortedMap::new();
+    for name in names {
+        *counts.get_or_insert_with(name, || 0) += 1;
+    }
+    counts
+}
