Refuse requests at once that would wait in vain

Cause: a workspace that floods kept its full queue for 120 ms at each router, and every refused caller learnt only then that nothing ran.

Ruled out: the wait for a body (none under way), the limit on connections as the first cause (without processor time it is not reached).

Change: a gate for each queue of a router. Once a request waited in vain, only as many may wait as the grants of the last second serve in time, and four more; the others are refused on arrival with a time to come back. It opens half a second after the last refusal, and whenever the queue is short. While no dispatcher answers it does not count.

The flood test of the router fails without the gate: all ten requests wait.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod naive_dispatcher;
 pub mod phase_chart;
 pub mod placement;
+pub mod queue_gate;
 pub mod rate_limit;
 pub mod replica_append;
 pub mod replica_core;
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -6,6 +6,7 @@
 use crate::exchange_send::{OpenExchange, SendFailure, passed_head, send_call};
 use crate::exchange_state::{ExchangeState, ProgressGuard};
 use crate::exchange_stream::{pump_events, pump_frames};
+use crate::lease_book::QueueKey;
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
 use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptNote, UNITS_PER_TOKEN};
 use baobabfall_core::error_kind::ErrorKind;
@@ -272,11 +273,24 @@
             let lost = self.call.arrival + (self.call.deadline - self.call.arrival) / 2;
             match granted {
                 Err(QueueExit::Deadline) if silent && Instant::now() < lost => limit = lost,
-                granted => return granted,
+                granted => {
+                    if matches!(granted, Err(QueueExit::Deadline)) && !silent {
+                        self.state.router.queue.record_expiry(&request.key);
+                    }
+                    return granted;
+                }
             }
         }
     }
 
+    /// True when the queue is too long for the pace of recent grants. Without
+    /// word from a dispatcher the pace says nothing.
+    fn would_wait_in_vain(&self, key: &QueueKey) -> bool {
+        let router = &self.state.router;
+        let limit = self.call.route.objective().mul_f64(QUEUE_SHARE);
+        router.dispatch.silence() <= DISPATCHER_SILENCE && !router.queue.admits(key, limit)
+    }
+
     /// A slot of a plain service that needs no decision of the dispatcher. A
     /// router that gets no answers from it does not know who left.
     fn take_directly(&self, target: &WorkTarget) -> Option<SlotLease> {
@@ -305,6 +319,9 @@
             number: self.number,
             prompt: call.prompt_note(),
         };
+        if self.number.is_none() && self.would_wait_in_vain(&request.key) {
+            return Err((ErrorKind::DeadlineBeforeDispatch, None));
+        }
         let begun = Instant::now();
         let granted = self.wait_in_queue(request).await;
         self.queued += begun.elapsed();
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -5,16 +5,25 @@
     GrantedSlot, LeaseBook, QueueKey, QueueVerdict, VerdictList, WaitingRequest,
 };
 use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptNote, UpstreamRoute};
+use baobabfall_core::queue_gate::QueueGate;
+use baobabfall_core::sorted_map::SortedMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
+/// Gates that are kept; beyond it those without recent use are dropped.
+const GATE_LIMIT: usize = 256;
+/// Time without use after which a gate may be dropped.
+const GATE_RETENTION: Duration = Duration::from_secs(5);
+
 /// The book shared by request tasks and the dispatch client.
 #[derive(Debug)]
 pub struct SharedQueue {
     book: Mutex<LeaseBook>,
     changed: Notify,
+    gates: Mutex<SortedMap<QueueKey, QueueGate>>,
+    started: Instant,
 }
 
 /// What a request brings to the queue.
@@ -48,7 +57,36 @@
 impl SharedQueue {
     /// An empty queue.
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { book: Mutex::new(LeaseBook::new()), changed: Notify::new() })
+        Arc::new(Self {
+            book: Mutex::new(LeaseBook::new()),
+            changed: Notify::new(),
+            gates: Mutex::default(),
+            started: Instant::now(),
+        })
+    }
+
+    fn with_gate<T>(
+        &self,
+        key: &QueueKey,
+        action: impl FnOnce(&mut QueueGate, Duration) -> T,
+    ) -> T {
+        let now = self.started.elapsed();
+        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
+        if gates.len() >= GATE_LIMIT && !gates.contains_key(key) {
+            gates.retain(|_, gate| gate.last_use() + GATE_RETENTION > now);
+        }
+        action(gates.get_or_insert_with(key.clone(), QueueGate::default), now)
+    }
+
+    /// True when a request that may wait for `limit` has a chance of a slot.
+    pub fn admits(&self, key: &QueueKey, limit: Duration) -> bool {
+        let waiting = self.book().queued_for(key);
+        self.with_gate(key, |gate, now| gate.admits(now, waiting, limit))
+    }
+
+    /// Notes that a request got no slot although the dispatcher answers.
+    pub fn record_expiry(&self, key: &QueueKey) {
+        self.with_gate(key, QueueGate::record_expiry);
     }
 
     /// Locks the book; it is never held across an await.
@@ -114,7 +152,10 @@
     /// Waits for a slot until the deadline.
     pub async fn wait(mut self, deadline: Instant) -> Result<SlotLease, QueueExit> {
         match tokio::time::timeout_at(deadline, &mut self.receiver).await {
-            Ok(Ok(QueueVerdict::Granted(slot))) => Ok(SlotLease::new(&self.queue, slot)),
+            Ok(Ok(QueueVerdict::Granted(slot))) => {
+                self.queue.with_gate(&self.key, QueueGate::record_grant);
+                Ok(SlotLease::new(&self.queue, slot))
+            }
             Ok(Ok(QueueVerdict::Refused(wait))) => Err(QueueExit::Refused(wait)),
             Ok(Ok(QueueVerdict::Stopping) | Err(_)) => Err(QueueExit::Stopping),
             Err(_) => Err(QueueExit::Deadline),
--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -382,6 +382,31 @@
     assert_eq!((site.work(0), site.work(1)), (1, 1));
 }
 
+/// Guards against callers who learn only after the full wait that nothing ran,
+/// although those before them waited in vain just now.
+#[tokio::test]
+async fn exchange_in_vain_is_refused_at_once() {
+    let site = Arc::new(Site::start(vec![vec![]]).await);
+    site.controller.script().slots = 0;
+    let answer = site.call(Method::GET, "/read/x", &[]).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "deadline_before_dispatch"));
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..10 {
+        let site = Arc::clone(&site);
+        calls.spawn(async move {
+            let begun = tokio::time::Instant::now();
+            let answer = site.call(Method::GET, "/read/x", &[]).await;
+            assert_eq!(answer.status.as_u16(), 503);
+            assert_ne!(answer.header("x-retry-ms"), "");
+            begun.elapsed()
+        });
+    }
+    let times = calls.join_all().await;
+    // The route's objective of 2 s lets a request wait for 800 ms.
+    let at_once = times.iter().filter(|time| **time < Duration::from_millis(400)).count();
+    assert_eq!(at_once, 6, "four may wait, the others learn it at once: {times:?}");
+}
+
 /// Guards against plain services that wait for a loaded dispatcher while their
 /// upstreams are free.
 #[tokio::test]
