Dispatchers of one term go on with their numbers

The leader had lost touch with its quorum and found it again within its term, so a second dispatcher of that term began its grants at number 1. Routers ignore grants with numbers that they have seen.

Ruled out: the restarted engine (announced at 7.1 s, slots free), the table (edits went on every 300 ms), local mode (ended at 10.0 s).

Change: a dispatcher that ends leaves the numbers of its grants and statements; the next one of the same term goes on from them, and takes the statements of the former one like those of an earlier term.

Tests: a controller that resigns and leads again in its term; before the change it failed with "grant 1 after 3".

--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -4,7 +4,7 @@
 use baobabfall_core::dispatch_messages::{DispatchAnswer, DispatchReport, NodeIdentity};
 use baobabfall_core::dispatch_settings::DispatchSettings;
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_core::slot_dispatcher::SlotDispatcher;
+use baobabfall_core::slot_dispatcher::{DispatchMark, SlotDispatcher};
 use baobabfall_core::sorted_map::SortedMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -30,6 +30,8 @@
     wakers: SortedMap<String, Arc<Notify>>,
     seen: SortedMap<String, u64>,
     news: Vec<NodeIdentity>,
+    /// Numbers of the dispatcher that ended last.
+    former: DispatchMark,
 }
 
 impl DispatchService {
@@ -56,6 +58,7 @@
             return;
         }
         let mut dispatcher = SlotDispatcher::new(self.now(), term, DispatchSettings::default());
+        dispatcher.continue_after(inner.former);
         if !expected.is_empty() {
             dispatcher.expect_routers(expected.iter().map(String::as_str));
         }
@@ -68,6 +71,7 @@
     pub fn resign(&self) {
         let mut inner = self.lock();
         if let Some(dispatcher) = inner.dispatcher.take() {
+            inner.former = dispatcher.mark();
             log::info!(event = "dispatcher_ended", term = dispatcher.term(); "dispatcher ended");
         }
         for waker in inner.wakers.values() {
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -4,10 +4,13 @@
 
 mod group_fixture;
 
+use baobabfall_controller::dispatch_service::DispatchService;
 use baobabfall_controller::membership::{JOIN_PATH, JoinRequest};
-use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::dispatch_messages::{BacklogEntry, DispatchReport, NodeIdentity};
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::replica_members::ReplicaIdentity;
+use baobabfall_core::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
+use baobabfall_core::workspace_table::WorkspaceTable;
 use baobabfall_node::http_client::{PeerClient, PeerError};
 use baobabfall_node::messages::{
     ANNOUNCE_PATH, ActionClaim, ActionOutcome, ActionReport, CLAIM_PATH, ClaimAnswer, ClaimRequest,
@@ -291,3 +294,82 @@
     assert_eq!(announce(announcement(5, 4)).await, Err(ErrorKind::StaleIncarnation));
     assert!(announce(announcement(6, 1)).await.is_ok());
 }
+
+/// Report of a router that holds nothing and waits for one slot.
+fn waiting_report(term: u64, sequence: u64, received_grant: u64) -> DispatchReport {
+    DispatchReport {
+        router: NodeIdentity { name: "entry-1".to_owned(), incarnation: 1 },
+        zone: "a".to_owned(),
+        term,
+        sequence,
+        full: true,
+        backlog: vec![BacklogEntry {
+            target: WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() },
+            workspace: "team-a".to_owned(),
+            queued: 1,
+            cost_hint: 0,
+            prefix: None,
+            avoid: None,
+            prompts: Vec::new(),
+        }],
+        usage: Vec::new(),
+        charges: Vec::new(),
+        received_grant,
+        wait_ms: 200,
+        statements: Vec::new(),
+    }
+}
+
+/// Reports until a grant comes, and returns its number.
+async fn next_grant(dispatch: &DispatchService, term: u64, sequence: &mut u64, held: u64) -> u64 {
+    let end = tokio::time::Instant::now() + group_fixture::LIMIT;
+    loop {
+        assert!(tokio::time::Instant::now() < end, "no grant");
+        *sequence += 1;
+        let answer = dispatch.report(&waiting_report(term, *sequence, held)).await.unwrap();
+        assert_eq!(answer.term, term);
+        if let Some(grant) = answer.grants.last() {
+            return grant.lease.number;
+        }
+    }
+}
+
+/// Guards against a leader that loses touch with its quorum and finds it again
+/// in the same term: its grants carried numbers that routers had seen, and they
+/// ignored all of them until the numbers passed the old ones.
+#[tokio::test]
+async fn dispatcher_same_term_goes_on_with_its_numbers() {
+    let group = GroupFixture::start(1).await;
+    group.put_row("e1", 0, "team-a", 3).await.unwrap();
+    let engine: UpstreamAnnouncement = serde_json::from_value(json!({
+        "name": "engine-1", "incarnation": 1, "sequence": 1, "address": "127.0.0.1:9000",
+        "kind": "model", "serves": ["small"], "zone": "a", "concurrency": 8,
+    }))
+    .unwrap();
+    let api = group.controllers[0].as_ref().unwrap().api();
+    api.registry.announce(engine.clone()).unwrap();
+    let dispatch = &api.dispatch;
+    let term = group
+        .wait_for(|_| {
+            dispatch.read(|dispatcher, now| {
+                let known = dispatcher.upstreams(now).count() > 0;
+                known.then(|| dispatcher.term())
+            })?
+        })
+        .await;
+    let mut sequence = 0;
+    let mut received = 0;
+    for _ in 0..3 {
+        received = next_grant(dispatch, term, &mut sequence, received).await;
+    }
+    dispatch.resign();
+    dispatch.lead(term, &["entry-1".to_owned()]);
+    let mut table = WorkspaceTable::default();
+    table.apply(&row_edit("e1", 0, "team-a", 3).changes);
+    dispatch.update(|dispatcher, now| {
+        dispatcher.set_table(now, &table);
+        dispatcher.set_upstreams(now, [&engine]);
+    });
+    let next = next_grant(dispatch, term, &mut sequence, received).await;
+    assert!(next > received, "grant {next} after {received}");
+}
--- a/crates/core/src/account_carryover.rs
+++ b/crates/core/src/account_carryover.rs
@@ -79,7 +79,8 @@
     /// start accounts that do not exist yet; `limit_account` bounds them when
     /// the workspace has backlog.
     pub(crate) fn record_statements(&mut self, statements: &[AccountStatement]) {
-        for statement in statements.iter().filter(|statement| statement.stamp.term < self.term) {
+        let former = StatementStamp { term: self.term, number: self.former_statements };
+        for statement in statements.iter().filter(|statement| statement.stamp <= former) {
             if self.recovering {
                 self.carried.record(statement);
                 continue;
