Bound the requests of a router by its memory

Change: beyond half of the connections no further request is taken; it is refused at once with limit_reached and a time to come back.

Ports are taken from below the range of outgoing connections, which could have held a port of a process.

--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -85,6 +85,12 @@
     if may_outlast_stop(state, &route) {
         return Err(IntakeFault { kind: ErrorKind::Stopping, retry_after: Some(STOPPING_RETRY) });
     }
+    if state.router.is_overloaded() {
+        return Err(IntakeFault {
+            kind: ErrorKind::LimitReached,
+            retry_after: Some(NOT_READY_RETRY),
+        });
+    }
     let deadline = head.deadline.unwrap_or(route.timeout()).min(route.timeout());
     let body = receive_body(state, &routes, parts, body).await?;
     let service = route.pick_service(rand::random()).to_owned();
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -86,6 +86,14 @@
         self.open_connections() > self.options.settings.limits.connections / 2
     }
 
+    /// True when more requests are in progress than half of the connections.
+    /// Each holds a connection to an upstream as well, its body and buffers; a
+    /// host that is short of processor time would otherwise run out of memory.
+    pub fn is_overloaded(&self) -> bool {
+        let limit = self.options.settings.limits.connections / 2;
+        usize::try_from(self.in_progress()).unwrap_or(usize::MAX) > limit
+    }
+
     /// Callers' connections that are open.
     pub fn open_connections(&self) -> usize {
         let limit = self.options.settings.limits.connections;
--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -579,6 +579,23 @@
     assert_eq!(answer.header("connection"), "");
 }
 
+/// Guards against a router that takes more requests than its memory holds:
+/// beyond half of its connections they are refused at once.
+#[tokio::test]
+async fn overloaded_router_refuses_requests() {
+    let site = Site::start_with(vec![vec![vec![Step::Hang]; 8]], "connections = 8").await;
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..4 {
+        let request = site.request(Method::GET, "/read/x", &[], "");
+        calls.spawn(send(site.handle.caller_address(), request));
+    }
+    wait_for("four requests", || site.work(0) == 4).await;
+    let answer = site.call(Method::GET, "/read/x", &[]).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (429, "limit_reached"));
+    assert_ne!(answer.header("x-retry-ms"), "");
+    assert_eq!(site.work(0), 4);
+}
+
 /// Guards against an older route table that replaces a newer one.
 #[tokio::test]
 async fn set_routes_never_reverts() {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -47,7 +47,14 @@
     for seed in first..first + flags.seeds.unwrap_or(1) {
         let folder = tempfile::tempdir()?;
         let plan = RunPlan { seed, span, size, programs: &programs, folder: folder.path() };
-        let outcome = runtime.block_on(play_seed(plan))?;
+        let outcome = match runtime.block_on(play_seed(plan)) {
+            Ok(outcome) => outcome,
+            Err(error) => {
+                println!("seed {seed}: no result");
+                keep_logs(folder, flags.keep.as_deref(), seed)?;
+                return Err(error);
+            }
+        };
         print_outcome(&outcome);
         if !outcome.broken.is_empty() {
             failed += 1;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -80,7 +80,10 @@
     let mut site = SoakSite::start(plan.folder, plan.programs, plan.size).await?;
     let records = SharedRecords::start();
     let operator = SoakOperator::new("first", &site.operators, records.clone());
-    wait_ready(&site, &operator).await?;
+    if let Err(error) = wait_ready(&site, &operator).await {
+        let ended = site.ended_by_themselves().join(", ");
+        return Err(SoakError::NotReady(format!("{error} {ended}")));
+    }
     let (stop, stopped) = watch::channel(false);
     let tasks = start_load(plan, &site, &records, &stopped);
     let faults = plan_faults(plan.seed, plan.span, plan.size);
@@ -150,11 +153,11 @@
 }
 
 /// Waits until the first table is in force and every router serves.
-async fn wait_ready(site: &SoakSite, operator: &SoakOperator) -> Result<(), SoakError> {
+async fn wait_ready(site: &SoakSite, operator: &SoakOperator) -> Result<(), String> {
     let end = Instant::now() + READY_LIMIT;
     while !operator.edit(0).await {
         if Instant::now() > end {
-            return Err(SoakError::NotReady("the first table was not accepted".to_owned()));
+            return Err("the first table was not accepted".to_owned());
         }
         tokio::time::sleep(POLL_PAUSE).await;
     }
@@ -163,7 +166,7 @@
         while !serves(*address, &format!("ready-{router}-{number}")).await {
             number += 1;
             if Instant::now() > end {
-                return Err(SoakError::NotReady(format!("router-{} does not serve", router + 1)));
+                return Err(format!("router-{} does not serve", router + 1));
             }
             tokio::time::sleep(POLL_PAUSE).await;
         }
--- a/crates/soak/src/soak_site.rs
+++ b/crates/soak/src/soak_site.rs
@@ -25,6 +25,12 @@
 pub const SERVICE: &str = "ledger";
 /// Workspaces and the keys of their callers.
 pub const WORKSPACES: [(&str, &str); 2] = [("soak-a", "key-soak-a"), ("soak-b", "key-soak-b")];
+/// Ports that processes of the site listen on.
+const PORT_START: u16 = 20_000;
+/// Number of those ports.
+const PORT_COUNT: u16 = 12_000;
+/// Distance of the first ports of two runs.
+const PORT_STEP: u16 = 40;
 /// Credentials of the site.
 const CREDENTIALS: [&str; 4] = ["process", "operator", "upstream", "metrics"];
 /// Part of its requests that a misbehaving upstream spoils.
@@ -250,11 +256,22 @@
 }
 
 /// Loopback addresses that are free at this moment.
+///
+/// They lie below the range from which the system takes ports of outgoing
+/// connections: one of those could hold a port while its process restarts. Runs
+/// that go on at the same time begin at different ports.
 fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let listeners: Vec<TcpListener> = (0..count)
-        .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)))
-        .collect::<Result<_, _>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
+    let process = u16::try_from(std::process::id() % u32::from(PORT_COUNT / PORT_STEP));
+    let first = process.unwrap_or_default() * PORT_STEP;
+    let ports = (0..PORT_COUNT).map(|step| PORT_START + (first + step) % PORT_COUNT);
+    let free = ports
+        .map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)))
+        .filter(|address| TcpListener::bind(address).is_ok());
+    let free: Vec<SocketAddr> = free.take(count).collect();
+    match free.len() == count {
+        true => Ok(free),
+        false => Err(std::io::Error::other("too few free ports")),
+    }
 }
 
 /// Appends a part of a record to the file that was written last, as a loss of
