A router whose clock went back between two starts is heard again

Four routers started while their clocks were 5 s ahead and again after the clocks were back.

Ruled out: the kills alone; routers whose clocks had not moved were served within a second of their start.

Change: once the known incarnation of a router is silent for a second, another one takes its place whatever its number. A report that arrives late while the newer incarnation reports still has no effect.

--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -12,22 +12,29 @@
 /// are far fewer; backlog for further ones is ignored.
 const TARGET_LIMIT: usize = 8192;
 
+/// Silence of a router's incarnation after which another one takes its place,
+/// whatever its number: five times the longest wait of a report.
+const SUCCESSION_SILENCE: Duration = Duration::from_secs(1);
+
 impl SlotDispatcher {
     /// Takes a router's report and returns true when it was applied.
     ///
     /// Reports of an older incarnation and repeated or late ones have no
-    /// effect. A new incarnation frees the leases of the older one. Until a
-    /// router has sent a full report for this term its other reports do not
-    /// count, and the answer asks for a full one. A report for another term
-    /// only shows that the router is alive: a late one could hide leases that
-    /// the router started since.
+    /// effect. A new incarnation frees the leases of the one before. An older
+    /// one counts as new once the newer one is silent: incarnations are times
+    /// of starts, and a clock may have gone back between two. Until a router
+    /// has sent a full report for this term its other reports do not count,
+    /// and the answer asks for a full one. A report for another term only shows
+    /// that the router is alive: a late one could hide leases that the router
+    /// started since.
     pub fn apply_report(&mut self, now: Duration, report: &DispatchReport) -> bool {
         let id = self.router_id(now, report);
         let known = self.routers[id].identity.incarnation;
-        if report.router.incarnation < known {
+        let silent = now.saturating_sub(self.routers[id].heard) >= SUCCESSION_SILENCE;
+        if report.router.incarnation < known && !silent {
             return false;
         }
-        if report.router.incarnation > known {
+        if report.router.incarnation != known {
             self.drop_router(now, id);
             self.routers[id] = RouterState::new(&report.router, now);
         }
--- a/crates/core/tests/dispatch_guarantees.rs
+++ b/crates/core/tests/dispatch_guarantees.rs
@@ -317,6 +317,26 @@
     assert_eq!(bench.dispatcher.dispatch(START), 0);
 }
 
+/// Guards against a router that is ignored for good because its clock went back
+/// between two starts: once the incarnation with the later time is silent, the
+/// one with the earlier time takes its place.
+#[test]
+fn apply_report_older_incarnation_follows_silent_one() {
+    let mut bench = Bench::new(&[row("a", 1, 99)], 2);
+    bench.router.identity.incarnation = 9;
+    bench.report(vec![entry("a", 5, 1_000)], vec![]);
+    let mut restarted = ManualRouter::new("r");
+    let early = restarted.report(vec![entry("a", 1, 1_000)], vec![]);
+    assert!(!bench.dispatcher.apply_report(START + ms(900), &early));
+    assert!(!bench.dispatcher.is_current(&restarted.identity));
+    restarted.full = true;
+    let report = restarted.report(vec![entry("a", 1, 1_000)], vec![]);
+    assert!(bench.dispatcher.apply_report(START + ms(1_000), &report));
+    assert!(bench.dispatcher.is_current(&restarted.identity));
+    assert_eq!(bench.dispatcher.upstreams(START).next().unwrap().running, 0);
+    assert_eq!(bench.dispatcher.dispatch(START + ms(1_000)), 1);
+}
+
 /// Guards the loss of silent routers and the charge of leases that return.
 #[test]
 fn expire_silent_router_loses_leases() {
