--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -18,6 +18,8 @@
         optional --seeds count: u64
         /// Plays seeds that are drawn from the clock instead.
         optional --fresh
+        /// Plays the seeds that once broke a promise.
+        optional --regressions
         /// Seconds of load around the faults of one seed; 16 when absent.
         optional --seconds seconds: u64
         /// Controllers, 3 or 5; 3 when absent.
@@ -40,6 +42,7 @@
     pub first_seed: Option<u64>,
     pub seeds: Option<u64>,
     pub fresh: bool,
+    pub regressions: bool,
     pub seconds: Option<u64>,
     pub controllers: Option<usize>,
     pub routers: Option<usize>,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fault_proxy;
 pub mod fault_schedule;
 pub mod promise_check;
+pub mod regression_seeds;
 pub mod role_process;
 pub mod soak_load;
 pub mod soak_run;
@@ -15,6 +16,7 @@
 use error::SoakError;
 use fault_schedule::SiteSize;
 use promise_check::PROMISES;
+use regression_seeds::REGRESSION_SEEDS;
 use soak_run::{RunOutcome, RunPlan, play_seed};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -42,9 +44,13 @@
         true => clock_seed(),
         false => flags.first_seed.unwrap_or(1),
     };
+    let seeds: Vec<u64> = match flags.regressions {
+        true => REGRESSION_SEEDS.iter().map(|(seed, _)| *seed).collect(),
+        false => (first..first + flags.seeds.unwrap_or(1)).collect(),
+    };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let mut failed = 0;
-    for seed in first..first + flags.seeds.unwrap_or(1) {
+    for seed in seeds {
         let folder = tempfile::tempdir()?;
         let plan = RunPlan { seed, span, size, programs: &programs, folder: folder.path() };
         let outcome = match runtime.block_on(play_seed(plan)) {
