Soak: invariants by name, and crashes that a restart would hide

Cause: the checks named what they check by the index into a list of texts, and called it a promise, which is the word of a contract. A process that crashed in the middle of a run and was then restarted by a fault went unnoticed.

Change: a closed list `SiteInvariant`; the file, types and texts speak of invariants. A process that ends without being asked is reported before the next fault touches it, once. Beginning a fault no longer returns an error that cannot occur.

Ruled out: a watcher task for each process; the steps of the schedule are close enough.

Conclusion: the program of the routers and controllers is untouched.

--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -8,7 +8,7 @@
     src "./src/cli.rs"
 
     /// Plays randomized faults against real baobabfall processes on loopback and
-    /// checks what callers, operators and upstreams are promised.
+    /// checks what callers, operators and upstreams rely on.
     ///
     /// Example: baobabfall-soak --first-seed 100 --seeds 50
     cmd baobabfall-soak {
@@ -18,7 +18,7 @@
         optional --seeds count: u64
         /// Plays seeds that are drawn from the clock instead.
         optional --fresh
-        /// Plays the seeds that once broke a promise.
+        /// Plays the seeds that once violated an invariant.
         optional --regressions
         /// Seconds of load around the faults of one seed; 16 when absent.
         optional --seconds seconds: u64
@@ -30,7 +30,7 @@
         optional --upstreams count: usize
         /// Folder with baobabfall-controller and baobabfall-router; that of this program when absent.
         optional --programs folder: PathBuf
-        /// Folder that keeps settings, state and logs of seeds with a broken promise.
+        /// Folder that keeps settings, state and logs of seeds with a violated invariant.
         optional --keep folder: PathBuf
     }
 }
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/invariant_check.rs
@@ -1,4 +1,4 @@
-//! The promises that a run checks, from what callers, operators and upstreams saw.
+//! The invariants that a run checks, from what callers, operators and upstreams saw.
 
 use baobabfall_bench::answer_check::CallVerdict;
 use baobabfall_core::sorted_map::SortedMap;
@@ -96,44 +96,71 @@
     pub not_recovered: Vec<String>,
 }
 
-/// A promise that did not hold.
+/// What holds at every site, whatever fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SiteInvariant {
+    /// Answers are whole and their caller's.
+    AnswersWhole,
+    /// An action runs at most once.
+    ActionsOnce,
+    /// A request that was refused as not run did not run.
+    RefusalsTrue,
+    /// A request that was answered ran.
+    AnswersReal,
+    /// An accepted table never reverts.
+    TableKept,
+    /// A planned stop cuts nothing.
+    StopsClean,
+    /// Processes end only when asked, and then in time.
+    EndsAsked,
+    /// The site works again after the last fault.
+    SiteRecovers,
+}
+
+impl SiteInvariant {
+    /// Number of invariants.
+    pub const COUNT: usize = 8;
+
+    fn text(self) -> &'static str {
+        match self {
+            Self::AnswersWhole => "answers are whole and their caller's",
+            Self::ActionsOnce => "an action runs at most once",
+            Self::RefusalsTrue => "a request refused as not run did not run",
+            Self::AnswersReal => "a request that was answered ran",
+            Self::TableKept => "an accepted table never reverts",
+            Self::StopsClean => "a planned stop cuts nothing",
+            Self::EndsAsked => "processes end only when asked, and then in time",
+            Self::SiteRecovers => "the site works again after the last fault",
+        }
+    }
+}
+
+/// An invariant that did not hold.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BrokenPromise {
-    /// The promise.
-    pub promise: &'static str,
+pub struct InvariantViolation {
+    /// The invariant.
+    pub invariant: SiteInvariant,
     /// What was seen.
     pub detail: String,
 }
 
-impl fmt::Display for BrokenPromise {
+impl fmt::Display for InvariantViolation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}: {}", self.promise, self.detail)
+        write!(formatter, "{}: {}", self.invariant.text(), self.detail)
     }
 }
 
-/// Names of every promise that [`check_promises`] checks.
-pub const PROMISES: [&str; 8] = [
-    "answers are whole and their caller's",
-    "an action runs at most once",
-    "a refusal that says so did not run",
-    "an acknowledged action ran",
-    "an accepted table never reverts",
-    "a planned stop cuts nothing",
-    "processes end only when asked, and then in time",
-    "the site works again after the last fault",
-];
-
-/// Checks every promise.
+/// Checks every invariant.
 ///
 /// ```
-/// use baobabfall_soak::promise_check::{RunEvidence, check_promises};
+/// use baobabfall_soak::invariant_check::{RunEvidence, check_invariants};
 /// let evidence = RunEvidence { last_table: Some((0, String::new())), ..RunEvidence::default() };
-/// assert!(check_promises(&evidence).is_empty());
+/// assert!(check_invariants(&evidence).is_empty());
 /// ```
-pub fn check_promises(evidence: &RunEvidence) -> Vec<BrokenPromise> {
-    let mut broken = Vec::new();
-    let mut report = |promise: usize, detail: String| {
-        broken.push(BrokenPromise { promise: PROMISES[promise], detail });
+pub fn check_invariants(evidence: &RunEvidence) -> Vec<InvariantViolation> {
+    let mut violations = Vec::new();
+    let mut report = |invariant: SiteInvariant, detail: String| {
+        violations.push(InvariantViolation { invariant, detail });
     };
     let ran = count_by(evidence.executions.iter().map(|record| record.request_id.as_str()));
     let ran_key = count_by(evidence.executions.iter().filter_map(|record| record.key.as_deref()));
@@ -142,13 +169,23 @@
         // A resent action may get the record of its first answer in the place of the answer.
         let recorded = call.kind == CallKindName::Action && call.sending > 0;
         match call.verdict {
-            CallVerdict::Wrong if !recorded => report(0, format!("{id} got a wrong answer")),
-            CallVerdict::SilentlyShort => report(0, format!("{id} ended short as if whole")),
+            CallVerdict::Wrong if !recorded => {
+                report(SiteInvariant::AnswersWhole, format!("{id} got a wrong answer"))
+            }
+            CallVerdict::SilentlyShort => {
+                report(SiteInvariant::AnswersWhole, format!("{id} ended short as if whole"))
+            }
             CallVerdict::NotRun if ran.contains_key(id.as_str()) => {
-                report(2, format!("{id} was refused as not run with {} and ran", call.status));
+                report(
+                    SiteInvariant::RefusalsTrue,
+                    format!("{id} was refused as not run with {} and ran", call.status),
+                );
             }
             CallVerdict::Complete if !ran.contains_key(id.as_str()) => {
-                report(3, format!("{id} was answered and no upstream ran it"));
+                report(
+                    SiteInvariant::AnswersReal,
+                    format!("{id} was answered and no upstream ran it"),
+                );
             }
             _ => {}
         }
@@ -161,25 +198,34 @@
         );
         if let Some(stop) = stopped.filter(|_| cut) {
             let detail = format!("{id} ended {:?} at router {}", call.verdict, stop.router + 1);
-            report(5, detail);
+            report(SiteInvariant::StopsClean, detail);
         }
     }
     for (key, count) in ran_key.iter().filter(|(_, count)| **count > 1) {
-        report(1, format!("{key} ran {count} times"));
+        report(SiteInvariant::ActionsOnce, format!("{key} ran {count} times"));
     }
     check_table(evidence, &mut report);
-    evidence.process_faults.iter().for_each(|fault| report(6, fault.clone()));
-    evidence.not_recovered.iter().for_each(|fault| report(7, fault.clone()));
-    broken
+    evidence
+        .process_faults
+        .iter()
+        .for_each(|fault| report(SiteInvariant::EndsAsked, fault.clone()));
+    evidence
+        .not_recovered
+        .iter()
+        .for_each(|fault| report(SiteInvariant::SiteRecovers, fault.clone()));
+    violations
 }
 
-fn check_table(evidence: &RunEvidence, report: &mut impl FnMut(usize, String)) {
+fn check_table(evidence: &RunEvidence, report: &mut impl FnMut(SiteInvariant, String)) {
     let mut edits: Vec<&EditRecord> = evidence.edits.iter().collect();
     edits.sort_by_key(|edit| edit.revision);
     for pair in edits.windows(2) {
         if pair[0].revision == pair[1].revision && pair[0].edit_id != pair[1].edit_id {
             let (first, second) = (&pair[0].edit_id, &pair[1].edit_id);
-            report(4, format!("{first} and {second} got revision {}", pair[0].revision));
+            report(
+                SiteInvariant::TableKept,
+                format!("{first} and {second} got revision {}", pair[0].revision),
+            );
         }
     }
     for sight in &evidence.sights {
@@ -189,25 +235,39 @@
             .find(|edit| edit.revision > sight.revision);
         if let Some(edit) = newer {
             let RevisionSight { place, revision, .. } = sight;
-            report(4, format!("{place} named {revision} after {} was accepted", edit.revision));
+            report(
+                SiteInvariant::TableKept,
+                format!("{place} named {revision} after {} was accepted", edit.revision),
+            );
         }
     }
     let highest = edits.last().map_or(0, |edit| edit.revision);
     match &evidence.last_table {
-        None => report(4, "no controller named the table at the end".to_owned()),
+        None => {
+            report(SiteInvariant::TableKept, "no controller named the table at the end".to_owned())
+        }
         Some((revision, _)) if *revision < highest => {
-            report(4, format!("the last table is {revision}; {highest} was accepted"));
+            report(
+                SiteInvariant::TableKept,
+                format!("the last table is {revision}; {highest} was accepted"),
+            );
         }
         Some((revision, digest)) => {
             let same = edits.iter().find(|edit| edit.revision == *revision);
             if let Some(edit) = same.filter(|edit| edit.digest != *digest) {
-                report(4, format!("{revision} has other content than {} made", edit.edit_id));
+                report(
+                    SiteInvariant::TableKept,
+                    format!("{revision} has other content than {} made", edit.edit_id),
+                );
             }
         }
     }
     for (router, revision) in &evidence.router_revisions {
         if revision.is_none_or(|revision| revision < highest) {
-            report(4, format!("{router} has {revision:?} in force; {highest} was accepted"));
+            report(
+                SiteInvariant::TableKept,
+                format!("{router} has {revision:?} in force; {highest} was accepted"),
+            );
         }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod error;
 pub mod fault_proxy;
 pub mod fault_schedule;
-pub mod promise_check;
+pub mod invariant_check;
 pub mod regression_seeds;
 pub mod role_process;
 pub mod soak_load;
@@ -15,7 +15,7 @@
 use cli::BaobabfallSoak;
 use error::SoakError;
 use fault_schedule::SiteSize;
-use promise_check::PROMISES;
+use invariant_check::SiteInvariant;
 use regression_seeds::REGRESSION_SEEDS;
 use soak_run::{RunOutcome, RunPlan, play_seed};
 use std::path::{Path, PathBuf};
@@ -24,7 +24,7 @@
 /// Seconds of load of one seed when the arguments do not say.
 const SECONDS_DEFAULT: u64 = 16;
 
-/// Plays the seeds that the arguments name; true when every promise held.
+/// Plays the seeds that the arguments name; true when every invariant held.
 pub fn run(flags: &BaobabfallSoak) -> Result<bool, SoakError> {
     let size = SiteSize {
         controllers: flags.controllers.unwrap_or(3),
@@ -62,12 +62,12 @@
             }
         };
         print_outcome(&outcome);
-        if !outcome.broken.is_empty() {
+        if !outcome.violations.is_empty() {
             failed += 1;
             keep_logs(folder, flags.keep.as_deref(), seed)?;
         }
     }
-    println!("{} promises checked; seeds with a broken one: {failed}", PROMISES.len());
+    println!("{} invariants checked; seeds with a violated one: {failed}", SiteInvariant::COUNT);
     Ok(failed == 0)
 }
 
@@ -108,7 +108,7 @@
     let verdicts: Vec<String> =
         outcome.verdicts.iter().map(|(name, count)| format!("{name} {count}")).collect();
     println!("  {}", verdicts.join(", "));
-    if outcome.broken.is_empty() {
+    if outcome.violations.is_empty() {
         return;
     }
     for fault in faults {
@@ -116,7 +116,7 @@
         let (from, to) = (fault.at.as_millis(), end.as_millis());
         println!("  {from:>6} to {to:>6} ms  {}: {:?}", fault.kind.label(), fault.kind);
     }
-    for broken in &outcome.broken {
-        println!("  BROKEN {broken}");
+    for violation in &outcome.violations {
+        println!("  VIOLATED {violation}");
     }
 }
--- a/crates/soak/src/regression_seeds.rs
+++ b/crates/soak/src/regression_seeds.rs
@@ -1,4 +1,4 @@
-//! Seeds that once broke a promise.
+//! Seeds that once violated an invariant.
 
 /// Seeds with the cause of what they found, played with the default sizes and time.
 pub const REGRESSION_SEEDS: [(u64, &str); 1] = [(
--- a/crates/soak/src/role_process.rs
+++ b/crates/soak/src/role_process.rs
@@ -16,6 +16,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// True once the process was asked to end, or its end was reported.
+    end_known: bool,
 }
 
 impl RoleProcess {
@@ -32,6 +34,7 @@
             settings: settings.to_owned(),
             log: log.to_owned(),
             child: None,
+            end_known: false,
         };
         process.start_again()?;
         Ok(process)
@@ -55,11 +58,13 @@
             .spawn()
             .map_err(|error| SoakError::Program { path: self.program.clone(), error })?;
         self.child = Some(child);
+        self.end_known = false;
         Ok(())
     }
 
     /// Sends a signal; a process that has ended gets none.
-    pub fn signal(&self, signal: Signal) {
+    pub fn signal(&mut self, signal: Signal) {
+        self.end_known |= signal == Signal::TERM;
         let id = self.child.as_ref().and_then(Child::id);
         let pid = id.and_then(|id| i32::try_from(id).ok()).and_then(Pid::from_raw);
         if let Some(pid) = pid {
@@ -68,9 +73,10 @@
         }
     }
 
-    /// How the process ended, if it has.
-    pub fn exit(&mut self) -> Option<ExitStatus> {
-        self.child.as_mut()?.try_wait().ok().flatten()
+    /// How the process ended, once, if nothing asked it to end.
+    pub fn take_unasked_end(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok().flatten()?;
+        (!std::mem::replace(&mut self.end_known, true)).then_some(status)
     }
 
     /// Waits until the process has ended; false when it did not in time.
@@ -81,6 +87,7 @@
 
     /// Kills the process and waits for its end.
     pub async fn kill(&mut self) {
+        self.end_known = true;
         if let Some(child) = self.child.as_mut() {
             let _ = child.kill().await;
         }
--- a/crates/soak/src/soak_load.rs
+++ b/crates/soak/src/soak_load.rs
@@ -1,6 +1,6 @@
 //! Callers and an operator that use the site while faults hit it.
 
-use crate::promise_check::{CallKindName, CallRecord, EditRecord, RevisionSight};
+use crate::invariant_check::{CallKindName, CallRecord, EditRecord, RevisionSight};
 use crate::soak_site::{MODEL, SERVICE, WORKSPACES, credential, first_table};
 use baobabfall_bench::answer_check::CallVerdict;
 use baobabfall_bench::caller::{CallKind, CallOrder, CallerClient, SilentObserver};
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -2,7 +2,9 @@
 
 use crate::error::SoakError;
 use crate::fault_schedule::{FaultKind, PlannedFault, SiteSize, plan_faults};
-use crate::promise_check::{BrokenPromise, CallKindName, CalmStop, RunEvidence, check_promises};
+use crate::invariant_check::{
+    CallKindName, CalmStop, InvariantViolation, RunEvidence, check_invariants,
+};
 use crate::soak_load::{SharedRecords, SoakCaller, SoakOperator};
 use crate::soak_site::{SoakSite, WORKSPACES, credential};
 use baobabfall_bench::answer_check::CallVerdict;
@@ -66,8 +68,8 @@
     pub calm_stops: usize,
     /// Time from the last fault until everything worked again.
     pub recovered: Option<Duration>,
-    /// Promises that did not hold.
-    pub broken: Vec<BrokenPromise>,
+    /// Invariants that did not hold.
+    pub violations: Vec<InvariantViolation>,
 }
 
 #[derive(Deserialize)]
@@ -114,7 +116,7 @@
         edits: evidence.edits.len(),
         calm_stops: evidence.calm_stops.len(),
         recovered: recovered.ok().map(|at| at.saturating_sub(last)),
-        broken: check_promises(&evidence),
+        violations: check_invariants(&evidence),
     })
 }
 
@@ -193,8 +195,9 @@
     steps.sort_by_key(|(at, ..)| *at);
     for (at, begins, kind) in steps {
         tokio::time::sleep_until(start + at).await;
+        evidence.process_faults.extend(site.ended_by_themselves());
         match begins {
-            true => site.begin(kind).await?,
+            true => site.begin(kind).await,
             false => note_end(site, kind, evidence).await?,
         }
     }
@@ -210,7 +213,7 @@
 ) -> Result<(), SoakError> {
     for router in 0..routers {
         let at = records.started.elapsed();
-        site.begin(FaultKind::StopRouter(router)).await?;
+        site.begin(FaultKind::StopRouter(router)).await;
         evidence.calm_stops.push(CalmStop { router, at });
         tokio::time::sleep(CALM_PAUSE).await;
         note_end(site, FaultKind::StopRouter(router), evidence).await?;
--- a/crates/soak/src/soak_site.rs
+++ b/crates/soak/src/soak_site.rs
@@ -151,7 +151,7 @@
     }
 
     /// Begins a fault.
-    pub async fn begin(&mut self, kind: FaultKind) -> Result<(), SoakError> {
+    pub async fn begin(&mut self, kind: FaultKind) {
         match kind {
             FaultKind::KillController(index) | FaultKind::TearLog(index) => {
                 self.controllers[index].kill().await;
@@ -173,7 +173,6 @@
                 faults.set(answer_fault(fault), FAULT_SHARE);
             }
         }
-        Ok(())
     }
 
     /// Ends a fault. False when a process that was asked to stop did not end.
@@ -207,7 +206,7 @@
     pub fn ended_by_themselves(&mut self) -> Vec<String> {
         let roles = self.controllers.iter_mut().chain(&mut self.routers);
         let ended = roles.filter_map(|role| {
-            role.exit().map(|status| format!("{} ended with {status}", role.name()))
+            role.take_unasked_end().map(|status| format!("{} ended with {status}", role.name()))
         });
         ended.collect()
     }
--- a/crates/soak/tests/promise_check.rs
+++ b/crates/soak/tests/invariant_check.rs
@@ -1,9 +1,9 @@
-//! Tests that each promise is really checked: evidence against it is reported.
+//! Tests that each invariant is really checked: evidence against it is reported.
 
 #![allow(clippy::unwrap_used)]
 
 use baobabfall_bench::answer_check::CallVerdict;
-use baobabfall_soak::promise_check::*;
+use baobabfall_soak::invariant_check::*;
 use baobabfall_standin::upstream_state::ExecutionRecord;
 use std::time::Duration;
 
@@ -42,7 +42,7 @@
     }
 }
 
-/// Evidence in which every promise holds.
+/// Evidence in which every invariant holds.
 fn good() -> RunEvidence {
     RunEvidence {
         calls: vec![call(CallVerdict::Complete)],
@@ -56,70 +56,88 @@
     }
 }
 
-fn broken(change: impl FnOnce(&mut RunEvidence)) -> Vec<&'static str> {
+fn violated(change: impl FnOnce(&mut RunEvidence)) -> Vec<SiteInvariant> {
     let mut evidence = good();
     change(&mut evidence);
-    check_promises(&evidence).iter().map(|broken| broken.promise).collect()
+    check_invariants(&evidence).iter().map(|violation| violation.invariant).collect()
 }
 
 #[test]
-fn promises_good_evidence_holds() {
-    assert!(broken(|_| {}).is_empty());
+fn invariants_good_evidence_holds() {
+    assert!(violated(|_| {}).is_empty());
 }
 
 /// Guards against answers of others and silently short ones that pass.
 #[test]
-fn promises_wrong_answers_are_reported() {
+fn invariants_wrong_answers_are_reported() {
     for verdict in [CallVerdict::Wrong, CallVerdict::SilentlyShort] {
-        assert_eq!(broken(|held| held.calls[0].verdict = verdict), [PROMISES[0]]);
+        assert_eq!(violated(|held| held.calls[0].verdict = verdict), [SiteInvariant::AnswersWhole]);
     }
 }
 
 /// Guards against actions that run twice.
 #[test]
-fn promises_second_run_is_reported() {
+fn invariants_second_run_is_reported() {
     let again = execution("r1-again", Some("k1"));
-    assert_eq!(broken(|held| held.executions.push(again)), [PROMISES[1]]);
+    assert_eq!(violated(|held| held.executions.push(again)), [SiteInvariant::ActionsOnce]);
 }
 
 /// Guards against refusals that say "not run" for what ran.
 #[test]
-fn promises_untrue_refusal_is_reported() {
-    assert_eq!(broken(|held| held.calls[0].verdict = CallVerdict::NotRun), [PROMISES[2]]);
+fn invariants_untrue_refusal_is_reported() {
+    assert_eq!(
+        violated(|held| held.calls[0].verdict = CallVerdict::NotRun),
+        [SiteInvariant::RefusalsTrue]
+    );
 }
 
 /// Guards against answers that no upstream gave.
 #[test]
-fn promises_invented_answer_is_reported() {
-    assert_eq!(broken(|held| held.executions.clear()), [PROMISES[3]]);
+fn invariants_invented_answer_is_reported() {
+    assert_eq!(violated(|held| held.executions.clear()), [SiteInvariant::AnswersReal]);
 }
 
 /// Guards against an accepted table that is lost, replaced or not in force.
 #[test]
-fn promises_reverted_table_is_reported() {
+fn invariants_reverted_table_is_reported() {
     let late = RevisionSight { place: "c2".to_owned(), begun: at(250), revision: 1 };
-    assert_eq!(broken(|held| held.sights.push(late)), [PROMISES[4]]);
-    assert_eq!(broken(|held| held.last_table = Some((1, String::new()))), [PROMISES[4]]);
-    assert_eq!(broken(|held| held.last_table = Some((2, "other".to_owned()))), [PROMISES[4]]);
-    assert_eq!(broken(|held| held.last_table = None), [PROMISES[4]]);
-    assert_eq!(broken(|held| held.router_revisions[0].1 = Some(1)), [PROMISES[4]]);
-    assert_eq!(broken(|held| held.edits.push(edit("e3", 2, 260))), [PROMISES[4]]);
+    assert_eq!(violated(|held| held.sights.push(late)), [SiteInvariant::TableKept]);
+    assert_eq!(
+        violated(|held| held.last_table = Some((1, String::new()))),
+        [SiteInvariant::TableKept]
+    );
+    assert_eq!(
+        violated(|held| held.last_table = Some((2, "other".to_owned()))),
+        [SiteInvariant::TableKept]
+    );
+    assert_eq!(violated(|held| held.last_table = None), [SiteInvariant::TableKept]);
+    assert_eq!(violated(|held| held.router_revisions[0].1 = Some(1)), [SiteInvariant::TableKept]);
+    assert_eq!(violated(|held| held.edits.push(edit("e3", 2, 260))), [SiteInvariant::TableKept]);
 }
 
 /// Guards against planned stops that cut answers.
 #[test]
-fn promises_cut_by_stop_is_reported() {
-    assert_eq!(broken(|held| held.calls[0].verdict = CallVerdict::Broken), [PROMISES[5]]);
+fn invariants_cut_by_stop_is_reported() {
+    assert_eq!(
+        violated(|held| held.calls[0].verdict = CallVerdict::Broken),
+        [SiteInvariant::StopsClean]
+    );
     let elsewhere = |held: &mut RunEvidence| {
         held.calls[0].verdict = CallVerdict::Broken;
         held.calls[0].router = 1;
     };
-    assert!(broken(elsewhere).is_empty(), "a call at another router was not cut by the stop");
+    assert!(violated(elsewhere).is_empty(), "a call at another router was not cut by the stop");
 }
 
 /// Guards against crashes and a site that stays down.
 #[test]
-fn promises_ends_and_recovery_are_reported() {
-    assert_eq!(broken(|held| held.process_faults.push("x".to_owned())), [PROMISES[6]]);
-    assert_eq!(broken(|held| held.not_recovered.push("x".to_owned())), [PROMISES[7]]);
+fn invariants_ends_and_recovery_are_reported() {
+    assert_eq!(
+        violated(|held| held.process_faults.push("x".to_owned())),
+        [SiteInvariant::EndsAsked]
+    );
+    assert_eq!(
+        violated(|held| held.not_recovered.push("x".to_owned())),
+        [SiteInvariant::SiteRecovers]
+    );
 }
