Tests of exchanges by job; one function for routes to upstreams

The route to an announced upstream was built in three places. The end of the log queue was awaited by sleeping in steps.

`route_of` is used by direct slots and by the fake controller. The log queue waits on a condition of its own for its writer. A test used a `dyn` closure; it is generic now.

Ruled out: one condition for lines and writes, because a wake-up meant for the writer could reach a thread that drains.

--- a/crates/core/tests/dispatch_limits.rs
+++ b/crates/core/tests/dispatch_limits.rs
@@ -352,48 +352,50 @@
     }
 }
 
+/// State of a dispatcher after the reports that `step` makes of four grants.
+fn state_after(step: impl Fn(&mut ManualRouter, &[SlotGrant]) -> Vec<DispatchReport>) -> String {
+    let rows = [row("a", 1, 8), row("b", 2, 8)];
+    let mut dispatcher =
+        ready(DispatchSettings::default(), &rows, &[engine("engine-1", &["m"], 4)]);
+    let mut router = ManualRouter::new("entry-1");
+    let report = router.report(vec![entry("a", 3, 100), entry("b", 3, 100)], vec![]);
+    dispatcher.apply_report(ms(1), &report);
+    dispatcher.dispatch(ms(1));
+    let grants = router.receive(ms(1), &mut dispatcher);
+    assert_eq!(grants.len(), 4);
+    for report in step(&mut router, &grants) {
+        assert!(dispatcher.apply_report(ms(2), &report));
+    }
+    format!("{dispatcher:?}")
+}
+
 /// Guards against charges by number that differ from the same charges in the
 /// usage, or that revive a lease that ended.
 #[test]
 fn apply_report_charges_count_like_usage() {
-    let run = |step: &dyn Fn(&mut ManualRouter, &[SlotGrant]) -> Vec<DispatchReport>| {
-        let rows = [row("a", 1, 8), row("b", 2, 8)];
-        let mut dispatcher =
-            ready(DispatchSettings::default(), &rows, &[engine("engine-1", &["m"], 4)]);
-        let mut router = ManualRouter::new("entry-1");
-        let report = router.report(vec![entry("a", 3, 100), entry("b", 3, 100)], vec![]);
-        dispatcher.apply_report(ms(1), &report);
-        dispatcher.dispatch(ms(1));
-        let grants = router.receive(ms(1), &mut dispatcher);
-        assert_eq!(grants.len(), 4);
-        for report in step(&mut router, &grants) {
-            assert!(dispatcher.apply_report(ms(2), &report));
-        }
-        format!("{dispatcher:?}")
-    };
     let brief = |router: &mut ManualRouter, grants: &[SlotGrant]| {
         let charges = vec![(grants[0].lease.number, 90_000), (grants[3].lease.number, 5_000)];
         DispatchReport { charges, ..router.report(vec![], vec![]) }
     };
-    let by_number = run(&|router, grants| vec![brief(router, grants)]);
-    let by_usage = run(&|router, grants| {
+    let by_number = state_after(|router, grants| vec![brief(router, grants)]);
+    let by_usage = state_after(|router, grants| {
         let usage = vec![usage(&grants[0], 90_000, None), usage(&grants[3], 5_000, None)];
         vec![router.report(vec![], usage)]
     });
-    let without = run(&|router, _| vec![router.report(vec![], vec![])]);
+    let without = state_after(|router, _| vec![router.report(vec![], vec![])]);
     assert_eq!(by_number, by_usage);
     assert_ne!(by_number, without);
     let end = |router: &mut ManualRouter, grants: &[SlotGrant]| {
         let ends = [&grants[0], &grants[3]].map(|held| usage(held, 1, Some(LeaseEnd::Finished)));
         router.report(vec![], ends.to_vec())
     };
-    let late = run(&|router, grants| {
+    let late = state_after(|router, grants| {
         let ended = end(router, grants);
         let charges = vec![(grants[0].lease.number, 90_000), (77, 1)];
         let usage = ended.usage.clone();
         vec![ended, DispatchReport { charges, ..router.report(vec![], usage) }]
     });
-    let none = run(&|router, grants| {
+    let none = state_after(|router, grants| {
         let ended = end(router, grants);
         let usage = ended.usage.clone();
         vec![ended, router.report(vec![], usage)]
--- a/crates/node/src/log_queue.rs
+++ b/crates/node/src/log_queue.rs
@@ -17,8 +17,8 @@
 #[derive(Debug, Default)]
 struct QueueState {
     bytes: Vec<u8>,
-    /// Lines dropped that no note has told yet.
-    untold: DroppedLines,
+    /// Dropped lines that no line has reported yet.
+    unreported: DroppedLines,
     dropped: DroppedLines,
     writing: bool,
 }
@@ -35,20 +35,30 @@
 /// Queue of log lines; clones share it.
 #[derive(Clone, Debug, Default)]
 pub struct LogQueue {
-    state: Arc<(Mutex<QueueState>, Condvar)>,
+    shared: Arc<SharedState>,
+}
+
+#[derive(Debug, Default)]
+struct SharedState {
+    state: Mutex<QueueState>,
+    /// Lines wait for the writer.
+    filled: Condvar,
+    /// A write ended.
+    written: Condvar,
 }
 
 impl LogQueue {
     /// Starts a thread that writes to `output`.
     pub fn start<W: Write + Send + 'static>(mut output: W) -> std::io::Result<Self> {
         let queue = Self::default();
-        let shared = queue.clone();
+        let writer = queue.clone();
         std::thread::Builder::new().name("log-writer".to_owned()).spawn(move || {
             loop {
-                let bytes = shared.take();
+                let bytes = writer.take();
                 // A log that cannot be written must not end the process.
                 let _ = output.write_all(&bytes).and_then(|()| output.flush());
-                shared.lock().writing = false;
+                writer.lock().writing = false;
+                writer.shared.written.notify_all();
                 std::thread::sleep(WRITE_PAUSE);
             }
         })?;
@@ -56,7 +66,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, QueueState> {
-        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Queues a line, which ends with a line feed; false when it was dropped.
@@ -65,8 +75,8 @@
         let limit = if warning { BYTE_LIMIT } else { BYTE_LIMIT / 2 };
         let mut state = self.lock();
         if state.bytes.len() + line.len() > limit {
-            let QueueState { untold, dropped, .. } = &mut *state;
-            for counts in [untold, dropped] {
+            let QueueState { unreported, dropped, .. } = &mut *state;
+            for counts in [unreported, dropped] {
                 match warning {
                     true => counts.warnings += 1,
                     false => counts.info += 1,
@@ -76,7 +86,7 @@
         }
         state.bytes.extend_from_slice(line);
         drop(state);
-        self.state.1.notify_one();
+        self.shared.filled.notify_one();
         true
     }
 
@@ -87,28 +97,20 @@
 
     /// Waits until everything is written, for at most `limit`.
     pub fn drain(&self, limit: Duration) {
-        const STEP: Duration = Duration::from_millis(5);
-        let mut waited = Duration::ZERO;
-        while waited < limit {
-            let state = self.lock();
-            if state.bytes.is_empty() && !state.writing {
-                return;
-            }
-            drop(state);
-            std::thread::sleep(STEP);
-            waited += STEP;
-        }
+        let is_busy = |state: &mut QueueState| !state.bytes.is_empty() || state.writing;
+        let waited = self.shared.written.wait_timeout_while(self.lock(), limit, is_busy);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
     /// Waits for lines and takes all of them.
     fn take(&self) -> Vec<u8> {
         let mut state = self.lock();
         while state.bytes.is_empty() {
-            state = self.state.1.wait(state).unwrap_or_else(PoisonError::into_inner);
+            state = self.shared.filled.wait(state).unwrap_or_else(PoisonError::into_inner);
         }
         state.writing = true;
         let mut bytes = std::mem::take(&mut state.bytes);
-        let dropped = std::mem::take(&mut state.untold);
+        let dropped = std::mem::take(&mut state.unreported);
         drop(state);
         if dropped != DroppedLines::default() {
             let DroppedLines { info, warnings } = dropped;
--- a/crates/router/src/direct_slots.rs
+++ b/crates/router/src/direct_slots.rs
@@ -4,6 +4,7 @@
 use crate::table_view::FleetView;
 use baobabfall_core::direct_placement::{DirectCandidate, DirectPlacement};
 use baobabfall_core::dispatch_messages::{LeaseEnd, LeaseId, UpstreamRoute};
+use baobabfall_core::local_dispatcher::route_of;
 use baobabfall_core::upstream_registry::WorkTarget;
 use baobabfall_node::messages::StopKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -56,14 +57,7 @@
         let upstream = &upstreams[chosen];
         Some(GrantedSlot {
             lease: LeaseId::default(),
-            route: UpstreamRoute {
-                name: upstream.name.clone(),
-                incarnation: upstream.incarnation,
-                address: upstream.address,
-                honours_fencing: upstream.honours_fencing,
-                resume: upstream.resume,
-                cancel: upstream.cancel,
-            },
+            route: route_of(upstream),
             meter: Arc::new(LeaseMeter::start()),
         })
     }
--- /dev/null
+++ b/crates/router/tests/support/exchange_site.rs
@@ -0,0 +1,272 @@
+//! A router of exchanges between a fake controller and fake upstreams.
+
+use super::fake_controller::FakeController;
+use super::fake_upstream::{FakeUpstream, Step, chunk};
+use super::{Answer, send, service_announcement, settings_text, wait_for};
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::retry_window::FleetBudget;
+use baobabfall_core::route_table::*;
+use baobabfall_core::upstream_registry::UpstreamAnnouncement;
+use baobabfall_node::units::millis;
+use baobabfall_router::exchange_protocol::*;
+use baobabfall_router::exchange_state::{ExchangeOptions, ExchangeState};
+use baobabfall_router::{Router, RouterHandle, RouterListeners, RouterOptions, RouterSettings};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const ID: HeaderName = HeaderName::from_static("x-request");
+pub const KEY: HeaderName = HeaderName::from_static("x-key");
+pub const WAIT: HeaderName = HeaderName::from_static("x-wait-ms");
+pub const LAST: HeaderName = HeaderName::from_static("x-last-event");
+pub const UPSTREAM: HeaderName = HeaderName::from_static("x-upstream");
+pub const WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
+pub const MARK: HeaderName = HeaderName::from_static("x-mark");
+pub const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+
+/// A protocol with headers of its own.
+#[derive(Clone, Debug)]
+pub struct TestProtocol;
+
+pub fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+impl ExchangeProtocol for TestProtocol {
+    fn read_head(&self, parts: &http::request::Parts) -> Result<ExchangeHead, ErrorKind> {
+        let headers = &parts.headers;
+        Ok(ExchangeHead {
+            request_id: text(headers, &ID).unwrap_or_default(),
+            host: text(headers, &http::header::HOST).ok_or(ErrorKind::MalformedRequest)?,
+            key: text(headers, &KEY),
+            deadline: number(headers, &WAIT).map(Duration::from_millis),
+            last_event: number(headers, &LAST),
+            ..ExchangeHead::default()
+        })
+    }
+
+    fn stamp(&self, headers: &mut HeaderMap, stamp: &ForwardStamp<'_>) {
+        headers.remove(KEY);
+        headers.remove(WORKSPACE);
+        headers.insert(WAIT, HeaderValue::from(millis(stamp.remaining)));
+        headers.insert(UPSTREAM, HeaderValue::from_str(stamp.upstream).unwrap());
+        if let Some(workspace) = stamp.workspace {
+            headers.insert(WORKSPACE, HeaderValue::from_str(workspace).unwrap());
+        }
+        if let Some(last) = stamp.last_event {
+            headers.insert(LAST, HeaderValue::from(last));
+        }
+    }
+
+    fn read_answer(&self, parts: &http::response::Parts) -> AnswerClaim {
+        AnswerClaim {
+            request_id: text(&parts.headers, &ID),
+            genuine: parts.headers.contains_key(MARK),
+            not_run: parts.headers.contains_key(NOT_RUN),
+            misdirected: parts.status == StatusCode::MISDIRECTED_REQUEST,
+            idle_time: None,
+        }
+    }
+
+    fn refusal(&self, kind: ErrorKind, retry_after: Option<Duration>) -> Response<Full<Bytes>> {
+        let mut response =
+            Response::new(Full::new(Bytes::from_static(kind.answer().code.as_bytes())));
+        *response.status_mut() = StatusCode::from_u16(kind.answer().status).unwrap();
+        if let Some(wait) = retry_after {
+            let value = HeaderValue::from(millis(wait));
+            response.headers_mut().insert("x-retry-ms", value);
+        }
+        response
+    }
+
+    fn promises_not_run(&self, status: StatusCode) -> bool {
+        matches!(status.as_u16(), 408 | 421 | 429 | 503)
+    }
+}
+
+pub fn route(prefix: &str, kind: RepetitionKind, attempts: u32) -> RouteRow {
+    RouteRow {
+        name: prefix.to_owned(),
+        host: "site".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout_ms: 4_000,
+        objective_ms: 2_000,
+        gap_ms: None,
+        priority: 0,
+        shares: vec![RouteShare { service: "cases".to_owned(), weight: 1 }],
+        attempts,
+        public: prefix == "/public/",
+        affinity: false,
+    }
+}
+
+/// A route to a service that is no engine, for which a request waits 200 ms.
+pub fn plain(prefix: &str, kind: RepetitionKind) -> RouteRow {
+    RouteRow {
+        objective_ms: 500,
+        shares: vec![RouteShare { service: "lookups".to_owned(), weight: 1 }],
+        ..route(prefix, kind, 1)
+    }
+}
+
+pub fn table(version: u64) -> RouteTable {
+    let brief = RouteRow { timeout_ms: 300, ..route("/brief/", RepetitionKind::Idempotent, 1) };
+    RouteTable {
+        version,
+        routes: vec![
+            route("/read/", RepetitionKind::Idempotent, 2),
+            route("/once/", RepetitionKind::Once, 2),
+            route("/stream/", RepetitionKind::Stream, 2),
+            route("/resume/", RepetitionKind::ResumableStream, 2),
+            plain("/plain/", RepetitionKind::Idempotent),
+            plain("/plain-once/", RepetitionKind::Once),
+            RouteRow { timeout_ms: 60_000, ..route("/long/", RepetitionKind::Stream, 1) },
+            route("/public/", RepetitionKind::Idempotent, 1),
+            brief,
+        ],
+        services: vec![
+            ServiceRow {
+                name: "cases".to_owned(),
+                health_path: "/h".to_owned(),
+                connections: 9,
+                engine: Some(EngineRow { slots: 4, memory_tokens: 1_000, event_tokens: 1 }),
+            },
+            ServiceRow {
+                name: "lookups".to_owned(),
+                health_path: "/h".to_owned(),
+                connections: 9,
+                engine: None,
+            },
+        ],
+        workspaces: Some(vec![WorkspaceKeys {
+            name: "team-a".to_owned(),
+            priority: None,
+            keys: vec!["key-a".to_owned()],
+        }]),
+        limits: CallerLimits { body_bytes: 1_000, ..CallerLimits::default() },
+    }
+}
+
+pub struct Site {
+    pub handle: RouterHandle,
+    pub state: Arc<ExchangeState<TestProtocol>>,
+    pub controller: FakeController,
+    pub upstreams: Vec<FakeUpstream>,
+    _folder: tempfile::TempDir,
+}
+
+impl Site {
+    /// Starts a router before upstreams that play the given scripts.
+    pub async fn start(scripts: Vec<Vec<Vec<Step>>>) -> Self {
+        Self::start_with(scripts, "").await
+    }
+
+    pub async fn start_with(scripts: Vec<Vec<Vec<Step>>>, limits: &str) -> Self {
+        let mut upstreams = Vec::new();
+        let mut announcements: Vec<UpstreamAnnouncement> = Vec::new();
+        for (index, script) in scripts.into_iter().enumerate() {
+            let upstream = FakeUpstream::start(script).await;
+            let name = format!("u{index}");
+            let announcement = service_announcement(&name, upstream.address);
+            let lookups = service_announcement(&format!("{name}-plain"), upstream.address);
+            announcements.push(announcement);
+            announcements
+                .push(UpstreamAnnouncement { serves: vec!["lookups".to_owned()], ..lookups });
+            upstreams.push(upstream);
+        }
+        let controller = FakeController::start(announcements).await;
+        controller.script().routes = Some(Arc::new(table(5)));
+        let folder = tempfile::TempDir::new().unwrap();
+        let text = settings_text(folder.path(), &[controller.address], limits);
+        let settings: RouterSettings =
+            baobabfall_node::settings::parse_settings(std::path::Path::new("t.toml"), &text)
+                .unwrap();
+        let listeners = RouterListeners::bind(&settings).await.unwrap();
+        let mut options = RouterOptions::open(settings).unwrap();
+        options.health_checks = false;
+        options.close_on_stop = true;
+        let window = Duration::from_secs(10);
+        let exchanges = ExchangeOptions {
+            budget: FleetBudget { ratio: 0.2, slack: 20.0, window },
+            body_bytes: 1 << 20,
+        };
+        let (handle, state) =
+            Router::start_exchanges(options, listeners, TestProtocol, &exchanges).await.unwrap();
+        let site = Self { handle, state, controller, upstreams, _folder: folder };
+        let count = site.controller.upstream_count();
+        wait_for("readiness", || {
+            site.state.is_ready() && site.handle.state().fleet.registry().upstreams.len() == count
+        })
+        .await;
+        site
+    }
+
+    pub async fn call(&self, method: Method, path: &str, headers: &[(&str, &str)]) -> Answer {
+        self.call_body(method, path, headers, "").await
+    }
+
+    pub async fn call_body(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let request = self.request(method, path, headers, body);
+        Answer::read(send(self.handle.caller_address(), request).await).await
+    }
+
+    pub fn request(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Request<Full<Bytes>> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "site")
+            .header("x-request", "r1")
+            .header("x-key", "key-a");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        builder.body(Full::new(Bytes::from(body.to_owned()))).unwrap()
+    }
+
+    /// Requests that upstream `index` got.
+    pub fn work(&self, index: usize) -> usize {
+        self.upstreams[index].log().requests.len()
+    }
+}
+
+pub fn answer_with(status: u16, headers: &str, body: &str) -> Vec<Step> {
+    let length = body.len();
+    vec![Step::Write(format!(
+        "HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
+    ))]
+}
+
+pub fn good(body: &str) -> Vec<Step> {
+    answer_with(200, "x-request: r1\r\nx-mark: m\r\n", body)
+}
+
+pub fn stream_head() -> String {
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-request: r1\r\nx-mark: m\r\n\r\n".to_owned()
+}
+
+pub fn events(from: u64, to: u64) -> String {
+    (from..to).map(|id| chunk(&event(id))).collect()
+}
+
+pub fn event(id: u64) -> String {
+    format!("id: {id}\ndata: e{id}\n\n")
+}
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -1,9 +1,10 @@
 //! A controller that grants every waiting request a slot of the next upstream.
 
 use baobabfall_core::dispatch_messages::{
-    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, SlotGrant, UpstreamRoute,
+    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, SlotGrant,
 };
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::local_dispatcher::route_of;
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{WorkspaceTable, hash_key};
@@ -244,17 +245,6 @@
     }
 }
 
-pub fn route_of(upstream: &UpstreamAnnouncement) -> UpstreamRoute {
-    UpstreamRoute {
-        name: upstream.name.clone(),
-        incarnation: upstream.incarnation,
-        address: upstream.address,
-        honours_fencing: upstream.honours_fencing,
-        resume: upstream.resume,
-        cancel: upstream.cancel,
-    }
-}
-
 async fn report(script: Arc<Mutex<ControllerScript>>, report: DispatchReport) -> FullResponse {
     script.lock().unwrap().take_report(&report);
     let mut left = report.wait_ms;
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, clippy::unwrap_used, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 
+pub mod exchange_site;
 pub mod fake_controller;
 pub mod fake_upstream;
 
