Each dispatcher has a term of its own

Cause: the earlier fix for leaders that lead twice in a term of the log let the second dispatcher go on with the numbers of the first. Both had the same term, so a late full report to the first counted at the second and hid what the router had started since.

Ruled out: filtering late reports by number, because a new dispatcher knows no numbers of routers; a new election in place of the regained lead, which costs a second without grants.

Change: the term of a dispatcher is that of the log and a number within it. Routers and dispatchers compare terms by order only.

Tests: the test of the earlier fix now asks for a higher dispatch term and for a late report that does not count; the histories with restarted dispatchers (`dispatch_dispatcher_restarts`) cover the rest, since it is the same case now.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -284,7 +284,7 @@
         }
         match news.leading_term {
             Some(term) => {
-                if api.dispatch.read(|dispatcher, _| dispatcher.term()) != Some(term) {
+                if !api.dispatch.leads_in(term) {
                     api.registry.take_over();
                     api.dispatch.lead(term, &api.tracker.live_routers(EXPECTED_SILENCE));
                 }
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -4,7 +4,7 @@
 use baobabfall_core::dispatch_messages::{DispatchAnswer, DispatchReport, NodeIdentity};
 use baobabfall_core::dispatch_settings::DispatchSettings;
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_core::slot_dispatcher::{DispatchMark, SlotDispatcher};
+use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use baobabfall_core::sorted_map::SortedMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -16,6 +16,11 @@
 /// Routers that may report; more are refused.
 pub const ROUTER_LIMIT: usize = 4096;
 
+/// Low bits of a dispatch term that number the dispatchers of one term of the
+/// log. A leader loses and finds its quorum a few times a second at most, so
+/// 65,536 dispatchers last for hours without an election.
+const GENERATION_BITS: u32 = 16;
+
 /// Shared dispatcher; present only while this controller leads.
 #[derive(Clone, Debug)]
 pub struct DispatchService {
@@ -30,8 +35,8 @@
     wakers: SortedMap<String, Arc<Notify>>,
     seen: SortedMap<String, u64>,
     news: Vec<NodeIdentity>,
-    /// Numbers of the dispatcher that ended last.
-    former: DispatchMark,
+    /// Term of the latest dispatcher, which only grows.
+    dispatch_term: u64,
 }
 
 impl DispatchService {
@@ -49,30 +54,41 @@
         self.start.elapsed()
     }
 
-    /// Starts a dispatcher for a term in which this controller leads.
+    /// True while a dispatcher runs for this term of the log.
+    pub fn leads_in(&self, term: u64) -> bool {
+        self.lock().leads_in(term)
+    }
+
+    /// Starts a dispatcher for a term of the log in which this controller leads.
+    ///
+    /// A leader that loses its quorum and finds it again leads twice in one
+    /// term. Reports and grants of the first dispatcher must not count at the
+    /// second, so each dispatcher has a term of its own: that of the log and a
+    /// number within it.
     ///
     /// `expected` names the routers whose full reports end the recovery.
     pub fn lead(&self, term: u64, expected: &[String]) {
         let mut inner = self.lock();
-        if inner.dispatcher.as_ref().is_some_and(|dispatcher| dispatcher.term() == term) {
+        if inner.leads_in(term) {
             return;
         }
-        let mut dispatcher = SlotDispatcher::new(self.now(), term, DispatchSettings::default());
-        dispatcher.continue_after(inner.former);
+        inner.dispatch_term = (inner.dispatch_term + 1).max(term << GENERATION_BITS);
+        let dispatch_term = inner.dispatch_term;
+        let mut dispatcher =
+            SlotDispatcher::new(self.now(), dispatch_term, DispatchSettings::default());
         if !expected.is_empty() {
             dispatcher.expect_routers(expected.iter().map(String::as_str));
         }
         inner.dispatcher = Some(dispatcher);
         inner.seen.clear();
-        log::info!(event = "dispatcher_started", term = term, routers = expected.len(); "dispatcher started");
+        log::info!(event = "dispatcher_started", term = term, dispatch_term = dispatch_term, routers = expected.len(); "dispatcher started");
     }
 
     /// Ends the dispatcher; grants of its term are no longer accepted by routers that know a later one.
     pub fn resign(&self) {
         let mut inner = self.lock();
         if let Some(dispatcher) = inner.dispatcher.take() {
-            inner.former = dispatcher.mark();
-            log::info!(event = "dispatcher_ended", term = dispatcher.term(); "dispatcher ended");
+            log::info!(event = "dispatcher_ended", dispatch_term = dispatcher.term(); "dispatcher ended");
         }
         for waker in inner.wakers.values() {
             waker.notify_waiters();
@@ -170,6 +186,11 @@
 }
 
 impl DispatchInner {
+    fn leads_in(&self, term: u64) -> bool {
+        let held = self.dispatcher.as_ref().map(SlotDispatcher::term);
+        held.is_some_and(|held| held >> GENERATION_BITS == term)
+    }
+
     fn note_incarnation(&mut self, router: &NodeIdentity) {
         let seen = self.seen.get(&router.name).copied();
         if seen.is_none_or(|incarnation| incarnation < router.incarnation) {
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -335,10 +335,11 @@
 }
 
 /// Guards against a leader that loses touch with its quorum and finds it again
-/// in the same term: its grants carried numbers that routers had seen, and they
-/// ignored all of them until the numbers passed the old ones.
+/// in the same term of the log: routers ignored the grants of its second
+/// dispatcher, whose numbers they had seen, and late reports to the first one
+/// could hide at the second what runs.
 #[tokio::test]
-async fn dispatcher_same_term_goes_on_with_its_numbers() {
+async fn dispatcher_same_log_term_has_term_of_its_own() {
     let group = GroupFixture::start(1).await;
     group.put_row("e1", 0, "team-a", 3).await.unwrap();
     let engine: UpstreamAnnouncement = serde_json::from_value(json!({
@@ -346,30 +347,25 @@
         "kind": "model", "serves": ["small"], "zone": "a", "concurrency": 8,
     }))
     .unwrap();
-    let api = group.controllers[0].as_ref().unwrap().api();
-    api.registry.announce(engine.clone()).unwrap();
-    let dispatch = &api.dispatch;
-    let term = group
-        .wait_for(|_| {
-            dispatch.read(|dispatcher, now| {
-                let known = dispatcher.upstreams(now).count() > 0;
-                known.then(|| dispatcher.term())
-            })?
-        })
-        .await;
+    let handle = group.controllers[0].as_ref().unwrap();
+    let dispatch = &handle.api().dispatch;
+    handle.api().registry.announce(engine.clone()).unwrap();
+    let dispatch_term = || dispatch.read(|dispatcher, _| dispatcher.term());
+    let first = group.wait_for(|_| dispatch_term()).await;
     let mut sequence = 0;
-    let mut received = 0;
-    for _ in 0..3 {
-        received = next_grant(dispatch, term, &mut sequence, received).await;
-    }
+    next_grant(dispatch, first, &mut sequence, 0).await;
     dispatch.resign();
-    dispatch.lead(term, &["entry-1".to_owned()]);
+    dispatch.lead(handle.replica().view().term, &["entry-1".to_owned()]);
+    let second = dispatch_term().unwrap();
+    assert!(second > first, "dispatch term {second} after {first}");
     let mut table = WorkspaceTable::default();
     table.apply(&row_edit("e1", 0, "team-a", 3).changes);
     dispatch.update(|dispatcher, now| {
         dispatcher.set_table(now, &table);
         dispatcher.set_upstreams(now, [&engine]);
     });
-    let next = next_grant(dispatch, term, &mut sequence, received).await;
-    assert!(next > received, "grant {next} after {received}");
+    sequence += 1;
+    let late = dispatch.report(&waiting_report(first, sequence, 0)).await.unwrap();
+    assert!(late.resync && late.grants.is_empty(), "a report to the first dispatcher counts");
+    next_grant(dispatch, second, &mut sequence, 0).await;
 }
--- a/crates/core/src/account_carryover.rs
+++ b/crates/core/src/account_carryover.rs
@@ -79,8 +79,7 @@
     /// start accounts that do not exist yet; `limit_account` bounds them when
     /// the workspace has backlog.
     pub(crate) fn record_statements(&mut self, statements: &[AccountStatement]) {
-        let former = StatementStamp { term: self.term, number: self.former_statements };
-        for statement in statements.iter().filter(|statement| statement.stamp <= former) {
+        for statement in statements.iter().filter(|statement| statement.stamp.term < self.term) {
             if self.recovering {
                 self.carried.record(statement);
                 continue;
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -22,17 +22,6 @@
 use crate::workspace_table::WorkspaceTable;
 use std::time::Duration;
 
-/// Numbers that a dispatcher has given out in its term.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct DispatchMark {
-    /// The term.
-    pub term: u64,
-    /// Number of the latest grant.
-    pub last_grant: u64,
-    /// Number of the latest statement of accounts.
-    pub statements: u64,
-}
-
 /// Most grants of one answer; it keeps the message under its size limit.
 const GRANTS_PER_ANSWER: usize = 1024;
 /// Windows of unread prompts that an upstream may have for prefixes it holds.
@@ -115,8 +104,6 @@
     pub(crate) stamp: u64,
     /// Answers of this term that carried statements.
     pub(crate) statements: u64,
-    /// Those of an earlier dispatcher of this term.
-    pub(crate) former_statements: u64,
     /// Statements of earlier terms, until the recovery ends.
     pub(crate) carried: StatementMemory,
     pub(crate) workspace_names: SortedMap<String, usize>,
@@ -165,7 +152,6 @@
             decisions: 0,
             stamp: 0,
             statements: 0,
-            former_statements: 0,
             carried: StatementMemory::new(CARRIED_LIMIT),
             workspace_names: SortedMap::new(),
             workspaces: Vec::new(),
@@ -189,24 +175,6 @@
         }
     }
 
-    /// Where the numbers of this dispatcher stand.
-    pub fn mark(&self) -> DispatchMark {
-        let Self { term, last_grant, statements, .. } = *self;
-        DispatchMark { term, last_grant, statements }
-    }
-
-    /// Goes on with the numbers of an earlier dispatcher of the same term.
-    ///
-    /// A leader that loses touch with its quorum and finds it again leads in
-    /// the same term. Routers ignore grants with numbers that they have seen.
-    pub fn continue_after(&mut self, former: DispatchMark) {
-        if former.term == self.term {
-            self.last_grant = self.last_grant.max(former.last_grant);
-            self.statements = self.statements.max(former.statements);
-            self.former_statements = former.statements;
-        }
-    }
-
     /// Ends the recovery once each of these routers has sent a full report.
     pub fn expect_routers<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
         self.expected = Some(names.into_iter().map(str::to_owned).collect());
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -34,7 +34,10 @@
         meaning: "An answer of an earlier dispatcher was ignored.",
     },
     LogEvent { name: "dispatcher_ended", meaning: "This controller no longer dispatches." },
-    LogEvent { name: "dispatcher_started", meaning: "This controller leads and dispatches." },
+    LogEvent {
+        name: "dispatcher_started",
+        meaning: "This controller leads and dispatches; `term` is that of the log, `dispatch_term` that of the dispatcher.",
+    },
     LogEvent {
         name: "document_accepted",
         meaning: "A configuration was acknowledged; `in_force` is the version that counts.",
