Log and measure where a router's tables come from

Cause of the change: logs could not tell apart why a configuration comes into force late. They said when a version was acknowledged and applied, but not which controller a router asked, for how long it had been silent, which version a controller returned to an operator, or how late an event loop ran.

The choice of the first table is written once; its order is the same.

No logic of the path of a configuration changes.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -23,6 +23,7 @@
 use baobabfall_core::replica_members::{ReplicaIdentity, ReplicaMembers};
 use baobabfall_node::http_client::PeerClient;
 use baobabfall_node::http_server::{FullResponse, ServerLimits, serve};
+use baobabfall_node::loop_watch::watch_event_loop;
 use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest};
 use baobabfall_node::node_metrics::{NodeMetrics, start_incarnation};
 use baobabfall_node::stop_signal::{StopPhase, StopSender, StopSignal, stop_channel};
@@ -179,6 +180,7 @@
         let joining = join_group(options, replica.clone(), identity, reached);
         tasks.spawn(until_draining(joining, signal.clone()));
     }
+    tasks.spawn(until_draining(watch_event_loop(api.metrics.clone()), signal.clone()));
     tasks.spawn(until_draining(record_metrics(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_leadership(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_clock(api.clone()), signal.clone()));
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -52,6 +52,8 @@
     pub stops_version: u64,
     /// Version of the route table.
     pub routes_version: u64,
+    /// When that route table was applied, unless it was restored at the start.
+    pub routes_applied: Option<Instant>,
     /// Version of the upstreams that left.
     pub left_version: u64,
     /// Term, when this replica leads.
@@ -178,6 +180,7 @@
     proposals: SortedMap<u64, oneshot::Sender<ProposalResult>>,
     reads: SortedMap<u64, oneshot::Sender<Result<(), ReplicaRefusal>>>,
     next_number: u64,
+    routes_applied: Option<Instant>,
 }
 
 impl<R: Rng + Send + 'static> ReplicaDriver<R> {
@@ -214,6 +217,7 @@
             proposals: SortedMap::new(),
             reads: SortedMap::new(),
             next_number: 0,
+            routes_applied: None,
         };
         (driver, handle)
     }
@@ -297,6 +301,9 @@
             ReplicaEffect::Send(message) => self.peers.send(self.core.members(), message),
             ReplicaEffect::Apply { entry, proposal } => {
                 let answer = self.locked_state().apply(&entry);
+                if matches!(entry.command, ControlCommand::ReplaceRoutes { .. }) {
+                    self.routes_applied = Some(Instant::now());
+                }
                 if let Some(sender) = proposal.and_then(|number| self.proposals.remove(&number)) {
                     let _ = sender.send(Ok(answer));
                 }
@@ -348,6 +355,7 @@
                 revision: state.history().revision(),
                 stops_version: state.stops_version(),
                 routes_version: state.routes_version(),
+                routes_applied: self.routes_applied,
                 left_version: state.left_version(),
                 leading_term: next.leads.then_some(next.term),
             }
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -6,7 +6,7 @@
 use baobabfall_core::table_history::DifferenceContent;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
 use baobabfall_node::messages::{PlannedStop, StopList, SyncAnswer, SyncRequest, TableUpdate};
-use baobabfall_node::units::wall_clock_ms;
+use baobabfall_node::units::{millis, wall_clock_ms};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -93,6 +93,7 @@
         let held = self.registry.version(view.term);
         let registry =
             (view.leads && request.registry_version != held).then(|| self.registry.view(view.term));
+        let routes_age = self.replica.news().borrow().routes_applied.map(|at| at.elapsed());
         let controllers =
             view.members.iter().filter_map(|member| member.address.parse().ok()).collect();
         SyncAnswer {
@@ -104,6 +105,7 @@
             stops,
             registry,
             routes,
+            routes_age_ms: routes_age.map_or(0, millis),
             controllers,
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod json_log;
 pub mod log_events;
 pub mod log_queue;
+pub mod loop_watch;
 pub mod messages;
 pub mod node_metrics;
 pub mod operator_messages;
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -23,6 +23,10 @@
         name: "connections_crowded",
         meaning: "Callers' connections fill half of their room; each is closed after its answer.",
     },
+    LogEvent {
+        name: "clock_shifted",
+        meaning: "The wall clock moved against the monotonic clock: it was stepped, or the host was suspended.",
+    },
     LogEvent { name: "connections_relieved", meaning: "Callers' connections are kept open again." },
     LogEvent { name: "controller_started", meaning: "A controller listens." },
     LogEvent {
@@ -46,10 +50,18 @@
         name: "document_not_accepted",
         meaning: "A configuration could not be committed here; `reason` tells why.",
     },
+    LogEvent {
+        name: "document_read",
+        meaning: "An operator read the configuration here; `version` is the one that was returned.",
+    },
     LogEvent {
         name: "document_refused",
         meaning: "A configuration is invalid and changed nothing.",
     },
+    LogEvent {
+        name: "event_loop_delayed",
+        meaning: "A task that was due ran late: much work, little processor time, or the process stood still.",
+    },
     LogEvent {
         name: "group_awaited",
         meaning: "The first controller waits for the others before it founds a group.",
@@ -93,7 +105,10 @@
         meaning: "A router was silent for too long; its slots are reclaimed.",
     },
     LogEvent { name: "router_started", meaning: "A router listens." },
-    LogEvent { name: "routes_in_force", meaning: "A router applied a route table." },
+    LogEvent {
+        name: "routes_in_force",
+        meaning: "A router applied a route table; `controller` gave it, `age_ms` after it had applied it itself.",
+    },
     LogEvent {
         name: "settings_refused",
         meaning: "Changed settings are invalid; the former ones stay.",
@@ -119,6 +134,14 @@
         meaning: "An event stream broke off; `again` tells whether it goes on elsewhere.",
     },
     LogEvent { name: "stream_not_resumed", meaning: "An event stream could not go on." },
+    LogEvent {
+        name: "table_source_answers",
+        meaning: "A controller answers this router's poll for its tables again.",
+    },
+    LogEvent {
+        name: "table_source_lost",
+        meaning: "The controller that this router polls for its tables does not answer.",
+    },
     LogEvent { name: "upstream_announced", meaning: "What is known of an upstream changed." },
     LogEvent { name: "upstream_lapsed", meaning: "An upstream was not heard of in time." },
     LogEvent { name: "upstream_left", meaning: "The departure of an upstream is being committed." },
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -78,6 +78,9 @@
     /// The route table, when it is newer than the node's.
     #[serde(default)]
     pub routes: Option<Arc<RouteTable>>,
+    /// Milliseconds since the controller applied that route table.
+    #[serde(default)]
+    pub routes_age_ms: u64,
     /// Addresses of all controllers of the group.
     #[serde(default)]
     pub controllers: Vec<std::net::SocketAddr>,
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -15,6 +15,8 @@
 const TOKEN_GAP_BOUNDS: [f64; 10] = [0.001, 0.005, 0.01, 0.02, 0.026, 0.04, 0.08, 0.25, 1.0, 5.0];
 /// Bucket bounds of the time until an edit is in force, in seconds; 2 and 12 are the targets.
 const EDIT_BOUNDS: [f64; 8] = [0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 12.0];
+/// Bucket bounds of delays of the event loop, in seconds.
+const LOOP_DELAY_BOUNDS: [f64; 8] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 1.0, 2.0];
 
 /// Values of the label `outcome` of `baobabfall_requests_total`.
 pub const OUTCOMES: [&str; 4] = ["finished", "refused_not_run", "outcome_unknown", "cancelled"];
@@ -64,6 +66,10 @@
     pub token_gap: Histogram<f64>,
     /// Seconds from acceptance of an edit to its being in force here.
     pub edit_in_force: Histogram<f64>,
+    /// Seconds by which the event loop runs a task late.
+    pub loop_delay: Histogram<f64>,
+    /// Version of the route table in force.
+    pub routes_version: Gauge<u64>,
     /// Fairness gap divided by its bound, by pool.
     pub fairness_gap: Gauge<f64>,
     /// Revision of the table in force.
@@ -121,6 +127,12 @@
                 .with_unit("s")
                 .with_boundaries(EDIT_BOUNDS.to_vec())
                 .build(),
+            loop_delay: meter
+                .f64_histogram("baobabfall_event_loop_delay")
+                .with_unit("s")
+                .with_boundaries(LOOP_DELAY_BOUNDS.to_vec())
+                .build(),
+            routes_version: meter.u64_gauge("baobabfall_routes_version").build(),
             fairness_gap: meter.f64_gauge("baobabfall_fairness_gap_ratio").build(),
             table_revision: meter.u64_gauge("baobabfall_table_revision").build(),
             queued: meter.u64_gauge("baobabfall_queued").build(),
--- /dev/null
+++ b/crates/node/tests/loop_watch.rs
@@ -0,0 +1,37 @@
+//! Tests of the watch over the event loop.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use baobabfall_node::loop_watch::{logged_shift, watch_event_loop};
+use baobabfall_node::node_metrics::NodeMetrics;
+use std::time::Duration;
+
+/// Guards against a stalled loop that the metrics do not show.
+#[tokio::test]
+async fn watch_event_loop_records_stall() {
+    let metrics = NodeMetrics::new().unwrap();
+    let watch = tokio::spawn(watch_event_loop(metrics.clone()));
+    tokio::task::yield_now().await;
+    std::thread::sleep(Duration::from_millis(400));
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    watch.abort();
+    let text = String::from_utf8(metrics.scrape()).unwrap();
+    let line = |bound: &str| {
+        let bound = format!("le=\"{bound}\"");
+        let mut buckets = text
+            .lines()
+            .filter(|line| line.starts_with("baobabfall_event_loop_delay_seconds_bucket"));
+        let line = buckets.find(|line| line.contains(&bound)).unwrap();
+        line.rsplit_once(' ').unwrap().1.to_owned()
+    };
+    assert_eq!((line("0.25").as_str(), line("1").as_str()), ("0", "1"), "{text}");
+}
+
+/// Guards against lines for the small shifts that a synchronised clock makes.
+#[test]
+fn logged_shift_small_one_is_none() {
+    assert_eq!(
+        [249, -249, 250, -250].map(|moved| logged_shift(0, moved)),
+        [None, None, Some(250), Some(-250)]
+    );
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -25,6 +25,7 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::request_life::RequestLife;
 use baobabfall_node::http_server::{serve, serve_observed};
+use baobabfall_node::loop_watch::watch_event_loop;
 use baobabfall_node::messages::StopKind;
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
@@ -262,6 +263,7 @@
     tasks.spawn(async move { actions.run_claims().await });
     let actions = Arc::clone(&state.actions);
     tasks.spawn(async move { actions.run_outcomes().await });
+    tasks.spawn(watch_event_loop(state.metrics.clone()));
     let pool = Arc::clone(&state.pool);
     tasks.spawn(async move {
         loop {
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -3,9 +3,11 @@
 use crate::leader_link::LeaderLink;
 use crate::table_view::{FleetView, TableView};
 use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::workspace_table::WorkspaceTable;
 use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest, TableUpdate};
 use baobabfall_node::node_metrics::NodeMetrics;
+use baobabfall_node::units::millis;
 use futures_util::future::join_all;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,6 +54,7 @@
             }
         }
         let (mut position, mut at_leader) = (0, true);
+        let (mut last_answer, mut lost) = (Instant::now(), false);
         loop {
             let begun = Instant::now();
             // Only the leader knows the upstreams; another controller still has the table.
@@ -64,7 +67,11 @@
             };
             let answer = self.ask(address, SYNC_WAIT_MS).await;
             let answered = answer.is_some();
-            let useful = answer.is_some_and(|answer| self.apply_forward(answer));
+            self.note_source(address, answered, last_answer.elapsed(), &mut lost);
+            if answered {
+                last_answer = Instant::now();
+            }
+            let useful = answer.is_some_and(|answer| self.apply_forward(address, answer));
             at_leader = answered || !at_leader;
             let short = begun.elapsed() < SHORT_ANSWER;
             if !useful && short {
@@ -73,6 +80,18 @@
         }
     }
 
+    /// Logs when a controller that answered is lost, and when one answers again.
+    fn note_source(&self, address: SocketAddr, answered: bool, silence: Duration, lost: &mut bool) {
+        let controller = address.to_string();
+        let version = self.fleet.routes_version();
+        if !answered && !*lost {
+            log::warn!(event = "table_source_lost", controller = controller, silence_ms = millis(silence), routes_version = version; "a controller does not answer the poll for tables");
+        } else if answered && *lost {
+            log::info!(event = "table_source_answers", controller = controller, silence_ms = millis(silence), routes_version = version; "a controller answers the poll for tables");
+        }
+        *lost = !answered;
+    }
+
     async fn ask(&self, address: SocketAddr, wait_ms: u32) -> Option<SyncAnswer> {
         let request = SyncRequest {
             node: self.identity.clone(),
@@ -100,30 +119,28 @@
     async fn first_table(&self) {
         let addresses = self.link.addresses();
         let calls = addresses.iter().map(|address| self.ask(*address, 0));
-        let answers: Vec<SyncAnswer> = join_all(calls).await.into_iter().flatten().collect();
+        let answers = addresses.iter().copied().zip(join_all(calls).await);
+        let answers: Vec<(SocketAddr, SyncAnswer)> =
+            answers.filter_map(|(address, answer)| Some((address, answer?))).collect();
         let majority = answers.len() * 2 > addresses.len();
         let version = |answer: &SyncAnswer| answer.routes.as_ref().map_or(0, |held| held.version);
-        let highest = answers
-            .iter()
-            .max_by_key(|answer| (answer.confirmed, answer.revision, version(answer)));
-        let Some(answer) = highest.filter(|answer| answer.confirmed || majority) else { return };
-        let confirmed = answer.confirmed;
-        let best = answers.into_iter().max_by_key(|answer| {
-            (!confirmed || answer.confirmed, answer.revision, version(answer))
-        });
-        if let Some(answer) = best {
-            self.apply_forward(answer);
+        let best = answers
+            .into_iter()
+            .max_by_key(|(_, answer)| (answer.confirmed, answer.revision, version(answer)));
+        if let Some((address, answer)) = best.filter(|(_, answer)| answer.confirmed || majority) {
+            self.apply_forward(address, answer);
         }
     }
 
     /// Takes what is newer; true when anything was.
-    fn apply_forward(&self, answer: SyncAnswer) -> bool {
+    fn apply_forward(&self, address: SocketAddr, answer: SyncAnswer) -> bool {
         if let Some(leader) = answer.leader {
             self.link.hint(answer.term, leader);
         }
         self.link.set_members(answer.controllers);
+        let age_ms = answer.routes_age_ms;
         let routes = answer.routes;
-        let mut useful = routes.is_some_and(|routes| self.fleet.set_routes(&routes));
+        let mut useful = routes.is_some_and(|routes| self.apply_routes(address, &routes, age_ms));
         useful |= answer.table.is_some_and(|update| self.apply_table(&update));
         if let Some(stops) = answer.stops {
             useful |= self.fleet.set_stops(stops);
@@ -134,6 +151,17 @@
         useful
     }
 
+    fn apply_routes(&self, address: SocketAddr, routes: &Arc<RouteTable>, age_ms: u64) -> bool {
+        let newer = self.fleet.set_routes(routes);
+        if newer {
+            self.metrics.routes_version.record(routes.version, &[]);
+            let age = Duration::from_millis(age_ms);
+            self.metrics.edit_in_force.record(age.as_secs_f64(), &[]);
+            log::info!(event = "routes_in_force", version = routes.version, routes = routes.routes.len(), controller = address.to_string(), age_ms = age_ms; "route table in force");
+        }
+        newer
+    }
+
     fn apply_table(&self, update: &TableUpdate) -> bool {
         let held = self.fleet.table();
         let empty = WorkspaceTable::default();
--- a/crates/router/src/table_view.rs
+++ b/crates/router/src/table_view.rs
@@ -114,7 +114,6 @@
         let newer = next.version > self.routes_version();
         if newer {
             self.routes.store(Some(Arc::new(RouteIndex::new(RouteTable::clone(next)))));
-            log::info!(event = "routes_in_force", version = next.version, routes = next.routes.len(); "route table in force");
         }
         newer
     }
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -170,6 +170,7 @@
         let stops = StopList { version: script.stops_version, stops: script.stops.clone() };
         SyncAnswer {
             routes: script.routes.clone().filter(|routes| routes.version > request.routes_version),
+            routes_age_ms: 0,
             controllers: Vec::new(),
             confirmed: script.confirmed,
             term: script.term,
