--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -36,6 +36,8 @@
     pub confirmed: bool,
     pub silent: bool,
     pub not_leader: bool,
+    /// What sync answers say of the lead.
+    pub leads: bool,
     pub leader: Option<SocketAddr>,
     pub term: u64,
     /// Requests beyond this are not granted.
@@ -77,6 +79,7 @@
             confirmed: true,
             silent: false,
             not_leader: false,
+            leads: true,
             leader: Some(address),
             term: 3,
             slots: usize::MAX,
--- /dev/null
+++ b/crates/router/tests/table_sources.rs
@@ -0,0 +1,58 @@
+//! Tests of where a router gets its tables from while controllers are lost.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+use support::exchange_site::table;
+use support::fake_controller::FakeController;
+use support::{TestRouter, wait_for};
+use tokio::time::Instant;
+
+/// Time in which a change of the configuration has to be in force.
+const IN_FORCE_TIME: Duration = Duration::from_secs(2);
+
+/// Three controllers, of which the middle one leads, and a router that polls it.
+async fn led_by_the_second() -> ([FakeController; 3], TestRouter) {
+    let start = || FakeController::start(vec![]);
+    let controllers = [start().await, start().await, start().await];
+    let leader = controllers[1].address;
+    for controller in &controllers {
+        let mut script = controller.script();
+        script.leader = Some(leader);
+        script.leads = controller.address == leader;
+        script.not_leader = controller.address != leader;
+    }
+    let addresses = [controllers[0].address, leader, controllers[2].address];
+    let router = TestRouter::start(&addresses, "").await;
+    wait_for("poll of the leader", || controllers[1].script().syncs > 1).await;
+    (controllers, router)
+}
+
+/// Makes the third controller the leader of the next term, with a newer table.
+fn elect_the_third(controllers: &[FakeController; 3]) {
+    for controller in [&controllers[0], &controllers[2]] {
+        let mut script = controller.script();
+        (script.term, script.leader) = (4, Some(controllers[2].address));
+    }
+    let mut script = controllers[2].script();
+    (script.leads, script.not_leader) = (true, false);
+    script.routes = Some(Arc::new(table(7)));
+}
+
+async fn assert_in_force(router: &TestRouter, begun: Instant) {
+    wait_for("the new table", || router.handle.state().fleet.routes_version() == 7).await;
+    assert!(begun.elapsed() < IN_FORCE_TIME, "in force after {:?}", begun.elapsed());
+}
+
+/// Guards against a router that waits out the poll of a controller that stopped
+/// answering, and then polls it again, while the others hold a newer table.
+#[tokio::test]
+async fn table_sync_silent_leader_is_left_in_time() {
+    let (controllers, router) = led_by_the_second().await;
+    controllers[1].script().silent = true;
+    elect_the_third(&controllers);
+    assert_in_force(&router, Instant::now()).await;
+}
