A router asks every controller when no leader answers its poll

Cause: a router had one source for its tables. It polled the presumed leader for 2 s, then one other address from a list that still held the lost one, for 2 s more. A controller that answered without leading, cut off from its group, was polled on as well. Class: a liveness decision that rests on one peer, whose time-outs add up to more than the time in which the result is due.

Change: a poll is given up after 1.4 s, or at once when the controller says that it does not lead; only a leader holds answers. Then all controllers are asked at once, every 250 ms until one leads, each answer counting as it comes. Members told in an older term no longer replace those of a later one. Sync answers to nodes with a table no longer wait for a confirmed read, which only first tables need; the answer is built after it.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -412,6 +412,10 @@
                     version = view.version;
                     api.registry.copy_from(view);
                 }
+                if !answer.leads {
+                    // It answers at once, and this controller learns of the next leader soon.
+                    tokio::time::sleep(TICK_INTERVAL).await;
+                }
             }
             Err(_) => tokio::time::sleep(TICK_INTERVAL).await,
         }
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -28,9 +28,14 @@
         Self { replica, registry, tracker }
     }
 
-    /// Answers at once when there is news, else when some comes or the wait ends.
+    /// Answers at once when there is news, else when some comes or the wait
+    /// ends. Only a leader holds an answer: elsewhere a node must not wait for
+    /// news that may not come.
     pub async fn sync(&self, request: &SyncRequest) -> SyncAnswer {
         self.tracker.note_sync(request);
+        if request.revision == 0 && request.wait_ms == 0 {
+            return self.confirmed(request).await;
+        }
         let end =
             Instant::now() + Duration::from_millis(request.wait_ms.into()).min(SYNC_WAIT_LIMIT);
         let mut replica = self.replica.news();
@@ -43,8 +48,8 @@
                 || answer.stops.is_some()
                 || answer.registry.is_some()
                 || answer.routes.is_some();
-            if news || Instant::now() >= end {
-                return self.confirmed(request.routes_version, answer).await;
+            if news || !answer.leads || Instant::now() >= end {
+                return answer;
             }
             tokio::select! {
                 changed = replica.changed() => if changed.is_err() { return answer },
@@ -54,17 +59,11 @@
         }
     }
 
-    async fn confirmed(&self, held: u64, mut answer: SyncAnswer) -> SyncAnswer {
-        // Read confirmation is asked for after the answer was built from the applied state,
-        // so it holds only if nothing newer was applied in between.
-        let told = answer.routes.as_ref().map(|table| table.version);
-        let read = self.replica.confirm_read().await.is_ok();
-        let newest = self.replica.state().routes_version();
-        let routes_are_newest = told.unwrap_or(held).max(held) == newest;
-        answer.confirmed = read
-            && self.replica.state().history().revision() == answer.revision
-            && routes_are_newest;
-        answer
+    /// An answer for a node without a table. It is built after the
+    /// confirmation, so it holds what was committed before the request.
+    async fn confirmed(&self, request: &SyncRequest) -> SyncAnswer {
+        let confirmed = self.replica.confirm_read().await.is_ok();
+        SyncAnswer { confirmed, ..self.answer(request) }
     }
 
     fn answer(&self, request: &SyncRequest) -> SyncAnswer {
@@ -98,6 +97,7 @@
             view.members.iter().filter_map(|member| member.address.parse().ok()).collect();
         SyncAnswer {
             confirmed: false,
+            leads: view.leads,
             term: view.term,
             leader,
             revision,
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -61,8 +61,12 @@
 /// News for a node; revisions only grow.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncAnswer {
-    /// True when the leader confirmed that nothing newer is committed.
+    /// True when the leader confirmed that nothing newer was committed before
+    /// the request. Only a node without a table is told.
     pub confirmed: bool,
+    /// True when the answering controller leads and holds its lease.
+    #[serde(default)]
+    pub leads: bool,
     /// Term of the answering controller.
     pub term: u64,
     /// Address of the leader, if known.
--- a/crates/router/src/leader_link.rs
+++ b/crates/router/src/leader_link.rs
@@ -61,10 +61,11 @@
         *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
     }
 
-    /// Notes the members of the group, as a controller tells them.
-    pub fn set_members(&self, members: Vec<SocketAddr>) {
-        if !members.is_empty() {
-            let mut state = self.state();
+    /// Notes the members of the group, as a controller of `term` tells them.
+    /// One that lags behind may not know members that joined later.
+    pub fn set_members(&self, term: u64, members: Vec<SocketAddr>) {
+        let mut state = self.state();
+        if !members.is_empty() && term >= state.term {
             if state.clients.len() > CLIENT_LIMIT {
                 state.clients.retain(|address, _| members.contains(address));
             }
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -8,26 +8,33 @@
 use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest, TableUpdate};
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::units::millis;
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 
-/// How long a controller may hold an answer for news, in milliseconds.
+/// How long the leader may hold an answer for news, in milliseconds.
 const SYNC_WAIT_MS: u32 = 1000;
-/// Time in which a controller must answer, beyond the time it may hold.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time in which a controller must answer, beyond the time it may hold. A poll
+/// that is not answered and one round of questions to all controllers take
+/// 1.8 s, less than the 2 s in which a change has to be in force.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// The same for a first table, which the leader confirms with its group.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(1000);
 /// An answer that came sooner was not held for news.
 const SHORT_ANSWER: Duration = Duration::from_millis(50);
-/// Pause after an answer that was not held and brought nothing, as from a
-/// controller that lags behind this router.
+/// Pause after an answer that was not held and brought nothing.
 const IDLE_PAUSE: Duration = Duration::from_millis(200);
-/// Pause after a failed call and between attempts to get a first table.
+/// Time between two rounds of questions to all controllers.
+const ROUND_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause between attempts to get a first table.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
-/// Long-polls the controllers for news.
+/// Long-polls the leader for news, and looks for another one when it is lost.
 #[derive(Debug)]
 pub struct TableSync {
     /// What the router holds.
@@ -53,46 +60,61 @@
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
-        let (mut position, mut at_leader) = (0, true);
-        let (mut last_answer, mut lost) = (Instant::now(), false);
+        let mut led = Instant::now();
         loop {
-            let begun = Instant::now();
-            // Only the leader knows the upstreams; another controller still has the table.
-            let address = if at_leader {
-                self.link.leader()
-            } else {
-                position += 1;
-                let addresses = self.link.addresses();
-                addresses[position % addresses.len()]
-            };
-            let answer = self.ask(address, SYNC_WAIT_MS).await;
-            let answered = answer.is_some();
-            self.note_source(address, answered, last_answer.elapsed(), &mut lost);
-            if answered {
-                last_answer = Instant::now();
-            }
-            let useful = answer.is_some_and(|answer| self.apply_forward(address, answer));
-            at_leader = answered || !at_leader;
-            let short = begun.elapsed() < SHORT_ANSWER;
-            if !useful && short {
-                tokio::time::sleep(if answered { IDLE_PAUSE } else { FAILURE_PAUSE }).await;
+            let address = self.link.leader();
+            if self.poll_leader(address).await {
+                led = Instant::now();
+                continue;
             }
+            let version = self.fleet.routes_version();
+            log::warn!(event = "table_source_lost", controller = address.to_string(), silence_ms = millis(led.elapsed()), routes_version = version; "no leader answers the poll for tables");
+            let leader = self.find_leader().await;
+            log::info!(event = "table_source_answers", controller = leader.to_string(), silence_ms = millis(led.elapsed()), routes_version = self.fleet.routes_version(); "a leader answers the poll for tables");
+        }
+    }
+
+    /// One long poll; true when the controller leads, so that nothing newer is
+    /// held elsewhere for long.
+    async fn poll_leader(&self, address: SocketAddr) -> bool {
+        let begun = Instant::now();
+        let Some(answer) = self.ask(address, SYNC_WAIT_MS, ANSWER_TIMEOUT).await else {
+            return false;
+        };
+        let leads = answer.leads;
+        let useful = self.apply_forward(address, answer);
+        if leads && !useful && begun.elapsed() < SHORT_ANSWER {
+            tokio::time::sleep(IDLE_PAUSE).await;
         }
+        leads
     }
 
-    /// Logs when a controller that answered is lost, and when one answers again.
-    fn note_source(&self, address: SocketAddr, answered: bool, silence: Duration, lost: &mut bool) {
-        let controller = address.to_string();
-        let version = self.fleet.routes_version();
-        if !answered && !*lost {
-            log::warn!(event = "table_source_lost", controller = controller, silence_ms = millis(silence), routes_version = version; "a controller does not answer the poll for tables");
-        } else if answered && *lost {
-            log::info!(event = "table_source_answers", controller = controller, silence_ms = millis(silence), routes_version = version; "a controller answers the poll for tables");
+    /// Asks all controllers at once, again and again, until one that leads
+    /// answers. Each answer counts as soon as it comes: a controller that does
+    /// not answer holds up no other, and a follower has the table of its group.
+    async fn find_leader(&self) -> SocketAddr {
+        let mut rounds = tokio::time::interval(ROUND_INTERVAL);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            rounds.tick().await;
+            let addresses = self.link.addresses();
+            let calls = addresses.into_iter().map(|address| async move {
+                (address, self.ask(address, 0, ANSWER_TIMEOUT).await)
+            });
+            let mut answers: FuturesUnordered<_> = calls.collect();
+            while let Some((address, answer)) = answers.next().await {
+                let Some(answer) = answer else { continue };
+                let (term, leads) = (answer.term, answer.leads);
+                self.apply_forward(address, answer);
+                if leads {
+                    self.link.hint(term, address);
+                    return address;
+                }
+            }
         }
-        *lost = !answered;
     }
 
-    async fn ask(&self, address: SocketAddr, wait_ms: u32) -> Option<SyncAnswer> {
+    async fn ask(&self, address: SocketAddr, wait_ms: u32, margin: Duration) -> Option<SyncAnswer> {
         let request = SyncRequest {
             node: self.identity.clone(),
             kind: NodeKind::Router,
@@ -104,7 +126,7 @@
             routes_version: self.fleet.routes_version(),
             wait_ms,
         };
-        let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms.into());
+        let timeout = margin + Duration::from_millis(wait_ms.into());
         match self.link.call::<_, SyncAnswer>(address, SYNC_PATH, &request, timeout).await {
             Ok(answer) => Some(answer),
             Err(error) => {
@@ -118,7 +140,7 @@
     /// among a majority, so a restarted router cannot fall back to an old table.
     async fn first_table(&self) {
         let addresses = self.link.addresses();
-        let calls = addresses.iter().map(|address| self.ask(*address, 0));
+        let calls = addresses.iter().map(|address| self.ask(*address, 0, FIRST_TIMEOUT));
         let answers = addresses.iter().copied().zip(join_all(calls).await);
         let answers: Vec<(SocketAddr, SyncAnswer)> =
             answers.filter_map(|(address, answer)| Some((address, answer?))).collect();
@@ -137,7 +159,7 @@
         if let Some(leader) = answer.leader {
             self.link.hint(answer.term, leader);
         }
-        self.link.set_members(answer.controllers);
+        self.link.set_members(answer.term, answer.controllers);
         let age_ms = answer.routes_age_ms;
         let routes = answer.routes;
         let mut useful = routes.is_some_and(|routes| self.apply_routes(address, &routes, age_ms));
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -176,6 +176,7 @@
             routes_age_ms: 0,
             controllers: Vec::new(),
             confirmed: script.confirmed,
+            leads: script.leads,
             term: script.term,
             leader: script.leader,
             revision: 1,
@@ -187,12 +188,15 @@
     script.lock().unwrap().syncs += 1;
     let mut left = request.wait_ms;
     loop {
+        if script.lock().unwrap().silent {
+            std::future::pending::<()>().await;
+        }
         let answer = build(&script.lock().unwrap());
         let news = answer.table.is_some()
             || answer.stops.is_some()
             || answer.registry.is_some()
             || answer.routes.is_some();
-        if news || left == 0 {
+        if news || !answer.leads || left == 0 {
             return message_response(&answer);
         }
         left = left.saturating_sub(10);
--- a/crates/router/tests/table_sources.rs
+++ b/crates/router/tests/table_sources.rs
@@ -56,3 +56,39 @@
     elect_the_third(&controllers);
     assert_in_force(&router, Instant::now()).await;
 }
+
+/// Guards against a router that goes on polling a controller that answers but
+/// was cut off from its group and knows of no other leader.
+#[tokio::test]
+async fn table_sync_deposed_leader_is_left_in_time() {
+    let (controllers, router) = led_by_the_second().await;
+    {
+        let mut script = controllers[1].script();
+        (script.leads, script.leader) = (false, None);
+    }
+    elect_the_third(&controllers);
+    assert_in_force(&router, Instant::now()).await;
+}
+
+/// Guards against a router that waits for a leader to be known before it takes
+/// a newer table from a follower.
+#[tokio::test]
+async fn table_sync_follower_gives_table_without_leader() {
+    let (controllers, router) = led_by_the_second().await;
+    controllers[1].script().silent = true;
+    controllers[0].script().routes = Some(Arc::new(table(7)));
+    assert_in_force(&router, Instant::now()).await;
+}
+
+/// Guards against members that joined later and are forgotten when a controller
+/// that lags behind tells its members.
+#[tokio::test]
+async fn set_members_of_older_term_is_ignored() {
+    let (controllers, router) = led_by_the_second().await;
+    let link = &router.handle.state().link;
+    let joined: std::net::SocketAddr = "127.0.0.1:9".parse().unwrap();
+    link.set_members(3, vec![joined]);
+    assert!(link.addresses().contains(&joined));
+    link.set_members(2, vec![controllers[0].address]);
+    assert!(link.addresses().contains(&joined));
+}
