An answer to a message of an earlier term extends no lease

What it caused: a restarted controller that led again could take itself for a leader with a lease long after its group had elected another one, and answer reads with an older state.

Cause: a follower that had moved on answered an append of an earlier term with its present term and the time noted in that append. The sender, restarted and leading that present term, took a time of its former process's clock, far ahead of its own, for the time of its latest answered heartbeat. Class: values of a clock compared across two starts of it.

Change: such an answer carries no time.

Test: append_of_older_term_is_answered_without_its_time failed before with a time of 90 s at 0.7 s.

--- a/crates/core/src/replica_append.rs
+++ b/crates/core/src/replica_append.rs
@@ -50,6 +50,9 @@
     ) {
         let sent_at = request.sent_at;
         if term < self.term() {
+            // The sender may lead a later term by now, with a clock that started anew: the time
+            // that it noted then must not count towards its lease.
+            let sent_at = Duration::ZERO;
             let answer = AppendAnswer { success: false, matched: 0, hint: 0, sent_at };
             return self.send_held(from, MessageBody::AppendAnswer(answer));
         }
--- a/crates/core/tests/replica_core.rs
+++ b/crates/core/tests/replica_core.rs
@@ -471,3 +471,13 @@
     assert_ne!(sim.leader().unwrap(), leader);
     assert_eq!(sim.nodes[leader].core.as_ref().unwrap().role(), ReplicaRole::Learner);
 }
+
+/// Guards against a lease from the answer to a message of an earlier term, in
+/// which an earlier process of the leader noted the time of its own clock.
+#[test]
+fn append_of_older_term_is_answered_without_its_time() {
+    let mut core = replica(5);
+    let effects = core.handle(ms(700), [message(2, 3, append(0, 0, ms(90_000)))]);
+    let [MessageBody::AppendAnswer(answer)] = sent(&effects)[..] else { panic!("{effects:?}") };
+    assert_eq!((answer.success, answer.sent_at), (false, Duration::ZERO));
+}
