Reads are confirmed by a quorum that answers after them, not by the lease

What callers could see: a controller whose host was suspended while it led answered a read of the configuration with an older version, and confirmed an older table to a router that started, for up to 0.4 s after it woke, while another controller led and had acknowledged newer ones (CONFIG, came back older).

Cause: a read was confirmed by the leader's lease, which counts on the monotonic clock. That clock stands still while a host is suspended, so the lease looks as fresh as before. Class: safety that rests on the rate of a clock.

Change: a read waits until a quorum has answered a message that was sent after it came; a later leader cannot have committed anything before it then. Times noted in messages only grow, also when the clock stands still, so answers tell which message they are to. No message is added: reads use the next heartbeat.

--- a/crates/core/src/replica_append.rs
+++ b/crates/core/src/replica_append.rs
@@ -21,6 +21,7 @@
 
     pub(crate) fn send_append(&mut self, id: u64, now: Duration, heartbeat: bool) {
         let last = self.log.last_index();
+        let sent_at = self.next_stamp(now);
         let Some(peer) = self.peers.get_mut(&id) else { return };
         if !heartbeat && peer.next > last {
             return;
@@ -36,8 +37,7 @@
         peer.next = entries.last().map_or(peer.next, |entry| entry.index + 1);
         let to = peer.identity.clone();
         let commit = self.commit;
-        let request =
-            AppendRequest { previous_index, previous_term, entries, commit, sent_at: now };
+        let request = AppendRequest { previous_index, previous_term, entries, commit, sent_at };
         self.send(to, MessageBody::Append(request));
     }
 
@@ -154,6 +154,7 @@
             peer.next = answer.hint.min(last + 1).max(peer.matched + 1);
         }
         self.advance_commit(now);
+        self.settle_reads();
         self.send_append(from.id, now, false);
     }
 
--- a/crates/core/src/replica_core.rs
+++ b/crates/core/src/replica_core.rs
@@ -138,6 +138,14 @@
     pub(crate) bytes: Vec<u8>,
 }
 
+/// A read that waits for word from a quorum.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingRead {
+    pub(crate) read: u64,
+    /// Time noted in the last message sent before the read.
+    pub(crate) after: Duration,
+}
+
 /// Consensus core of one replica; see the module documentation.
 #[derive(Debug)]
 pub struct ReplicaCore<R> {
@@ -167,7 +175,9 @@
     pub(crate) quorum_timeout: Duration,
     pub(crate) term_start: u64,
     pub(crate) proposals: SortedMap<u64, u64>,
-    pub(crate) reads: Vec<u64>,
+    pub(crate) reads: Vec<PendingRead>,
+    /// Latest time noted in a message to a peer.
+    pub(crate) last_sent: Duration,
     pub(crate) verified: u64,
     pub(crate) incoming: Option<IncomingSnapshot>,
     pub(crate) snapshot_pending: bool,
@@ -235,6 +245,7 @@
             term_start: 0,
             proposals: SortedMap::new(),
             reads: Vec::new(),
+            last_sent: Duration::ZERO,
             verified: index,
             incoming: None,
             snapshot_pending: false,
@@ -429,13 +440,31 @@
     fn take_read(&mut self, now: Duration, read: u64) {
         match self.check_leader(now) {
             Err(reason) => self.effects.push(ReplicaEffect::RejectRead { read, reason }),
-            Ok(()) if self.commit >= self.term_start => {
-                self.effects.push(ReplicaEffect::ReadReady { read });
+            Ok(()) => {
+                self.reads.push(PendingRead { read, after: self.last_sent });
+                self.settle_reads();
             }
-            Ok(()) => self.reads.push(read),
         }
     }
 
+    /// Answers the reads that came before a message which a quorum answered in
+    /// this term: no later term had begun when they came. The lease does not
+    /// tell, because its clock stands still while the host is suspended.
+    pub(crate) fn settle_reads(&mut self) {
+        if self.commit < self.term_start {
+            return;
+        }
+        let Some(answered) = self.quorum_answered() else { return };
+        let effects = &mut self.effects;
+        self.reads.retain(|pending| {
+            let settled = pending.after < answered;
+            if settled {
+                effects.push(ReplicaEffect::ReadReady { read: pending.read });
+            }
+            !settled
+        });
+    }
+
     /// Emits committed entries and what depends on them.
     pub(crate) fn apply_committed(&mut self, now: Duration) {
         while self.applied < self.commit {
@@ -445,9 +474,7 @@
             self.effects.push(ReplicaEffect::Apply { entry, proposal });
         }
         if self.role == ReplicaRole::Leader && self.commit >= self.term_start {
-            for read in std::mem::take(&mut self.reads) {
-                self.take_read(now, read);
-            }
+            self.settle_reads();
             let own = self.options.identity.id;
             if self.log.members_index() <= self.commit && !self.log.members().is_voter(own) {
                 self.step_down("removed", now);
@@ -465,7 +492,7 @@
         for (_, proposal) in std::mem::take(&mut self.proposals) {
             self.reject(proposal, RejectReason::LeadershipLost);
         }
-        for read in std::mem::take(&mut self.reads) {
+        for PendingRead { read, .. } in std::mem::take(&mut self.reads) {
             let reason = RejectReason::NotLeader(None);
             self.effects.push(ReplicaEffect::RejectRead { read, reason });
         }
--- a/crates/core/src/replica_election.rs
+++ b/crates/core/src/replica_election.rs
@@ -28,6 +28,25 @@
         self.log.members().quorum_value(acked).flatten()
     }
 
+    /// Latest time noted in messages that a quorum answered; the replica's own
+    /// word counts for every message.
+    pub(crate) fn quorum_answered(&self) -> Option<Duration> {
+        let own = self.options.identity.id;
+        let answered = |id| match id == own {
+            true => Some(Duration::MAX),
+            false => self.peers.get(&id).and_then(|peer| peer.acked_at),
+        };
+        self.log.members().quorum_value(answered).flatten()
+    }
+
+    /// The time to note in a message to a peer. It is later than in every
+    /// message before, also when the clock stood still in between, so that
+    /// answers tell which messages they are to.
+    pub(crate) fn next_stamp(&mut self, now: Duration) -> Duration {
+        self.last_sent = now.max(self.last_sent + Duration::from_nanos(1));
+        self.last_sent
+    }
+
     pub(crate) fn quorum_is_silent(&self, now: Duration) -> bool {
         let heard = self.quorum_acked(now).unwrap_or(self.led_since).max(self.led_since);
         heard + self.quorum_timeout <= now
--- a/crates/core/src/replica_snapshot.rs
+++ b/crates/core/src/replica_snapshot.rs
@@ -70,6 +70,7 @@
     /// Sends the current part of the snapshot to a peer that needs it.
     pub(crate) fn send_chunk(&mut self, id: u64, now: Duration) {
         let index = self.snapshot.meta.index;
+        let sent_at = self.next_stamp(now);
         let Some(peer) = self.peers.get_mut(&id) else { return };
         let offset = match peer.snapshot {
             Some(sending) if sending.index == index => {
@@ -90,7 +91,7 @@
             offset,
             total: u64::try_from(bytes.len()).unwrap_or(u64::MAX),
             bytes: bytes[start..end].to_vec(),
-            sent_at: now,
+            sent_at,
         };
         self.send(to, MessageBody::Snapshot(chunk));
     }
@@ -114,6 +115,8 @@
             return;
         };
         peer.note_ack(answer.sent_at, led_since);
+        self.settle_reads();
+        let Some(peer) = self.peers.get_mut(&from.id) else { return };
         let Some(sending) = peer.snapshot.filter(|sending| sending.index == answer.index) else {
             return;
         };
