--- a/crates/soak/tests/role_process.rs
+++ b/crates/soak/tests/role_process.rs
@@ -8,8 +8,12 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use tokio::sync::Mutex;
 
 const LIMIT: Duration = Duration::from_secs(20);
+/// A process that one test starts inherits the file that another one writes,
+/// until it runs its program; a program that is open for writing cannot start.
+static ALONE: Mutex<()> = Mutex::const_new(());
 
 fn script(folder: &Path, line: &str) -> PathBuf {
     let path = folder.join("program");
@@ -27,6 +31,7 @@
 /// process later.
 #[tokio::test]
 async fn process_crash_is_reported_once() {
+    let _alone = ALONE.lock().await;
     let folder = tempfile::tempdir().unwrap();
     let mut role = start(folder.path(), "exit 3");
     assert!(role.ended(LIMIT).await);
@@ -40,6 +45,7 @@
 /// Guards against ends that the run itself asked for and reports as crashes.
 #[tokio::test]
 async fn process_asked_to_end_is_not_reported() {
+    let _alone = ALONE.lock().await;
     let folder = tempfile::tempdir().unwrap();
     let mut stopped = start(folder.path(), "exec sleep 60");
     stopped.signal(Signal::TERM);
