--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -18,6 +18,8 @@
         optional --seeds count: u64
         /// Plays seeds that are drawn from the clock instead.
         optional --fresh
+        /// Plays fewer faults, of controllers only, that last for seconds.
+        optional --lasting
         /// Plays the seeds that once violated an invariant.
         optional --regressions
         /// Seconds of load around the faults of one seed; 16 when absent.
@@ -42,6 +44,7 @@
     pub first_seed: Option<u64>,
     pub seeds: Option<u64>,
     pub fresh: bool,
+    pub lasting: bool,
     pub regressions: bool,
     pub seconds: Option<u64>,
     pub controllers: Option<usize>,
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -24,6 +24,21 @@
     pub upstreams: usize,
 }
 
+/// Lasting faults: a loss that ends sooner than the contact time hides what a
+/// router does meanwhile, and a second fault at once excuses it.
+const LONG_MS: (u64, u64) = (5_000, 6_500);
+/// Time between the end of a lasting fault and the next one, in milliseconds.
+const LONG_PAUSE_MS: (u64, u64) = (3_200, 4_500);
+
+/// How the faults of a run follow one another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultStyle {
+    /// Short ones of every kind that overlap.
+    Dense,
+    /// The loss of one controller at a time, for seconds.
+    Lasting,
+}
+
 /// What happens to a connection that passes a proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkFault {
@@ -128,6 +143,40 @@
     pub kind: FaultKind,
 }
 
+/// The lasting faults of a run: one controller at a time is lost.
+///
+/// ```
+/// use baobabfall_soak::fault_schedule::{SiteSize, plan_lasting_faults};
+/// use std::time::Duration;
+/// let size = SiteSize { controllers: 3, routers: 3, upstreams: 4 };
+/// let faults = plan_lasting_faults(7, Duration::from_secs(40), size);
+/// assert!(faults.windows(2).all(|pair| pair[0].at + pair[0].lasting < pair[1].at));
+/// ```
+pub fn plan_lasting_faults(seed: u64, span: Duration, size: SiteSize) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let last = span_ms(span) * FAULT_PERCENT / 100;
+    let mut faults = Vec::new();
+    let mut at = random.random_range(800..2_000);
+    while at < last {
+        let controller = random.random_range(0..size.controllers);
+        let kind = match random.random_range(0..6) {
+            0 => FaultKind::KillController(controller),
+            1 | 2 => FaultKind::PauseController(controller),
+            3 => FaultKind::Link(controller, LinkFault::OneWay),
+            4 => FaultKind::Link(controller, LinkFault::Reset),
+            _ => FaultKind::Link(controller, LinkFault::Silence),
+        };
+        let lasting = random.random_range(LONG_MS.0..LONG_MS.1);
+        faults.push(PlannedFault {
+            at: Duration::from_millis(at),
+            lasting: Duration::from_millis(lasting),
+            kind,
+        });
+        at += lasting + random.random_range(LONG_PAUSE_MS.0..LONG_PAUSE_MS.1);
+    }
+    faults
+}
+
 /// The faults of a run in the order of their beginnings.
 ///
 /// ```
--- a/crates/soak/src/invariant_check.rs
+++ b/crates/soak/src/invariant_check.rs
@@ -1,5 +1,6 @@
 //! The invariants that a run checks, from what callers, operators and upstreams saw.
 
+use crate::in_force_check::{FaultEvent, RouterSight, late_tables, reverted_tables};
 use baobabfall_bench::answer_check::CallVerdict;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_standin::upstream_state::ExecutionRecord;
@@ -90,6 +91,12 @@
     pub router_revisions: Vec<(String, Option<u64>)>,
     /// Planned stops without other faults.
     pub calm_stops: Vec<CalmStop>,
+    /// Revisions that routers said are in force.
+    pub router_sights: Vec<RouterSight>,
+    /// Faults as they were made.
+    pub events: Vec<FaultEvent>,
+    /// Controllers of the site.
+    pub controllers: usize,
     /// Processes that did not end in time after SIGTERM, or ended unasked.
     pub process_faults: Vec<String>,
     /// What did not work again after the last fault.
@@ -109,6 +116,8 @@
     AnswersReal,
     /// An accepted table never reverts.
     TableKept,
+    /// An accepted table is in force in time.
+    TableInForce,
     /// A planned stop cuts nothing.
     StopsClean,
     /// Processes end only when asked, and then in time.
@@ -119,7 +128,7 @@
 
 impl SiteInvariant {
     /// Number of invariants.
-    pub const COUNT: usize = 8;
+    pub const COUNT: usize = 9;
 
     fn text(self) -> &'static str {
         match self {
@@ -128,6 +137,7 @@
             Self::RefusalsTrue => "a request refused as not run did not run",
             Self::AnswersReal => "a request that was answered ran",
             Self::TableKept => "an accepted table never reverts",
+            Self::TableInForce => "an accepted table is in force in time",
             Self::StopsClean => "a planned stop cuts nothing",
             Self::EndsAsked => "processes end only when asked, and then in time",
             Self::SiteRecovers => "the site works again after the last fault",
@@ -205,6 +215,13 @@
         report(SiteInvariant::ActionsOnce, format!("{key} ran {count} times"));
     }
     check_table(evidence, &mut report);
+    let RunEvidence { edits, router_sights, events, controllers, .. } = evidence;
+    late_tables(edits, router_sights, events, *controllers)
+        .into_iter()
+        .for_each(|fault| report(SiteInvariant::TableInForce, fault));
+    reverted_tables(router_sights, events)
+        .into_iter()
+        .for_each(|fault| report(SiteInvariant::TableKept, fault));
     evidence
         .process_faults
         .iter()
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod fault_proxy;
 pub mod fault_schedule;
+pub mod in_force_check;
 pub mod invariant_check;
 pub mod regression_seeds;
 pub mod role_process;
@@ -14,7 +15,7 @@
 
 use cli::BaobabfallSoak;
 use error::SoakError;
-use fault_schedule::SiteSize;
+use fault_schedule::{FaultStyle, SiteSize};
 use invariant_check::SiteInvariant;
 use regression_seeds::REGRESSION_SEEDS;
 use soak_run::{RunOutcome, RunPlan, play_seed};
@@ -48,11 +49,12 @@
         true => REGRESSION_SEEDS.iter().map(|(seed, _)| *seed).collect(),
         false => (first..first + flags.seeds.unwrap_or(1)).collect(),
     };
+    let style = if flags.lasting { FaultStyle::Lasting } else { FaultStyle::Dense };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let mut failed = 0;
     for seed in seeds {
         let folder = tempfile::tempdir()?;
-        let plan = RunPlan { seed, span, size, programs: &programs, folder: folder.path() };
+        let plan = RunPlan { seed, span, size, style, programs: &programs, folder: folder.path() };
         let outcome = match runtime.block_on(play_seed(plan)) {
             Ok(outcome) => outcome,
             Err(error) => {
--- a/crates/soak/src/soak_load.rs
+++ b/crates/soak/src/soak_load.rs
@@ -1,5 +1,6 @@
 //! Callers and an operator that use the site while faults hit it.
 
+use crate::in_force_check::RouterSight;
 use crate::invariant_check::{CallKindName, CallRecord, EditRecord, RevisionSight};
 use crate::soak_site::{MODEL, SERVICE, WORKSPACES, credential, first_table};
 use baobabfall_bench::answer_check::CallVerdict;
@@ -39,6 +40,8 @@
     pub edits: Vec<EditRecord>,
     /// Revisions that were read.
     pub sights: Vec<RevisionSight>,
+    /// Revisions that routers said are in force.
+    pub router_sights: Vec<RouterSight>,
 }
 
 /// Records that tasks share.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -1,7 +1,10 @@
 //! One run: start, load under faults, planned stops, recovery and checks.
 
 use crate::error::SoakError;
-use crate::fault_schedule::{FaultKind, PlannedFault, SiteSize, plan_faults};
+use crate::fault_schedule::{
+    FaultKind, FaultStyle, PlannedFault, SiteSize, plan_faults, plan_lasting_faults,
+};
+use crate::in_force_check::{FaultEvent, RouterSight};
 use crate::invariant_check::{
     CallKindName, CalmStop, InvariantViolation, RunEvidence, check_invariants,
 };
@@ -43,6 +46,8 @@
     pub span: Duration,
     /// Roles.
     pub size: SiteSize,
+    /// How faults follow one another.
+    pub style: FaultStyle,
     /// Folder with the programs.
     pub programs: &'a Path,
     /// Folder for settings, state and logs.
@@ -88,9 +93,12 @@
     }
     let (stop, stopped) = watch::channel(false);
     let tasks = start_load(plan, &site, &records, &stopped);
-    let faults = plan_faults(plan.seed, plan.span, plan.size);
-    let mut evidence = RunEvidence::default();
-    make_faults(&mut site, &faults, &mut evidence).await?;
+    let faults = match plan.style {
+        FaultStyle::Dense => plan_faults(plan.seed, plan.span, plan.size),
+        FaultStyle::Lasting => plan_lasting_faults(plan.seed, plan.span, plan.size),
+    };
+    let mut evidence = RunEvidence { controllers: plan.size.controllers, ..RunEvidence::default() };
+    make_faults(&mut site, &faults, &records, &mut evidence).await?;
     let last = records.started.elapsed();
     let recovered = wait_recovered(&site, &operator, &records).await;
     match recovered {
@@ -106,6 +114,7 @@
         evidence.calls = std::mem::take(&mut records.calls);
         evidence.edits = std::mem::take(&mut records.edits);
         evidence.sights = std::mem::take(&mut records.sights);
+        evidence.router_sights = std::mem::take(&mut records.router_sights);
     });
     Ok(RunOutcome {
         seed: plan.seed,
@@ -136,6 +145,9 @@
         };
         tasks.spawn(caller.run(stopped.clone()));
     }
+    for (router, address) in site.fleets.iter().copied().enumerate() {
+        tasks.spawn(watch_router(router, address, records.clone(), stopped.clone()));
+    }
     // Two operators edit at the same time, so that some edits race.
     for name in ["ana", "bo"] {
         let name = format!("{name}-s{}", plan.seed);
@@ -145,6 +157,31 @@
     tasks
 }
 
+/// Asks a router again and again which revision is in force.
+async fn watch_router(
+    router: usize,
+    address: SocketAddr,
+    records: SharedRecords,
+    stop: watch::Receiver<bool>,
+) {
+    let client = PeerClient::new(address);
+    while !*stop.borrow() {
+        let begun = records.started.elapsed();
+        if let Some(revision) = router_revision(&client).await {
+            let sight = RouterSight { router, begun, revision };
+            records.with(|records| records.router_sights.push(sight));
+        }
+        tokio::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+async fn router_revision(client: &PeerClient) -> Option<u64> {
+    let token = credential("process");
+    let view: Result<RouterView, _> =
+        client.call_json::<(), _>("/status", &token, None, TRIAL_LIMIT).await;
+    view.ok().map(|view| view.revision)
+}
+
 /// Waits until the first table is in force and every router serves.
 async fn wait_ready(site: &SoakSite, operator: &SoakOperator) -> Result<(), String> {
     let end = Instant::now() + READY_LIMIT;
@@ -186,6 +223,7 @@
 async fn make_faults(
     site: &mut SoakSite,
     faults: &[PlannedFault],
+    records: &SharedRecords,
     evidence: &mut RunEvidence,
 ) -> Result<(), SoakError> {
     let start = Instant::now();
@@ -196,14 +234,23 @@
     for (at, begins, kind) in steps {
         tokio::time::sleep_until(start + at).await;
         evidence.process_faults.extend(site.ended_by_themselves());
+        note_event(records, begins, kind, evidence);
         match begins {
             true => site.begin(kind).await,
-            false => note_end(site, kind, evidence).await?,
+            false => {
+                note_end(site, kind, evidence).await?;
+                note_event(records, false, kind, evidence);
+            }
         }
     }
     Ok(())
 }
 
+fn note_event(records: &SharedRecords, begins: bool, kind: FaultKind, evidence: &mut RunEvidence) {
+    let at = records.started.elapsed();
+    evidence.events.push(FaultEvent { at, begins, kind });
+}
+
 /// Stops the routers one after the other while nothing else is wrong.
 async fn stop_each_router(
     site: &mut SoakSite,
@@ -213,10 +260,13 @@
 ) -> Result<(), SoakError> {
     for router in 0..routers {
         let at = records.started.elapsed();
-        site.begin(FaultKind::StopRouter(router)).await;
+        let stop = FaultKind::StopRouter(router);
+        note_event(records, true, stop, evidence);
+        site.begin(stop).await;
         evidence.calm_stops.push(CalmStop { router, at });
         tokio::time::sleep(CALM_PAUSE).await;
-        note_end(site, FaultKind::StopRouter(router), evidence).await?;
+        note_end(site, stop, evidence).await?;
+        note_event(records, false, stop, evidence);
         tokio::time::sleep(CALM_PAUSE).await;
     }
     Ok(())
@@ -278,11 +328,8 @@
 async fn router_revisions(site: &SoakSite) -> Vec<(String, Option<u64>)> {
     let mut revisions = Vec::new();
     for (router, address) in site.fleets.iter().enumerate() {
-        let token = credential("process");
-        let view: Result<RouterView, _> = PeerClient::new(*address)
-            .call_json::<(), _>("/status", &token, None, TRIAL_LIMIT)
-            .await;
-        revisions.push((format!("router-{}", router + 1), view.ok().map(|view| view.revision)));
+        let revision = router_revision(&PeerClient::new(*address)).await;
+        revisions.push((format!("router-{}", router + 1), revision));
     }
     revisions
 }
