Soak: lasting losses take the controllers in turn; operators too

A run of three losses hits the leader at least once, and a lost controller no longer holds up every edit of both operators.

--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -143,7 +143,8 @@
     pub kind: FaultKind,
 }
 
-/// The lasting faults of a run: one controller at a time is lost.
+/// The lasting faults of a run: one controller at a time is lost, each in its
+/// turn, so that one of the losses is that of the leader.
 ///
 /// ```
 /// use baobabfall_soak::fault_schedule::{SiteSize, plan_lasting_faults};
@@ -157,8 +158,9 @@
     let last = span_ms(span) * FAULT_PERCENT / 100;
     let mut faults = Vec::new();
     let mut at = random.random_range(800..2_000);
+    let first = random.random_range(0..size.controllers);
     while at < last {
-        let controller = random.random_range(0..size.controllers);
+        let controller = (first + faults.len()) % size.controllers;
         let kind = match random.random_range(0..6) {
             0 => FaultKind::KillController(controller),
             1 | 2 => FaultKind::PauseController(controller),
--- a/crates/soak/src/soak_load.rs
+++ b/crates/soak/src/soak_load.rs
@@ -13,6 +13,7 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -179,6 +180,8 @@
     /// Name, unique in the run.
     pub name: String,
     clients: Vec<PeerClient>,
+    /// Controllers are asked from this one on.
+    first: AtomicUsize,
     records: SharedRecords,
 }
 
@@ -186,7 +189,7 @@
     /// An operator of the controllers at `addresses`.
     pub fn new(name: &str, addresses: &[SocketAddr], records: SharedRecords) -> Self {
         let clients = addresses.iter().copied().map(PeerClient::new).collect();
-        Self { name: name.to_owned(), clients, records }
+        Self { name: name.to_owned(), clients, first: AtomicUsize::new(0), records }
     }
 
     /// Edits until `stop` turns true.
@@ -199,10 +202,17 @@
         }
     }
 
+    /// All controllers, beginning with the next one at each call, so that a lost
+    /// one does not hold up every edit.
+    fn clients_in_turn(&self) -> impl Iterator<Item = &PeerClient> {
+        let first = self.first.fetch_add(1, Ordering::Relaxed) % self.clients.len();
+        self.clients.iter().cycle().skip(first).take(self.clients.len())
+    }
+
     /// Reads the table once; the revision must not lie before one that was
     /// acknowledged earlier.
     pub async fn read(&self) -> Option<TableView> {
-        for client in &self.clients {
+        for client in self.clients_in_turn() {
             let begun = self.records.started.elapsed();
             let token = credential("operator");
             let view: Result<TableView, _> =
@@ -237,7 +247,7 @@
             base_revision: view.revision,
             changes: held.diff(&next),
         };
-        for client in self.clients.iter().chain(&self.clients) {
+        for client in self.clients_in_turn().chain(self.clients_in_turn()) {
             let token = credential("operator");
             let answer: Result<EditAnswer, _> =
                 client.call_json(TABLE_PATH, &token, Some(&edit), OPERATOR_LIMIT).await;
