A slow router waits longer for its tables instead of giving up each answer

A router that needs longer for a connection and an answer never gets one. Ruled out: a late event loop (two delays of 0.25 and 0.28 s), the controllers (others were answered).

Change: a call that is under way is not given up because a new round begins, and the time doubles with each failure up to 1.6 s. The next polls of the leader get the time that was needed, halved again while they succeed.

Test: table_sync_slow_answers_are_awaited (answers take 0.7 s) failed before: no newer table within 8 s.

--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -4,6 +4,7 @@
 use crate::table_view::{FleetView, TableView};
 use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::route_table::RouteTable;
+use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::workspace_table::WorkspaceTable;
 use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest, TableUpdate};
 use baobabfall_node::node_metrics::NodeMetrics;
@@ -23,6 +24,8 @@
 /// that is not answered and one round of questions to all controllers take
 /// 1.8 s, less than the 2 s in which a change has to be in force.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// The longest such time, for a router that is slow itself.
+const LONGEST_TIMEOUT: Duration = Duration::from_millis(1600);
 /// The same for a first table, which the leader confirms with its group.
 const FIRST_TIMEOUT: Duration = Duration::from_millis(1000);
 /// An answer that came sooner was not held for news.
@@ -60,25 +63,27 @@
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
-        let mut led = Instant::now();
+        let (mut led, mut margin) = (Instant::now(), ANSWER_TIMEOUT);
         loop {
             let address = self.link.leader();
-            if self.poll_leader(address).await {
+            if self.poll_leader(address, margin).await {
                 led = Instant::now();
+                margin = (margin / 2).max(ANSWER_TIMEOUT);
                 continue;
             }
             let version = self.fleet.routes_version();
             log::warn!(event = "table_source_lost", controller = address.to_string(), silence_ms = millis(led.elapsed()), routes_version = version; "no leader answers the poll for tables");
-            let leader = self.find_leader().await;
+            let (leader, needed) = self.find_leader().await;
+            margin = needed;
             log::info!(event = "table_source_answers", controller = leader.to_string(), silence_ms = millis(led.elapsed()), routes_version = self.fleet.routes_version(); "a leader answers the poll for tables");
         }
     }
 
     /// One long poll; true when the controller leads, so that nothing newer is
     /// held elsewhere for long.
-    async fn poll_leader(&self, address: SocketAddr) -> bool {
+    async fn poll_leader(&self, address: SocketAddr, margin: Duration) -> bool {
         let begun = Instant::now();
-        let Some(answer) = self.ask(address, SYNC_WAIT_MS, ANSWER_TIMEOUT).await else {
+        let Some(answer) = self.ask(address, SYNC_WAIT_MS, margin).await else {
             return false;
         };
         let leads = answer.leads;
@@ -90,26 +95,41 @@
     }
 
     /// Asks all controllers at once, again and again, until one that leads
-    /// answers. Each answer counts as soon as it comes: a controller that does
-    /// not answer holds up no other, and a follower has the table of its group.
-    async fn find_leader(&self) -> SocketAddr {
+    /// answers; returns its address and the time that it was given. Each answer
+    /// counts as soon as it comes: a controller that does not answer holds up
+    /// no other, and a follower has the table of its group. The time grows with
+    /// each call that fails, because this router may be the one that is slow.
+    async fn find_leader(&self) -> (SocketAddr, Duration) {
         let mut rounds = tokio::time::interval(ROUND_INTERVAL);
         rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut margins: SortedMap<SocketAddr, Duration> = SortedMap::new();
+        let mut asked: Vec<SocketAddr> = Vec::new();
+        let mut answers = FuturesUnordered::new();
         loop {
-            rounds.tick().await;
-            let addresses = self.link.addresses();
-            let calls = addresses.into_iter().map(|address| async move {
-                (address, self.ask(address, 0, ANSWER_TIMEOUT).await)
-            });
-            let mut answers: FuturesUnordered<_> = calls.collect();
-            while let Some((address, answer)) = answers.next().await {
-                let Some(answer) = answer else { continue };
-                let (term, leads) = (answer.term, answer.leads);
-                self.apply_forward(address, answer);
-                if leads {
-                    self.link.hint(term, address);
-                    return address;
+            let (address, answer) = tokio::select! {
+                _ = rounds.tick() => {
+                    for address in self.link.addresses() {
+                        if !asked.contains(&address) {
+                            asked.push(address);
+                            let margin = *margins.get_or_insert_with(address, || ANSWER_TIMEOUT);
+                            answers.push(async move { (address, self.ask(address, 0, margin).await) });
+                        }
+                    }
+                    continue;
                 }
+                Some(answered) = answers.next() => answered,
+            };
+            asked.retain(|held| *held != address);
+            let margin = margins.get_or_insert_with(address, || ANSWER_TIMEOUT);
+            let Some(answer) = answer else {
+                *margin = (*margin * 2).min(LONGEST_TIMEOUT);
+                continue;
+            };
+            let (term, leads, margin) = (answer.term, answer.leads, *margin);
+            self.apply_forward(address, answer);
+            if leads {
+                self.link.hint(term, address);
+                return (address, margin);
             }
         }
     }
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -35,6 +35,8 @@
     pub registry_version: u64,
     pub confirmed: bool,
     pub silent: bool,
+    /// Time that every answer takes at least.
+    pub delay: Duration,
     pub not_leader: bool,
     /// What sync answers say of the lead.
     pub leads: bool,
@@ -78,6 +80,7 @@
             registry_version: 1,
             confirmed: true,
             silent: false,
+            delay: Duration::ZERO,
             not_leader: false,
             leads: true,
             leader: Some(address),
@@ -136,6 +139,8 @@
     if script.lock().unwrap().silent {
         std::future::pending::<()>().await;
     }
+    let delay = script.lock().unwrap().delay;
+    tokio::time::sleep(delay).await;
     let path = request.uri().path().to_owned();
     if path != SYNC_PATH && script.lock().unwrap().not_leader {
         return error_response(ErrorKind::NotLeader, "Not the leader.");
--- a/crates/router/tests/table_sources.rs
+++ b/crates/router/tests/table_sources.rs
@@ -92,3 +92,19 @@
     link.set_members(2, vec![controllers[0].address]);
     assert!(link.addresses().contains(&joined));
 }
+
+/// Guards against a slow router that gives up every answer before it comes and
+/// never gets a newer table.
+#[tokio::test]
+async fn table_sync_slow_answers_are_awaited() {
+    let (controllers, router) = led_by_the_second().await;
+    for controller in &controllers {
+        controller.script().delay = Duration::from_millis(700);
+    }
+    elect_the_third(&controllers);
+    let begun = Instant::now();
+    while router.handle.state().fleet.routes_version() < 7 {
+        assert!(begun.elapsed() < Duration::from_secs(8), "no newer table");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
