--- a/crates/core/tests/replica_kill_runs.rs
+++ b/crates/core/tests/replica_kill_runs.rs
@@ -39,15 +39,7 @@
 /// messages.
 #[test]
 fn kill_run_keeps_every_promise() {
-    let totals = std::thread::scope(|scope| {
-        let workers: Vec<_> = (0..THREADS)
-            .map(|thread| {
-                let seeds = (0..RUNS).filter(move |seed| seed % THREADS == thread);
-                scope.spawn(move || seeds.map(run_seed_named).collect::<Vec<_>>())
-            })
-            .collect();
-        workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect::<Vec<_>>()
-    });
+    let totals = play_seeds(RUNS, run_seed);
     let total = |place: usize| totals.iter().map(|run| run[place]).sum::<u64>();
     let covered = [total(0), total(1), total(2), total(3)];
     println!("acknowledged edits, terms, installed snapshots, lost disks: {covered:?}");
@@ -56,35 +48,37 @@
     assert!(covered.iter().zip(least).all(|(held, least)| *held >= least), "{covered:?}");
 }
 
-fn run_seed_named(seed: u64) -> Coverage {
-    std::panic::catch_unwind(|| run_seed(seed)).unwrap_or_else(|_| panic!("seed {seed} failed"))
-}
-
-/// Guards against a leader that answers reads with an older state after its host
-/// was suspended, because the clock of its lease stood still meanwhile.
-#[test]
-fn suspended_run_reads_current_state() {
-    let suspended_run = |seed: u64| {
-        let mut sim = Sim::new(seed, 3, kill_faults(seed, 4));
-        sim.run(10_000);
-        sim.heal();
-        sim.run(5_000);
-        sim.check_final();
-        [sim.suspensions, sim.acked.len()]
-    };
-    let named = |seed: u64| {
-        let run = std::panic::catch_unwind(|| suspended_run(seed));
-        run.unwrap_or_else(|_| panic!("seed {seed} failed"))
+/// Plays the seeds 0..count on several threads; a failure names its seed.
+fn play_seeds<T: Send>(count: u64, run: fn(u64) -> T) -> Vec<T> {
+    let named = move |seed: u64| {
+        std::panic::catch_unwind(|| run(seed)).unwrap_or_else(|_| panic!("seed {seed} failed"))
     };
-    let totals = std::thread::scope(|scope| {
+    std::thread::scope(|scope| {
         let workers: Vec<_> = (0..THREADS)
             .map(|thread| {
-                let seeds = (0..SUSPENDED_RUNS).filter(move |seed| seed % THREADS == thread);
+                let seeds = (0..count).filter(move |seed| seed % THREADS == thread);
                 scope.spawn(move || seeds.map(named).collect::<Vec<_>>())
             })
             .collect();
-        workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect::<Vec<_>>()
-    });
+        workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect()
+    })
+}
+
+/// Suspensions and acknowledged edits of a run in which leaders are suspended.
+fn run_suspended(seed: u64) -> [usize; 2] {
+    let mut sim = Sim::new(seed, 3, kill_faults(seed, 4));
+    sim.run(10_000);
+    sim.heal();
+    sim.run(5_000);
+    sim.check_final();
+    [sim.suspensions, sim.acked.len()]
+}
+
+/// Guards against a leader that answers reads with an older state after its host
+/// was suspended, because the clock of its lease stood still meanwhile.
+#[test]
+fn suspended_run_reads_current_state() {
+    let totals = play_seeds(SUSPENDED_RUNS, run_suspended);
     let covered = [0, 1].map(|place| totals.iter().map(|run| run[place]).sum::<usize>());
     assert!(covered[0] >= 600 && covered[1] >= 6_000, "suspensions and edits: {covered:?}");
 }
