Simulation of the log in files by job; a paused clock for the loop's test

A test of the event loop slept for 400 ms. The soak's check named the faults of a router twice, and a run noted the end of a fault twice.

Change: sim_node, client_load and fault_steps beside the simulation; the test advances the runtime's clock; one function for the router of a fault, and one record for its end, after the process is back.

Conclusion: no check or bound changed.

--- a/crates/core/tests/replica_core.rs
+++ b/crates/core/tests/replica_core.rs
@@ -13,7 +13,8 @@
 use baobabfall_core::state_chart::{CompiledChart, REPLICA_CHART};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use replica_sim::{Sim, SimFaults, edit_command};
+use replica_sim::client_load::edit_command;
+use replica_sim::{Sim, SimFaults};
 use std::time::Duration;
 
 const CALM: SimFaults = SimFaults { loss: 0, chaos: 0, suspend: 0 };
--- a/crates/core/tests/replica_sim/mod.rs
+++ b/crates/core/tests/replica_sim/mod.rs
@@ -1,12 +1,13 @@
 //! Simulation of replicas on a lossy network with disks that lose unsynced
 //! writes. Every run is determined by its seed.
 
+pub mod client_load;
+mod fault_steps;
 mod final_checks;
+mod sim_node;
 
-use baobabfall_core::action_ledger::{
-    ActionClaim, ActionKey, ActionOutcome, ClaimAnswer, FencingToken, OutcomeReport,
-};
-use baobabfall_core::control_command::{ControlAnswer, ControlCommand, EditIdentity};
+use baobabfall_core::action_ledger::{ActionKey, ClaimAnswer, FencingToken};
+use baobabfall_core::control_command::{ControlAnswer, ControlCommand};
 use baobabfall_core::control_state::ControlState;
 use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::replica_core::*;
@@ -14,48 +15,17 @@
 use baobabfall_core::replica_members::*;
 use baobabfall_core::replica_messages::*;
 use baobabfall_core::sorted_map::SortedMap;
-use baobabfall_core::workspace_table::{RowChange, WorkspaceRow, hash_key};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
+use sim_node::{SimNode, apply_write, restored, write_sequence};
+
 /// Wall clock at the start: 2026-12-03.
 const START_MS: u64 = 1_796_256_000_000;
 
-pub struct SimNode {
-    pub identity: ReplicaIdentity,
-    pub core: Option<ReplicaCore<StdRng>>,
-    pub state: ControlState,
-    pub durable: StoredReplica,
-    unsynced: VecDeque<ReplicaEffect>,
-    sync: Option<(u64, u64)>,
-    started: u64,
-    /// Rate of the clock in thousandths.
-    rate: u64,
-    wall_offset: u64,
-    /// End of a suspension, during which the clock stands still.
-    woken: u64,
-    /// Time that the clock did not count.
-    suspended: u64,
-}
-
-impl SimNode {
-    pub fn now(&self, time: u64) -> Duration {
-        Duration::from_micros((time - self.started - self.suspended) * self.rate)
-    }
-
-    fn is_suspended(&self, time: u64) -> bool {
-        time < self.woken
-    }
-
-    /// True when a lease that the clock still counts may have ended long ago.
-    fn lease_is_doubtful(&self, time: u64) -> bool {
-        self.woken > 0 && time < self.woken + 500
-    }
-}
-
 #[derive(Clone, Copy)]
 pub struct SimFaults {
     /// Chance of loss and of doubling of a message, in thousandths.
@@ -90,29 +60,6 @@
     pub answers: SortedMap<u64, ControlAnswer>,
 }
 
-pub fn row(name: &str, weight: u32) -> WorkspaceRow {
-    let (name, key_hashes) = (name.to_owned(), vec![hash_key(name)]);
-    let (concurrency, requests_per_minute, tokens_per_minute) = (1, 1, 1);
-    let (queue_length, request_kib, protected) = (1, 1, true);
-    WorkspaceRow {
-        name,
-        key_hashes,
-        weight,
-        concurrency,
-        requests_per_minute,
-        tokens_per_minute,
-        queue_length,
-        request_kib,
-        protected,
-    }
-}
-
-pub fn edit_command(id: &str, base_revision: u64, name: &str, weight: u32) -> ControlCommand {
-    let edit = EditIdentity { operator: "ana".into(), id: id.to_owned() };
-    let changes = vec![RowChange::Put { row: row(name, weight) }];
-    ControlCommand::EditTable { edit, base_revision, changes }
-}
-
 fn identity(place: usize, id: u64) -> ReplicaIdentity {
     ReplicaIdentity { name: format!("controller-{place}"), id }
 }
@@ -126,42 +73,6 @@
     members
 }
 
-fn write_sequence(write: &ReplicaEffect) -> u64 {
-    match write {
-        ReplicaEffect::Persist { sequence, .. } | ReplicaEffect::StoreSnapshot { sequence, .. } => {
-            *sequence
-        }
-        _ => unreachable!("only writes are queued"),
-    }
-}
-
-fn apply_write(durable: &mut StoredReplica, write: &ReplicaEffect, limit: usize) {
-    match write {
-        ReplicaEffect::Persist { term_vote, entries, .. } => {
-            durable.term_vote = term_vote.unwrap_or(durable.term_vote);
-            for entry in entries.iter().take(limit) {
-                let base = durable.snapshot.meta.index;
-                let Some(place) = entry.index.checked_sub(base + 1) else { continue };
-                durable.entries.truncate(usize::try_from(place).unwrap());
-                assert_eq!(durable.entries.len(), usize::try_from(place).unwrap());
-                durable.entries.push(entry.clone());
-            }
-        }
-        ReplicaEffect::StoreSnapshot { snapshot, term_vote, tail, .. } => {
-            let (snapshot, term_vote, entries) = (snapshot.clone(), *term_vote, tail.clone());
-            *durable = StoredReplica { snapshot, term_vote, entries };
-        }
-        _ => unreachable!("only writes are queued"),
-    }
-}
-
-fn restored(snapshot: &SnapshotData) -> ControlState {
-    match snapshot.meta.index {
-        0 => ControlState::default(),
-        _ => ControlState::from_snapshot(&snapshot.bytes).unwrap(),
-    }
-}
-
 impl Sim {
     pub fn new(seed: u64, count: usize, faults: SimFaults) -> Self {
         let mut sim = Self {
@@ -230,38 +141,6 @@
         node.core = Some(ReplicaCore::new(Duration::ZERO, options, node.durable.clone(), random));
     }
 
-    /// Stops a replica; some unsynced writes last, the next one in part.
-    pub fn crash(&mut self, place: usize) {
-        let lasting = self.below(3);
-        let partly = usize::try_from(self.below(3)).unwrap();
-        let node = &mut self.nodes[place];
-        if node.core.take().is_none() {
-            return;
-        }
-        let mut writes = std::mem::take(&mut node.unsynced);
-        for _ in 0..lasting {
-            let Some(write) = writes.pop_front() else { break };
-            apply_write(&mut node.durable, &write, usize::MAX);
-        }
-        if let Some(write @ ReplicaEffect::Persist { .. }) = writes.pop_front()
-            && partly > 0
-        {
-            apply_write(&mut node.durable, &write, partly - 1);
-        }
-        node.sync = None;
-    }
-
-    /// Replaces a replica by an empty one under a new identity.
-    pub fn lose_disk(&mut self, place: usize) {
-        self.crash(place);
-        self.lost_disks += 1;
-        self.next_id += 1;
-        let identity = identity(place, self.next_id);
-        let stored = StoredReplica::empty(ReplicaMembers::default());
-        self.nodes[place] = self.new_node(identity, stored);
-        self.restart(place);
-    }
-
     /// Replicas that hold a lease.
     fn leaders(&self) -> impl Iterator<Item = usize> {
         (0..self.nodes.len()).filter(|place| {
@@ -410,85 +289,6 @@
         }
     }
 
-    fn client_step(&mut self) {
-        let place = match self.leader() {
-            Some(leader) if self.below(4) > 0 => leader,
-            _ => self.place(),
-        };
-        self.next_id += 1;
-        let number = self.next_id;
-        let command = match self.below(10) {
-            0 | 1 if !self.issued.is_empty() => {
-                let count = u64::try_from(self.issued.len()).unwrap();
-                let place = usize::try_from(self.below(count)).unwrap();
-                self.issued[place].clone()
-            }
-            2 | 3 => self.claim_command(number),
-            4 => self.outcome_command(),
-            5 => return self.read(place),
-            6 => {
-                let edit = EditIdentity { operator: "bo".into(), id: format!("edit-{number}") };
-                let base_revision = self.nodes[place].state.history().revision();
-                let to_revision = base_revision.saturating_sub(self.below(4));
-                ControlCommand::Rollback { edit, base_revision, to_revision }
-            }
-            _ => {
-                let base = self.nodes[place].state.history().revision();
-                let name = format!("team-{}", self.below(5));
-                let weight = 1 + u32::try_from(self.below(100)).unwrap();
-                edit_command(&format!("edit-{number}"), base, &name, weight)
-            }
-        };
-        self.issued.push(command.clone());
-        self.propose(place, command);
-    }
-
-    fn claim_command(&mut self, attempt: u64) -> ControlCommand {
-        let router = NodeIdentity {
-            name: format!("router-{}", self.below(3)),
-            incarnation: 1 + self.time / 2_000,
-        };
-        let key = ActionKey::new("team-1", "payout", &format!("20261203-{}", self.below(40)));
-        let path = "/payout".into();
-        let claim = ActionClaim { key, body_digest: [1; 32], router, attempt, path };
-        ControlCommand::Claims { claims: vec![claim] }
-    }
-
-    fn outcome_command(&mut self) -> ControlCommand {
-        let count = u64::try_from(self.granted.len()).unwrap().max(1);
-        let place = usize::try_from(self.below(count)).unwrap();
-        let held = self.granted.iter().nth(place);
-        let outcomes = held.into_iter().map(|(key, (token, ..))| OutcomeReport {
-            key: key.clone(),
-            token: *token,
-            outcome: ActionOutcome { status: 200, digest: [2; 32] },
-        });
-        ControlCommand::Outcomes { outcomes: outcomes.collect() }
-    }
-
-    fn chaos_step(&mut self) {
-        let place = self.place();
-        let other = self.place();
-        match self.below(12) {
-            0 | 1 => self.crash(place),
-            2..=5 => {
-                let down = self.nodes.iter().position(|node| node.core.is_none());
-                if let Some(place) = down {
-                    self.restart(place);
-                }
-            }
-            6 => self.blocked.extend([(place, other), (other, place)]),
-            7 if self.below(2) == 0 => self.blocked.push((place, other)),
-            7 => {
-                let count = self.nodes.len();
-                self.blocked.extend((0..count).flat_map(|n| [(place, n), (n, place)]));
-            }
-            8 | 9 => self.blocked.clear(),
-            _ if self.all_members_vote() => self.lose_disk(place),
-            _ => {}
-        }
-    }
-
     /// True when the leader counts every replica and each holds all of the
     /// log, so that the loss of one disk loses no data.
     pub fn all_members_vote(&self) -> bool {
@@ -586,16 +386,6 @@
         }
     }
 
-    /// Suspends the host of the leader: its clock stands still meanwhile.
-    fn suspend_leader(&mut self) {
-        let Some(place) = self.leader() else { return };
-        let length = 500 + 5 * self.below(600);
-        let node = &mut self.nodes[place];
-        node.woken = self.time + length;
-        node.suspended += length;
-        self.suspensions += 1;
-    }
-
     /// Ends all faults and restarts what is down.
     pub fn heal(&mut self) {
         self.faults = SimFaults { loss: 0, chaos: 0, suspend: 0 };
--- a/crates/node/tests/loop_watch.rs
+++ b/crates/node/tests/loop_watch.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 /// Guards against a stalled loop that the metrics do not show.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn watch_event_loop_records_stall() {
     let metrics = NodeMetrics::new().unwrap();
     let watch = tokio::spawn(watch_event_loop(metrics.clone()));
     tokio::task::yield_now().await;
-    std::thread::sleep(Duration::from_millis(400));
-    tokio::time::sleep(Duration::from_millis(20)).await;
+    tokio::time::advance(Duration::from_millis(400)).await;
+    tokio::task::yield_now().await;
     watch.abort();
     let text = String::from_utf8(metrics.scrape()).unwrap();
     let line = |bound: &str| {
--- a/crates/soak/src/in_force_check.rs
+++ b/crates/soak/src/in_force_check.rs
@@ -65,14 +65,10 @@
 fn in_contact(sight: &RouterSight, events: &[FaultEvent], controllers: usize) -> bool {
     let before = |event: &&FaultEvent| event.at <= sight.begun;
     let earlier: Vec<&FaultEvent> = events.iter().filter(before).collect();
-    let concerns = |event: &FaultEvent| match event.kind {
-        FaultKind::KillRouter(router)
-        | FaultKind::PauseRouter(router)
-        | FaultKind::StopRouter(router) => router == sight.router,
-        kind => controller_of(kind).is_some(),
-    };
-    let recent = |event: &&FaultEvent| event.at + CONTACT_TIME > sight.begun && concerns(event);
-    if earlier.iter().copied().any(|event| recent(&event)) {
+    let concerns =
+        |kind: FaultKind| router_of(kind) == Some(sight.router) || controller_of(kind).is_some();
+    let recent = |event: &&FaultEvent| event.at + CONTACT_TIME > sight.begun;
+    if earlier.iter().copied().any(|event| recent(&event) && concerns(event.kind)) {
         return false;
     }
     let active: Vec<FaultKind> = earlier
@@ -83,16 +79,22 @@
         })
         .map(|event| event.kind)
         .collect();
-    let own = active.iter().any(|kind| {
-        matches!(kind, FaultKind::KillRouter(router) | FaultKind::PauseRouter(router)
-            | FaultKind::StopRouter(router) if *router == sight.router)
-    });
+    let own = active.iter().any(|kind| router_of(*kind) == Some(sight.router));
     let mut touched: Vec<usize> = active.iter().filter_map(|kind| controller_of(*kind)).collect();
     touched.sort_unstable();
     touched.dedup();
     !own && 2 * (controllers - touched.len()) > controllers
 }
 
+fn router_of(kind: FaultKind) -> Option<usize> {
+    match kind {
+        FaultKind::KillRouter(index)
+        | FaultKind::PauseRouter(index)
+        | FaultKind::StopRouter(index) => Some(index),
+        _ => None,
+    }
+}
+
 fn controller_of(kind: FaultKind) -> Option<usize> {
     match kind {
         FaultKind::KillController(index)
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -234,9 +234,11 @@
     for (at, begins, kind) in steps {
         tokio::time::sleep_until(start + at).await;
         evidence.process_faults.extend(site.ended_by_themselves());
-        note_event(records, begins, kind, evidence);
         match begins {
-            true => site.begin(kind).await,
+            true => {
+                note_event(records, true, kind, evidence);
+                site.begin(kind).await;
+            }
             false => {
                 note_end(site, kind, evidence).await?;
                 note_event(records, false, kind, evidence);
