A late answer no longer costs a router its connection to a controller

Cause: each call that was not answered in time dropped the connection that all calls of a client share. On a router whose tasks wait for each other a new connection and its handshake take longer than the next time-out, so calls kept failing until the flood ended. Class: a time-out that is taken for a lost peer. Ruled out: a cut of the host (with longer time-outs,, the same router was answered in the same spans), late timers (no delay of the event loop over 0.28 s).

Change: a connection is dropped after a time-out only if nothing came from the peer on it since the call began.

--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP/2 client for peers: one multiplexed connection each.
 
 use crate::codec::{self, MESSAGE_LIMIT};
+use crate::counted_stream::{CountedStream, ReadCount};
 use crate::http_server::ErrorBody;
 use crate::tcp_options::set_user_timeout;
 use baobabfall_core::error_kind::ErrorKind;
@@ -58,13 +59,20 @@
 #[derive(Debug)]
 pub struct PeerClient {
     address: SocketAddr,
-    sender: Mutex<Option<SendRequest<Full<Bytes>>>>,
+    held: Mutex<Option<HeldConnection>>,
+}
+
+/// A connection and what came from the peer on it.
+#[derive(Clone, Debug)]
+struct HeldConnection {
+    sender: SendRequest<Full<Bytes>>,
+    reads: ReadCount,
 }
 
 impl PeerClient {
     /// A client of the peer at `address`; connects at the first call.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, sender: Mutex::new(None) }
+        Self { address, held: Mutex::new(None) }
     }
 
     /// Address of the peer.
@@ -76,11 +84,13 @@
         PeerError::Unreachable { address: self.address, reason: reason.to_string() }
     }
 
-    async fn connected(&self) -> Result<SendRequest<Full<Bytes>>, PeerError> {
-        let mut held = self.sender.lock().await;
-        if let Some(sender) = held.as_ref().filter(|sender| !sender.is_closed()) {
-            return Ok(sender.clone());
+    async fn connected(&self) -> Result<HeldConnection, PeerError> {
+        let mut held = self.held.lock().await;
+        if let Some(connection) = held.as_ref().filter(|held| !held.sender.is_closed()) {
+            return Ok(connection.clone());
         }
+        let reads = ReadCount::default();
+        let counted = reads.clone();
         let connect = async {
             let stream = TcpStream::connect(self.address).await.map_err(|e| self.unreachable(e))?;
             let _ = stream.set_nodelay(true);
@@ -89,7 +99,7 @@
                 .timer(TokioTimer::new())
                 .keep_alive_interval(Duration::from_secs(2))
                 .keep_alive_timeout(Duration::from_secs(2))
-                .handshake(TokioIo::new(stream))
+                .handshake(TokioIo::new(CountedStream::new(stream, counted)))
                 .await
                 .map_err(|error| self.unreachable(error))
         };
@@ -97,8 +107,23 @@
             .await
             .map_err(|_| self.unreachable("the connection was not established in time"))??;
         tokio::spawn(connection);
-        *held = Some(sender.clone());
-        Ok(sender)
+        Ok(held.insert(HeldConnection { sender, reads }).clone())
+    }
+
+    /// Drops the connection that a call used in vain, if nothing came from the
+    /// peer since `reads`: it vanished without closing and would hold every
+    /// later call until its timeout. A peer that answers others is slow, or
+    /// this process is, and a new connection would make that worse.
+    async fn drop_silent(&self, used: &HeldConnection, reads: u64) {
+        // What has arrived by now is read before the count is looked at.
+        tokio::task::yield_now().await;
+        if used.reads.get() != reads && !used.sender.is_closed() {
+            return;
+        }
+        let mut held = self.held.lock().await;
+        if held.as_ref().is_some_and(|held| held.reads.is_same(&used.reads)) {
+            *held = None;
+        }
     }
 
     /// Sends a request and reads the whole answer within `timeout`.
@@ -111,8 +136,12 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, PeerError> {
+        let mut used = None;
         let exchange = async {
-            let mut sender = self.connected().await?;
+            let connection = self.connected().await?;
+            let mut sender = connection.sender.clone();
+            let reads = connection.reads.get();
+            used = Some((connection, reads));
             let mut request = Request::builder()
                 .method(method)
                 .uri(format!("http://{}{path}", self.address))
@@ -137,9 +166,10 @@
         let result = tokio::time::timeout(timeout, exchange)
             .await
             .unwrap_or_else(|_| Err(self.unreachable("no answer in time")));
-        if matches!(result, Err(PeerError::Unreachable { .. })) {
-            // A peer that vanished without closing would hold every later call until its timeout.
-            *self.sender.lock().await = None;
+        if matches!(result, Err(PeerError::Unreachable { .. }))
+            && let Some((connection, reads)) = used
+        {
+            self.drop_silent(&connection, reads).await;
         }
         result
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! Plumbing shared by the processes of baobabfall.
 
 pub mod codec;
+pub mod counted_stream;
 pub mod credentials;
 pub mod http_client;
 pub mod http_server;
