--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -125,6 +125,10 @@
         meaning: "A request failed without an upstream's answer; `reason` is the error code.",
     },
     LogEvent { name: "request_rejected", meaning: "A request was rejected before it was queued." },
+    LogEvent {
+        name: "router_load",
+        meaning: "At most once a second while requests are refused for want of slots: requests `refused` on arrival, `expired` in the queue and `granted` a slot, `reports` answered by the dispatcher with the longest time for one in that second.",
+    },
     LogEvent { name: "router_ended", meaning: "The router has shut down." },
     LogEvent {
         name: "router_silent",
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -136,6 +136,9 @@
                 if !applied {
                     self.link.leader_failed(leader);
                 }
+                if wait_ms == 0 {
+                    self.queue.tally().count_report(sent.elapsed());
+                }
                 applied
             }
             Err(error) => {
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -364,6 +364,7 @@
             prompt: call.prompt_note(),
         };
         if self.number.is_none() && self.would_time_out(&request.key) {
+            self.state.router.queue.tally().count_refused();
             return Err((ErrorKind::DeadlineBeforeDispatch, None));
         }
         let queued_since = Instant::now();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod health_probe;
 pub mod leader_link;
 pub mod lease_book;
+pub mod load_tally;
 pub mod local_mode;
 pub mod options;
 pub mod process;
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -5,6 +5,7 @@
 use crate::lease_book::{
     DecisionList, GrantedSlot, LeaseBook, QueueDecision, QueueKey, WaitingRequest,
 };
+use crate::load_tally::LoadTally;
 use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptSummary, UpstreamRoute};
 use baobabfall_core::queue_gate::QueueGate;
 use baobabfall_core::sorted_map::SortedMap;
@@ -26,6 +27,7 @@
     book: Mutex<LeaseBook>,
     changed: Notify,
     gates: Mutex<SortedMap<QueueKey, QueueGate>>,
+    tally: LoadTally,
     started: Instant,
 }
 
@@ -65,6 +67,7 @@
             book: Mutex::new(LeaseBook::new()),
             changed: Notify::new(),
             gates: Mutex::default(),
+            tally: LoadTally::default(),
             started: Instant::now(),
         })
     }
@@ -95,6 +98,11 @@
         self.with_gate(key, QueueGate::record_expiry);
     }
 
+    /// Counts of refused, expired and granted requests and of reports.
+    pub fn tally(&self) -> &LoadTally {
+        &self.tally
+    }
+
     /// Locks the book. The guard must not be held across an `.await`.
     pub fn book(&self) -> MutexGuard<'_, LeaseBook> {
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
@@ -177,11 +185,15 @@
         match tokio::time::timeout_at(deadline, &mut self.receiver).await {
             Ok(Ok(QueueDecision::Granted(slot))) => {
                 self.queue.with_gate(&self.key, QueueGate::record_grant);
+                self.queue.tally.count_granted();
                 Ok(SlotLease::new(&self.queue, slot))
             }
             Ok(Ok(QueueDecision::Refused(wait))) => Err(QueueExit::Refused(wait)),
             Ok(Ok(QueueDecision::Stopping) | Err(_)) => Err(QueueExit::Stopping),
-            Err(_) => Err(QueueExit::Deadline),
+            Err(_) => {
+                self.queue.tally.count_expired();
+                Err(QueueExit::Deadline)
+            }
         }
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -52,6 +52,8 @@
 const UPSTREAM_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// How often open caller connections are counted for the log and the metrics.
 const CONNECTION_COUNT_INTERVAL: Duration = Duration::from_millis(250);
+/// How often the load of a router that refuses requests is logged.
+const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a graceful shutdown waits for the final reports to be acknowledged, and
 /// afterwards for the remaining connections to close.
 const FINAL_REPORTS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -283,6 +285,7 @@
     let relays = Arc::clone(&state.relays);
     tasks.spawn(async move { relays.run().await });
     tasks.spawn(watch_connections(Arc::clone(state)));
+    tasks.spawn(watch_load(Arc::clone(state)));
     if state.options.health_checks {
         tasks.spawn(watch_upstreams(Arc::clone(state)));
     }
@@ -332,6 +335,29 @@
     }
 }
 
+/// Logs once a second what became of the requests that needed a slot, while any are
+/// refused.
+async fn watch_load(state: Arc<RouterState>) {
+    let mut earlier = state.queue.tally().read();
+    loop {
+        tokio::time::sleep(LOAD_LOG_INTERVAL).await;
+        let reading = state.queue.tally().read();
+        let counts = reading.since(&earlier);
+        earlier = reading;
+        if counts.refused + counts.expired == 0 {
+            continue;
+        }
+        let queued = state.queue.book().queued();
+        log::info!(
+            event = "router_load", refused = counts.refused, expired = counts.expired,
+            granted = counts.granted, reports = counts.reports,
+            longest_report_ms = counts.longest_report_ms, queued = queued,
+            in_progress = state.in_progress(), open = state.open_connections();
+            "requests were refused for want of slots"
+        );
+    }
+}
+
 /// Health-checks the upstreams that have a long-running request. This detects an
 /// upstream that disappeared without closing its connections.
 async fn watch_upstreams(state: Arc<RouterState>) {
