Leave out times to first token that a late router cannot measure

Cause: the time to the first token includes the router's own delay. A router whose event loop runs late made the engines look slow, and the dispatcher shrank their prefill windows for every router.

Change: the time counts from the receipt of the grant by its request. If that took 5 ms or more, the router reports the token without a time; it makes room for the next prompt and leaves the window as it is.

Tests: first_token_after_late_receipt_is_unknown and dispatch_unknown_first_token_keeps_window fail with the mechanism taken out.

--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -1,7 +1,9 @@
 //! Processing of router reports: backlog, lease usage, router restarts, and
 //! routers that stop reporting.
 
-use crate::dispatch_messages::{BacklogEntry, DispatchReport, LeaseId, LeaseUsage, NodeIdentity};
+use crate::dispatch_messages::{
+    BacklogEntry, DispatchReport, LeaseId, LeaseUsage, NodeIdentity, UNKNOWN_FIRST_TOKEN_MS,
+};
 use crate::dispatch_state::{LeaseRecord, RouterState, TargetState};
 use crate::fair_order::weighted_cost;
 use crate::slot_dispatcher::SlotDispatcher;
@@ -283,16 +285,17 @@
         let upstream = record.upstream;
         let target_ms = record.target_ms;
         let prefill = std::mem::take(&mut record.prefill);
+        let placement = self.settings.placement;
         let state = &mut self.upstreams[upstream];
-        if state.incarnation == record.incarnation {
-            state.capacity.adapt_prefill_window(now, millis, target_ms, state.prefill);
-            state.prefill = state.prefill.saturating_sub(prefill);
+        if state.incarnation != record.incarnation {
+            return;
         }
-        if self.upstreams[upstream].incarnation == record.incarnation {
-            let placement = self.settings.placement;
-            self.upstreams[upstream].capacity.record_first_token(now, &placement, millis);
-            self.refresh_upstream(now, upstream);
+        if millis != UNKNOWN_FIRST_TOKEN_MS {
+            state.capacity.adapt_prefill_window(now, millis, target_ms, state.prefill);
+            state.capacity.record_first_token(now, &placement, millis);
         }
+        state.prefill = state.prefill.saturating_sub(prefill);
+        self.refresh_upstream(now, upstream);
     }
 
     /// Adds a lease that this dispatcher does not know: one of an earlier term,
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -16,6 +16,8 @@
 pub type CostUnits = u64;
 /// Number of [`CostUnits`] that make up one token.
 pub const UNITS_PER_TOKEN: CostUnits = 1000;
+/// Value of a time to the first token that the router could not measure.
+pub const UNKNOWN_FIRST_TOKEN_MS: u32 = 0;
 
 /// One run of a process of the fleet, from start to exit.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -127,7 +129,8 @@
     /// Cost so far; never decreases.
     #[serde(rename = "c")]
     pub charged: CostUnits,
-    /// Time to the first token in milliseconds; absent until the first token arrives.
+    /// Time to the first token in milliseconds; absent until the first token arrives,
+    /// and [`UNKNOWN_FIRST_TOKEN_MS`] when the router was too late itself to tell.
     #[serde(rename = "f")]
     pub first_token_ms: Option<u32>,
     /// Outcome, set once the slot is free again. Each report repeats it until the dispatcher
--- a/crates/core/tests/prompt_windows.rs
+++ b/crates/core/tests/prompt_windows.rs
@@ -48,6 +48,34 @@
     assert_eq!(router.receive(later, &mut dispatcher).len(), 1);
 }
 
+/// Guards against one overloaded router that reduces the load of every engine: it cannot tell
+/// whether a late first token is the engine's fault or its own. Such a token still makes room for
+/// the next prompt, and a late one of a router that can tell shrinks the window.
+#[test]
+fn dispatch_unknown_first_token_keeps_window() {
+    let cases = [
+        (UNKNOWN_FIRST_TOKEN_MS, 15_000, 2),
+        (150, 15_000, 1),
+        (UNKNOWN_FIRST_TOKEN_MS, 16_384, 1),
+        (40, 16_384, 2),
+    ];
+    for (first_token_ms, own, grants_after) in cases {
+        let engines = [engine("e0", &["m"], 48)];
+        let mut dispatcher = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
+        let mut router = ManualRouter::new("r");
+        let first = with_prompts(vec![prompt(1, 0, 16_000)]);
+        send(&mut dispatcher, START, &router.report(vec![first], vec![]));
+        let grants = router.receive(START, &mut dispatcher);
+        let later = START + ms(150);
+        let token =
+            LeaseUsage { first_token_ms: Some(first_token_ms), ..usage(&grants[0], 10, None) };
+        // The second prompt is granted while the first one leaves a part of the window free.
+        let waiting = with_prompts(vec![prompt(2, 0, own), prompt(3, 0, 4_000)]);
+        send(&mut dispatcher, later, &router.report(vec![waiting], vec![token]));
+        assert_eq!(router.receive(later, &mut dispatcher).len(), grants_after, "{first_token_ms}");
+    }
+}
+
 /// Guards against computing a cached prefix again: a request goes to the engine that
 /// has its prefix in the cache even if another engine is less loaded.
 #[test]
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -9,8 +9,8 @@
 use baobabfall_core::account_statement::{STATEMENT_LIMIT, StatementStore};
 use baobabfall_core::dispatch_messages::{
     BacklogEntry, BacklogRefusal, CostUnits, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId,
-    LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, PromptSummary, SlotGrant, UpstreamRestriction,
-    UpstreamRoute,
+    LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, PromptSummary, SlotGrant,
+    UNKNOWN_FIRST_TOKEN_MS, UpstreamRestriction, UpstreamRoute,
 };
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::sorted_map::SortedMap;
@@ -29,6 +29,13 @@
 /// Number of ended local-mode leases above which equal ones are merged.
 const ENDED_LOCAL_LEASES_LIMIT: usize = 256;
 
+/// Delay of the receipt of a grant, in milliseconds, from which the time to the first
+/// token is unknown. A request passes the event loop about four times until then, and
+/// four such delays are a tenth of the usual target.
+const LATE_RECEIPT_MS: u32 = 5;
+/// Value of a meter before the first token.
+const NO_FIRST_TOKEN: u32 = u32::MAX;
+
 /// Target of a request and name of the workspace that sent it.
 pub type QueueKey = (WorkTarget, String);
 
@@ -36,6 +43,8 @@
 #[derive(Debug)]
 pub struct LeaseMeter {
     granted: Instant,
+    /// Time between the grant and its receipt by the request, in milliseconds.
+    receipt_ms: AtomicU32,
     charged: AtomicU64,
     first_token_ms: AtomicU32,
 }
@@ -45,8 +54,9 @@
     pub fn start() -> Self {
         Self {
             granted: Instant::now(),
+            receipt_ms: AtomicU32::new(0),
             charged: AtomicU64::new(0),
-            first_token_ms: AtomicU32::new(0),
+            first_token_ms: AtomicU32::new(NO_FIRST_TOKEN),
         }
     }
 
@@ -65,19 +75,34 @@
         self.charged.load(Ordering::Relaxed)
     }
 
+    /// Records that the request received the grant at `now`.
+    pub fn set_receipt(&self, now: Instant) {
+        self.receipt_ms.store(self.millis_since_grant(now), Ordering::Relaxed);
+    }
+
     /// Records that the first token arrived at `now`.
     ///
-    /// The time to first token is measured from the grant. Time spent in the
-    /// queue is excluded, because the dispatcher would mistake it for an
-    /// overload of the upstream.
+    /// The time to first token is measured from the receipt of the grant. Time spent
+    /// in the queue is excluded, because the dispatcher would mistake it for an
+    /// overload of the upstream. So is any time when the grant was received late:
+    /// the event loop then also sends requests and reads answers late.
     pub fn set_first_token(&self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.granted);
-        let millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX).max(1);
+        let receipt_ms = self.receipt_ms.load(Ordering::Relaxed);
+        let millis = match receipt_ms < LATE_RECEIPT_MS {
+            true => self.millis_since_grant(now).saturating_sub(receipt_ms).max(1),
+            false => UNKNOWN_FIRST_TOKEN_MS,
+        };
         self.first_token_ms.store(millis, Ordering::Relaxed);
     }
 
+    fn millis_since_grant(&self, now: Instant) -> u32 {
+        let elapsed = now.saturating_duration_since(self.granted);
+        u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX).min(NO_FIRST_TOKEN - 1)
+    }
+
     fn first_token_ms(&self) -> Option<u32> {
-        Some(self.first_token_ms.load(Ordering::Relaxed)).filter(|millis| *millis > 0)
+        let millis = self.first_token_ms.load(Ordering::Relaxed);
+        (millis != NO_FIRST_TOKEN).then_some(millis)
     }
 }
 
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -186,6 +186,7 @@
             Ok(Ok(QueueDecision::Granted(slot))) => {
                 self.queue.with_gate(&self.key, QueueGate::record_grant);
                 self.queue.tally.count_granted();
+                slot.meter.set_receipt(Instant::now());
                 Ok(SlotLease::new(&self.queue, slot))
             }
             Ok(Ok(QueueDecision::Refused(wait))) => Err(QueueExit::Refused(wait)),
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -4,7 +4,8 @@
 
 use baobabfall_core::account_statement::{AccountStatement, StatementStamp};
 use baobabfall_core::dispatch_messages::{
-    BacklogRefusal, DispatchAnswer, LeaseEnd, LeaseId, NodeIdentity, SlotGrant, UpstreamRoute,
+    BacklogRefusal, DispatchAnswer, LeaseEnd, LeaseId, NodeIdentity, SlotGrant,
+    UNKNOWN_FIRST_TOKEN_MS, UpstreamRoute,
 };
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::upstream_notices::UpstreamNotice;
@@ -285,6 +286,26 @@
     assert_eq!((full.full, full.usage.len()), (true, 2));
 }
 
+/// Guards against a router whose event loop runs late and that reports its own delay as that of
+/// the engine, which then gets less work from every router.
+#[tokio::test(start_paused = true)]
+async fn first_token_after_late_receipt_is_unknown() {
+    let mut book = LeaseBook::new();
+    for (number, expected) in [(4, 30), (40, UNKNOWN_FIRST_TOKEN_MS)] {
+        let mut receiver = enqueue(&mut book, None);
+        apply(&mut book, answer(4, 0, vec![grant(4, number)]));
+        let slot = take_granted_slot(&mut receiver).unwrap();
+        tokio::time::advance(Duration::from_millis(number)).await;
+        slot.meter.set_receipt(tokio::time::Instant::now());
+        tokio::time::advance(Duration::from_millis(30)).await;
+        slot.meter.set_first_token(tokio::time::Instant::now());
+        slot.meter.charge(10);
+        let report = book.build_report(&identity(), "a", 0);
+        let usage = report.usage.iter().find(|usage| usage.lease == slot.lease).unwrap();
+        assert_eq!(usage.first_token_ms, Some(expected));
+    }
+}
+
 /// Guards against a router that loses the account statements which the next dispatcher needs, or
 /// that sends them with every report instead of only with full ones.
 #[test]
