Quarantine parts of prompts that crash upstreams

Cause: nothing recorded what the crashed requests have in common. Each new one went to the next running upstream, and routers sent one whose upstream had crashed once more. The hash of the whole shared prefix can't show it, as no two such requests share all their parts.

Change: routers report requests that an upstream dropped before the first event, with the parts of their prompts. Routers refuse requests with a quarantined part at once, queued, granted and retried ones too, with the time left as Retry-After.

--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -120,6 +120,10 @@
             for router in dispatcher.expire(now) {
                 log::warn!(event = "router_silent", router = router; "router stopped reporting; reclaiming its slots");
             }
+            for found in dispatcher.quarantine_parts(now) {
+                let part = format!("{:016x}", found.part);
+                log::warn!(event = "prompt_part_found", part = part, crashes = found.crashes; "upstreams crashed on requests with this part of a prompt; routers refuse such requests");
+            }
         });
     }
 
@@ -152,8 +156,10 @@
                 }
                 dispatcher.take_answer(now, &report.router.name)
             };
-            let has_content =
-                answer.resync || !answer.grants.is_empty() || !answer.refusals.is_empty();
+            let has_content = answer.resync
+                || answer.parts.is_some()
+                || !answer.grants.is_empty()
+                || !answer.refusals.is_empty();
             if has_content || Instant::now() >= end {
                 return Ok(answer);
             }
--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -3,7 +3,7 @@
 //! This module reads no clock; the benchmark times [`DecisionWorkload::run`].
 
 use crate::dispatch_messages::{
-    BacklogEntry, DispatchReport, LeaseEnd, LeaseUsage, NodeIdentity, UNITS_PER_TOKEN,
+    BacklogEntry, DispatchReport, LeaseEnd, LeaseUsage, NodeIdentity, PartReport, UNITS_PER_TOKEN,
 };
 use crate::dispatch_settings::DispatchSettings;
 use crate::slot_dispatcher::SlotDispatcher;
@@ -77,6 +77,7 @@
             wait_ms: 0,
             statements: Vec::new(),
             restrictions: Vec::new(),
+            parts: PartReport::default(),
         };
         self.dispatcher.apply_report(Duration::ZERO, &report);
         self.dispatcher.finish_recovery(Duration::ZERO);
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -2,7 +2,8 @@
 //! routers that stop reporting.
 
 use crate::dispatch_messages::{
-    BacklogEntry, DispatchReport, LeaseId, LeaseUsage, NodeIdentity, UNKNOWN_FIRST_TOKEN_MS,
+    BacklogEntry, DispatchReport, LeaseId, LeaseUsage, NodeIdentity, PartReport,
+    UNKNOWN_FIRST_TOKEN_MS,
 };
 use crate::dispatch_state::{LeaseRecord, RouterState, TargetState};
 use crate::fair_order::weighted_cost;
@@ -61,6 +62,7 @@
         self.apply_received_grants(id, report.received_grant, &mut affected);
         self.apply_backlog(id, report, &mut affected);
         self.apply_restrictions(now, id, report);
+        self.apply_parts(now, id, &report.parts);
         self.record_statements(&report.statements);
         self.apply_usage(now, id, report, &mut affected);
         self.apply_charges(now, id, report, &mut affected);
@@ -183,6 +185,22 @@
         }
     }
 
+    /// Records what the router reports about parts of prompts.
+    fn apply_parts(&mut self, now: Duration, id: usize, parts: &PartReport) {
+        let version = self.crashes.version();
+        self.routers[id].parts_version = parts.version;
+        for quarantine in &parts.quarantined {
+            self.crashes.restore_quarantine(now, quarantine);
+        }
+        for part in &parts.sound {
+            self.crashes.record_sound(now, *part);
+        }
+        for casualty in &parts.casualties {
+            self.crashes.record_casualty(now, casualty);
+        }
+        self.announce_parts(version);
+    }
+
     /// Upstreams that want no requests from the router now.
     pub(crate) fn quiet_upstreams(&self, now: Duration, router: usize) -> Vec<usize> {
         let quiet = self.routers[router].quiet.iter().filter(|(upstream, (incarnation, until))| {
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -156,6 +156,67 @@
     pub quiet_ms: u32,
 }
 
+/// Hash of the id of one part of a prompt.
+pub type PartId = u64;
+
+/// Request that an upstream dropped before its first token, most likely because it
+/// crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashCasualty {
+    /// Name of the upstream.
+    #[serde(rename = "n")]
+    pub upstream: String,
+    /// Incarnation of the upstream; the casualties of one incarnation belong to one crash.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Shareable parts of the request's prompt.
+    #[serde(rename = "p")]
+    pub parts: Vec<PartId>,
+}
+
+/// Part of a prompt that crashes upstreams, so that requests with it are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartQuarantine {
+    /// The part.
+    #[serde(rename = "p")]
+    pub part: PartId,
+    /// Time left, in milliseconds.
+    #[serde(rename = "l")]
+    pub left_ms: u32,
+}
+
+/// What a router reports about parts of prompts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartReport {
+    /// Version of the [`PartList`] that the router holds; zero when it has none of this
+    /// dispatcher.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Dropped requests that are not acknowledged.
+    #[serde(default, rename = "c", skip_serializing_if = "Vec::is_empty")]
+    pub casualties: Vec<CrashCasualty>,
+    /// Listed parts with which a request was answered.
+    #[serde(default, rename = "s", skip_serializing_if = "Vec::is_empty")]
+    pub sound: Vec<PartId>,
+    /// In a full report, the parts that the router holds in quarantine.
+    #[serde(default, rename = "q", skip_serializing_if = "Vec::is_empty")]
+    pub quarantined: Vec<PartQuarantine>,
+}
+
+/// Parts of prompts that routers are asked about and those whose requests they refuse.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartList {
+    /// Version of the list; increases with each change within a dispatcher's term.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Suspects: routers report when a request with such a part is answered.
+    #[serde(rename = "w")]
+    pub watched: Vec<PartId>,
+    /// Parts in quarantine.
+    #[serde(rename = "q")]
+    pub quarantined: Vec<PartQuarantine>,
+}
+
 /// Report that a router sends to the dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchReport {
@@ -203,6 +264,10 @@
     /// those that changed. Routers of releases without this field leave it out.
     #[serde(default, skip_serializing_if = "Vec::is_empty", rename = "x")]
     pub restrictions: Vec<UpstreamRestriction>,
+    /// Parts of prompts that crash upstreams, or do not. Routers of releases without this field
+    /// leave it out.
+    #[serde(default, rename = "p")]
+    pub parts: PartReport,
 }
 
 /// Address and protocol features with which a router calls an upstream.
@@ -285,4 +350,7 @@
     /// releases without this field leave it out.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub statements: Vec<AccountStatement>,
+    /// The list of parts of prompts, when the router holds another version of it.
+    #[serde(default, skip_serializing_if = "Option::is_none", rename = "p")]
+    pub parts: Option<PartList>,
 }
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -182,6 +182,8 @@
     pub needs_answer: bool,
     /// Upstreams that want no requests from the router: incarnation and end of that time.
     pub quiet: SortedMap<usize, (u64, Duration)>,
+    /// Version of the list of parts that the router holds.
+    pub parts_version: u64,
 }
 
 impl RouterState {
@@ -203,6 +205,7 @@
             pending_refusals: SortedMap::new(),
             needs_answer: false,
             quiet: SortedMap::new(),
+            parts_version: 0,
         }
     }
 }
--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -72,6 +72,8 @@
     DeadlineAfterDispatch: 504, "deadline_after_dispatch", false, false, 5;
     /// No upstream could take the request.
     NoUpstream: 503, "no_upstream", true, true, 5;
+    /// Requests with a part of this prompt crashed upstreams.
+    PromptQuarantined: 503, "prompt_quarantined", true, true, 5;
     /// The upstream failed after the request was sent to it.
     UpstreamFailed: 502, "upstream_failed", false, false, 5;
     /// The upstream broke its answer off or its framing was wrong.
--- /dev/null
+++ b/crates/core/src/part_book.rs
@@ -0,0 +1,150 @@
+//! What a router knows about the parts of prompts: which were answered lately, which
+//! the dispatcher asks about, and which are in quarantine.
+
+use crate::crash_tracker::{QUARANTINE_TIME, SOUND_RETENTION};
+use crate::dispatch_messages::{CrashCasualty, PartId, PartList, PartQuarantine, PartReport};
+use crate::sorted_map::SortedMap;
+use std::time::Duration;
+
+/// Most parts that are remembered as answered; older ones are dropped.
+const SOUND_LIMIT: usize = 4096;
+/// Most dropped requests that wait to be reported.
+const CASUALTY_LIMIT: usize = 64;
+/// Most parts of one dropped request that are reported.
+const CASUALTY_PART_LIMIT: usize = 16;
+
+/// Parts of prompts at one router. Each change is reported from the report with the
+/// sequence number `sequence` on, until it is acknowledged.
+///
+/// ```
+/// use baobabfall_core::dispatch_messages::{PartList, PartQuarantine};
+/// use baobabfall_core::part_book::PartBook;
+/// use std::time::Duration;
+/// let mut book = PartBook::default();
+/// let now = Duration::from_secs(1);
+/// let quarantined = vec![PartQuarantine { part: 7, left_ms: 2_000 }];
+/// book.apply_list(now, &PartList { version: 1, watched: vec![], quarantined }, 1);
+/// assert_eq!(book.quarantine_left(now, &[3, 7]), Some(Duration::from_secs(2)));
+/// assert_eq!(book.quarantine_left(now, &[3]), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct PartBook {
+    /// Time at which a request with the part last began to be answered.
+    answered: SortedMap<PartId, Duration>,
+    watched: Vec<PartId>,
+    /// End of each quarantine.
+    quarantined: SortedMap<PartId, Duration>,
+    version: u64,
+    /// Watched or quarantined parts that were answered, with their report.
+    sound: SortedMap<PartId, u64>,
+    /// Dropped requests, with their report.
+    casualties: Vec<(CrashCasualty, u64)>,
+}
+
+impl PartBook {
+    /// Records that an upstream began to answer a request with these parts. Returns true
+    /// when the dispatcher should learn of it.
+    pub fn record_answer(&mut self, now: Duration, parts: &[PartId], sequence: u64) -> bool {
+        if self.answered.len() + parts.len() > SOUND_LIMIT {
+            let mut times: Vec<Duration> = self.answered.values().copied().collect();
+            times.sort_unstable();
+            let median = times[times.len() / 2];
+            self.answered.retain(|_, at| *at > median);
+        }
+        let mut changed = false;
+        for part in parts {
+            self.answered.insert(*part, now);
+            changed |= self.report_sound(*part, sequence);
+        }
+        changed
+    }
+
+    /// Records a request that an upstream dropped before its first token.
+    pub fn record_casualty(&mut self, casualty: CrashCasualty, sequence: u64) {
+        if casualty.parts.is_empty() || self.casualties.len() >= CASUALTY_LIMIT {
+            return;
+        }
+        let mut casualty = casualty;
+        casualty.parts.truncate(CASUALTY_PART_LIMIT);
+        self.casualties.push((casualty, sequence));
+    }
+
+    /// Applies the dispatcher's list and returns the parts that are newly in quarantine.
+    pub fn apply_list(&mut self, now: Duration, list: &PartList, sequence: u64) -> Vec<PartId> {
+        let left = |quarantine: &PartQuarantine| {
+            Duration::from_millis(quarantine.left_ms.into()).min(QUARANTINE_TIME)
+        };
+        let known = std::mem::take(&mut self.quarantined);
+        for quarantine in &list.quarantined {
+            self.quarantined.insert(quarantine.part, now + left(quarantine));
+        }
+        self.watched = list.watched.clone();
+        self.watched.sort_unstable();
+        self.version = list.version;
+        let listed = self.watched.iter().chain(self.quarantined.keys());
+        let is_recent =
+            |part: &&PartId| self.answered.get(*part).is_some_and(|at| now < *at + SOUND_RETENTION);
+        let answered: Vec<PartId> = listed.filter(is_recent).copied().collect();
+        for part in answered {
+            self.report_sound(part, sequence);
+        }
+        let added = self.quarantined.keys().filter(|part| !known.contains_key(*part));
+        added.copied().collect()
+    }
+
+    /// Time until requests with one of these parts may run again; `None` when they may.
+    pub fn quarantine_left(&self, now: Duration, parts: &[PartId]) -> Option<Duration> {
+        if self.quarantined.is_empty() {
+            return None;
+        }
+        let ends = parts.iter().filter_map(|part| self.quarantined.get(part));
+        ends.max().filter(|until| **until > now).map(|until| *until - now)
+    }
+
+    /// Forgets which list the dispatcher has sent, for a new dispatcher.
+    pub fn forget_version(&mut self) {
+        self.version = 0;
+    }
+
+    /// What a report contains: everything that is not acknowledged, and in a full report
+    /// also the quarantined parts, for a new dispatcher.
+    pub fn report(&self, now: Duration, full: bool, since: u64) -> PartReport {
+        let is_new = |sequence: &u64| full || *sequence > since;
+        let sound = self.sound.iter().filter(|(_, sequence)| is_new(sequence));
+        let casualties = self.casualties.iter().filter(|(_, sequence)| is_new(sequence));
+        let quarantined = self.quarantined.iter().filter(|(_, until)| full && **until > now);
+        PartReport {
+            version: self.version,
+            casualties: casualties.map(|(casualty, _)| casualty.clone()).collect(),
+            sound: sound.map(|(part, _)| *part).collect(),
+            quarantined: quarantined
+                .map(|(part, until)| PartQuarantine {
+                    part: *part,
+                    left_ms: u32::try_from((*until - now).as_millis()).unwrap_or(u32::MAX),
+                })
+                .collect(),
+        }
+    }
+
+    /// Drops what the dispatcher has acknowledged.
+    pub fn acknowledge(&mut self, since: u64) {
+        self.casualties.retain(|(_, sequence)| *sequence > since);
+        self.sound.retain(|_, sequence| *sequence > since);
+    }
+
+    /// True when there is something that the dispatcher has not acknowledged.
+    pub fn is_changed(&self, since: u64) -> bool {
+        self.casualties.iter().any(|(_, sequence)| *sequence > since)
+            || self.sound.values().any(|sequence| *sequence > since)
+    }
+
+    fn report_sound(&mut self, part: PartId, sequence: u64) -> bool {
+        let is_listed =
+            self.watched.binary_search(&part).is_ok() || self.quarantined.contains_key(&part);
+        let is_news = is_listed && !self.sound.contains_key(&part);
+        if is_news {
+            self.sound.insert(part, sequence);
+        }
+        is_news
+    }
+}
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::account_carryover::RECEIVED_STATEMENT_LIMIT;
 use crate::account_statement::StatementStore;
 use crate::cost_estimate::CostEstimate;
+use crate::crash_tracker::{CrashTracker, FoundPart};
 use crate::dispatch_messages::{BacklogRefusal, DispatchAnswer, LeaseId, SlotGrant};
 use crate::dispatch_settings::DispatchSettings;
 use crate::dispatch_state::{
@@ -87,6 +88,7 @@
 ///     wait_ms: 0,
 ///     statements: vec![],
 ///     restrictions: Vec::new(),
+///     parts: PartReport::default(),
 /// });
 /// assert_eq!(dispatcher.dispatch(now), 1);
 /// assert_eq!(dispatcher.routers_to_wake(), ["entry-1"]);
@@ -126,6 +128,8 @@
     pub(crate) free_routers: Vec<usize>,
     pub(crate) costs: CostEstimate,
     pub(crate) prefix_hints: PrefixHints,
+    /// Parts of prompts that crash upstreams.
+    pub(crate) crashes: CrashTracker,
     /// Workspaces that wait because of their rate limits, ordered by the end of the wait.
     pub(crate) rate_limited: IndexedHeap<Duration>,
     /// Upstreams whose slots change over time: ejected ones and those in slow start.
@@ -174,6 +178,7 @@
             free_routers: Vec::new(),
             costs: CostEstimate::new(settings.estimate_limit),
             prefix_hints: PrefixHints::new(settings.placement.prefix_hint_limit),
+            crashes: CrashTracker::default(),
             rate_limited: IndexedHeap::new(),
             changing_upstreams: Vec::new(),
         }
@@ -492,6 +497,7 @@
             refusals: Vec::new(),
             routers,
             statements: Vec::new(),
+            parts: None,
         };
         let Some(id) = self.router_names.get(router_name).copied() else { return answer };
         let mut pending_refusals = std::mem::take(&mut self.routers[id].pending_refusals);
@@ -510,9 +516,30 @@
         answer.acknowledged = if self.recovering { 0 } else { router.sequence };
         answer.grants = router.pending_grants.iter().take(GRANTS_PER_ANSWER).cloned().collect();
         answer.statements = self.build_statements(id);
+        // A router that is not synced may hold quarantines that this dispatcher does not know yet.
+        let holds_list = self.routers[id].parts_version == self.crashes.version();
+        answer.parts = (!holds_list && !answer.resync).then(|| self.crashes.list(now));
         answer
     }
 
+    /// Quarantines parts of prompts that crash upstreams, and returns them.
+    pub fn quarantine_parts(&mut self, now: Duration) -> Vec<FoundPart> {
+        let version = self.crashes.version();
+        let found = self.crashes.evaluate(now);
+        self.announce_parts(version);
+        found
+    }
+
+    /// Wakes every router when the list of parts is not of `version` any more.
+    pub(crate) fn announce_parts(&mut self, version: u64) {
+        if self.crashes.version() == version {
+            return;
+        }
+        for id in self.router_names.values() {
+            self.routers[*id].needs_answer = true;
+        }
+    }
+
     fn refusal_for(
         &mut self,
         now: Duration,
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -117,6 +117,7 @@
             wait_ms: 0,
             statements: Vec::new(),
             restrictions: Vec::new(),
+            parts: PartReport::default(),
         }
     }
 
@@ -267,6 +268,7 @@
                 false => Vec::new(),
             },
             restrictions: Vec::new(),
+            parts: PartReport::default(),
         }
     }
 
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -124,6 +124,14 @@
         name: "request_refused",
         meaning: "A request failed without an upstream's answer; `reason` is the error code.",
     },
+    LogEvent {
+        name: "prompt_part_found",
+        meaning: "The dispatcher found a part of a prompt that explains the latest crashes of upstreams; `part` is the hash of its id, `crashes` their number.",
+    },
+    LogEvent {
+        name: "prompt_part_quarantined",
+        meaning: "The router refuses requests with this part of a prompt with `prompt_quarantined`.",
+    },
     LogEvent { name: "request_rejected", meaning: "A request was rejected before it was queued." },
     LogEvent {
         name: "router_load",
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -5,7 +5,7 @@
 
 use crate::leader_link::LeaderLink;
 use crate::request_queue::SharedQueue;
-use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity};
+use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity, PartList};
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_node::messages::REPORT_PATH;
 use std::sync::Arc;
@@ -156,16 +156,29 @@
     }
 
     fn apply(&self, answer: DispatchAnswer) -> bool {
-        let (term, resync) = (answer.term, answer.resync);
+        let (term, resync, parts) = (answer.term, answer.resync, answer.parts.clone());
         let Some(decisions) = self.queue.book().apply_answer(answer) else {
             log::warn!(event = "dispatch_answer_stale", term = term; "ignoring a dispatch answer from an older term");
             return false;
         };
         self.answered_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
         self.queue.deliver(decisions);
+        if let Some(list) = parts {
+            self.apply_part_list(&list);
+        }
         if resync {
             self.queue.notify();
         }
         true
     }
+
+    fn apply_part_list(&self, list: &PartList) {
+        let added = self.queue.book().apply_part_list(list);
+        // The next report confirms the list, and tells which listed parts were answered here.
+        self.queue.notify();
+        for part in added {
+            let part = format!("{part:016x}");
+            log::warn!(event = "prompt_part_quarantined", part = part; "upstreams crashed on requests with this part of a prompt; refusing them");
+        }
+    }
 }
--- a/crates/router/src/exchange_protocol.rs
+++ b/crates/router/src/exchange_protocol.rs
@@ -3,6 +3,7 @@
 //! An adapter implements [`ExchangeProtocol`] to read and write the headers that
 //! callers, routers and upstreams use. The router decides what follows from them.
 
+use baobabfall_core::dispatch_messages::PartId;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::upstream_notices::UpstreamNotice;
 use bytes::Bytes;
@@ -23,6 +24,8 @@
     pub deadline: Option<Duration>,
     /// Hash of the prompt prefix that other requests share.
     pub prefix: Option<u64>,
+    /// Parts of that prefix, each of which other prompts may contain.
+    pub parts: Vec<PartId>,
     /// Number of tokens in that prefix.
     pub shared_tokens: u64,
     /// Number of tokens in the whole prompt.
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -216,6 +216,10 @@
                 lease.finish(LeaseEnd::Unused);
                 continue;
             }
+            if let Some(left) = self.quarantine_left() {
+                lease.finish(LeaseEnd::Unused);
+                return Err((ErrorKind::PromptQuarantined, Some(left)));
+            }
             match send_call(&self.state, &self.call, lease, last_event).await {
                 Ok(opened) => {
                     self.attempts += 1;
@@ -325,6 +329,15 @@
         Some(SlotLease::direct(&router.direct, &self.call.service, slot))
     }
 
+    /// Time until requests with the parts of this prompt may run again, if one of them
+    /// crashed upstreams.
+    fn quarantine_left(&self) -> Option<Duration> {
+        match self.call.head.parts.as_slice() {
+            [] => None,
+            parts => self.state.router.queue.book().quarantine_left(parts),
+        }
+    }
+
     /// Time until the first upstream of the target takes requests again, if each of them
     /// has told this router to send it none and the request would wait in vain.
     fn time_until_upstream(&self, target: &WorkTarget) -> Option<Duration> {
@@ -349,6 +362,9 @@
         if self.avoid.is_some() && self.state.router.fleet.serving_count(&target) < 2 {
             self.avoid = None;
         }
+        if let Some(left) = self.quarantine_left() {
+            return Err((ErrorKind::PromptQuarantined, Some(left)));
+        }
         if let Some(lease) = self.take_direct_slot(&target) {
             return Ok(lease);
         }
@@ -423,11 +439,18 @@
                 // slots are chosen by this router for each request, so a server
                 // error counts as a failure there too.
                 let failed = opened.lease.is_direct() && response.status().is_server_error();
+                if response.status().is_success() {
+                    self.state.router.queue.record_answered_parts(&self.call.head.parts);
+                }
                 opened.complete(if failed { LeaseEnd::Failed } else { LeaseEnd::Finished });
                 let body = Full::new(collected.to_bytes());
                 return Ok(response.map(|()| ExchangeBody::from(body)));
             }
-            Ok(Err(error)) => (ErrorKind::AnswerIncomplete, error.to_string()),
+            Ok(Err(error)) => {
+                let route = opened.lease.route();
+                self.state.router.queue.record_casualty(route, &self.call.head.parts);
+                (ErrorKind::AnswerIncomplete, error.to_string())
+            }
             Err(_) => (ErrorKind::DeadlineAfterDispatch, "the deadline passed".to_owned()),
         };
         let upstream = opened.lease.route().name.clone();
--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -86,6 +86,7 @@
             return fail(ErrorKind::NoUpstream, false, false, reason);
         }
         Ok(Err(ExchangeError::Sent(reason))) => {
+            state.router.queue.record_casualty(&route, &call.head.parts);
             lease.finish(LeaseEnd::Failed);
             return fail(ErrorKind::UpstreamFailed, true, true, reason);
         }
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -70,6 +70,10 @@
         let RelayEnd::Broken(reason) = &end else {
             return finish_relay(&mut run, opened, &sender, end, splitter.events()).await;
         };
+        if splitter.events() == 0 {
+            let route = opened.lease.route();
+            run.state.router.queue.record_casualty(route, &run.call.head.parts);
+        }
         let resumable = run.call.route.kind == RouteKind::ResumableStream;
         let will_resume = resumable && run.try_retry(true);
         log::info!(
@@ -134,6 +138,7 @@
             run.meter.record_first_event(run.call.arrival.elapsed());
             // The first event shows that the prompt was processed. It is reported at
             // once, because the dispatcher then grants further prompts.
+            run.state.router.queue.record_answered_parts(&run.call.head.parts);
             run.state.router.queue.notify();
         }
         meter.charge((splitter.events() - before) * event_cost);
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -8,11 +8,12 @@
 
 use baobabfall_core::account_statement::{STATEMENT_LIMIT, StatementStore};
 use baobabfall_core::dispatch_messages::{
-    BacklogEntry, BacklogRefusal, CostUnits, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId,
-    LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, PromptSummary, SlotGrant,
-    UNKNOWN_FIRST_TOKEN_MS, UpstreamRestriction, UpstreamRoute,
+    BacklogEntry, BacklogRefusal, CostUnits, CrashCasualty, DispatchAnswer, DispatchReport,
+    LeaseEnd, LeaseId, LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, PartId, PartList,
+    PromptSummary, SlotGrant, UNKNOWN_FIRST_TOKEN_MS, UpstreamRestriction, UpstreamRoute,
 };
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
+use baobabfall_core::part_book::PartBook;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_notices::{UpstreamNotice, UpstreamNotices};
 use baobabfall_core::upstream_registry::WorkTarget;
@@ -219,6 +220,7 @@
     queued: usize,
     statements: StatementStore,
     notices: NoticeBook,
+    parts: PartBook,
 }
 
 impl LeaseBook {
@@ -240,6 +242,38 @@
         changed
     }
 
+    fn elapsed(&self) -> Duration {
+        self.notices.started.elapsed()
+    }
+
+    /// Records that an upstream began to answer a request with these parts of a prompt.
+    /// Returns true when the dispatcher should learn of it.
+    pub fn record_answered_parts(&mut self, parts: &[PartId]) -> bool {
+        let now = self.elapsed();
+        self.parts.record_answer(now, parts, self.sequence + 1)
+    }
+
+    /// Records a request that an upstream dropped before its first token.
+    pub fn record_casualty(&mut self, route: &UpstreamRoute, parts: &[PartId]) {
+        let casualty = CrashCasualty {
+            upstream: route.name.clone(),
+            incarnation: route.incarnation,
+            parts: parts.to_vec(),
+        };
+        self.parts.record_casualty(casualty, self.sequence + 1);
+    }
+
+    /// Time until requests with one of these parts may run again; `None` when they may.
+    pub fn quarantine_left(&self, parts: &[PartId]) -> Option<Duration> {
+        self.parts.quarantine_left(self.elapsed(), parts)
+    }
+
+    /// Applies the dispatcher's list of parts and returns those newly in quarantine.
+    pub fn apply_part_list(&mut self, list: &PartList) -> Vec<PartId> {
+        let now = self.elapsed();
+        self.parts.apply_list(now, list, self.sequence + 1)
+    }
+
     /// True unless an upstream has restricted its use by this router.
     pub fn has_no_notices(&self) -> bool {
         self.notices.notices.is_empty()
@@ -343,6 +377,7 @@
             || self.queues.values().any(|queue| queue.change_sequence > since)
             || self.leases.values().any(|lease| lease.change_sequence > since)
             || self.notices.change_sequences.values().any(|sequence| *sequence > since)
+            || self.parts.is_changed(since)
     }
 
     /// True if the charge of any lease has changed since it was last reported.
@@ -390,6 +425,7 @@
                 false => Vec::new(),
             },
             restrictions: self.notices.restrictions(full, since),
+            parts: self.parts.report(self.elapsed(), full, since),
         }
     }
 
@@ -464,6 +500,7 @@
             self.term = answer.term;
             self.last_grant = 0;
             self.full_needed = true;
+            self.parts.forget_version();
         }
         self.full_needed |= answer.resync;
         self.routers = answer.routers.max(1);
@@ -487,6 +524,7 @@
         let since = self.acknowledged;
         self.leases.retain(|_, lease| lease.end.is_none() || lease.change_sequence > since);
         self.queues.retain(|_, queue| !queue.requests.is_empty() || queue.change_sequence > since);
+        self.parts.acknowledge(since);
     }
 
     /// Matches a grant to the first queued request that may use its upstream. An
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -50,7 +50,16 @@
 
 fn answer(term: u64, acknowledged: u64, grants: Vec<SlotGrant>) -> DispatchAnswer {
     let (resync, refusals, statements) = (false, Vec::new(), Vec::new());
-    DispatchAnswer { term, acknowledged, resync, grants, refusals, routers: 1, statements }
+    DispatchAnswer {
+        term,
+        acknowledged,
+        resync,
+        grants,
+        refusals,
+        routers: 1,
+        statements,
+        parts: None,
+    }
 }
 
 fn apply(book: &mut LeaseBook, answer: DispatchAnswer) {
--- /dev/null
+++ b/crates/router/tests/quarantine.rs
@@ -0,0 +1,96 @@
+//! Tests of requests with parts of prompts that crash upstreams.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use baobabfall_core::dispatch_messages::{PartList, PartQuarantine, PartReport};
+use http::Method;
+use support::exchange_site::{ExchangeSite, event, event_chunks, stream_head};
+use support::fake_upstream::{FakeUpstream, Step};
+use support::wait_for;
+
+const END: &str = "0\r\n\r\n";
+
+fn crash() -> Vec<Step> {
+    vec![Step::Write(stream_head()), Step::Close]
+}
+
+fn complete_stream() -> Vec<Step> {
+    vec![Step::Write(format!("{}{}{END}", stream_head(), event_chunks(1, 3)))]
+}
+
+fn quarantine(site: &ExchangeSite, part: u64) {
+    let quarantined = vec![PartQuarantine { part, left_ms: 60_000 }];
+    site.controller.script().parts = Some(PartList { version: 1, watched: vec![3], quarantined });
+}
+
+/// Whether any report of the router satisfies `condition`.
+fn reported(site: &ExchangeSite, condition: impl Fn(&PartReport) -> bool) -> bool {
+    site.controller.script().reports.iter().any(|report| condition(&report.parts))
+}
+
+/// Guards against requests that crash one upstream after another: once a part of their prompt is in
+/// quarantine, none of them reaches an upstream, and callers learn at once that it did not run.
+#[tokio::test]
+async fn quarantined_prompt_is_refused_unsent() {
+    let site = ExchangeSite::start(vec![vec![complete_stream()]]).await;
+    quarantine(&site, 7);
+    wait_for("the list of the controller", || {
+        site.handle.state().queue.book().quarantine_left(&[7]).is_some()
+    })
+    .await;
+    let answer = site.call(Method::POST, "/stream/x", &[("x-parts", "3,7")]).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "prompt_quarantined"));
+    assert!(answer.header("x-retry-ms").parse::<u64>().unwrap() > 50_000);
+    assert_eq!(site.request_count(0), 0);
+    let answer = site.call(Method::POST, "/stream/x", &[("x-parts", "3,8")]).await;
+    assert_eq!((answer.status.as_u16(), answer.body), (200, format!("{}{}", event(1), event(2))));
+    wait_for("the report of the watched part", || {
+        reported(&site, |parts| parts.sound.contains(&3))
+    })
+    .await;
+}
+
+/// Guards against a retry that takes the next upstream down: a part that was quarantined while the
+/// request waited for its retry is not sent again.
+#[tokio::test]
+async fn quarantine_stops_retries() {
+    let held_crash = || vec![vec![Step::Gate, Step::Close]];
+    let site = ExchangeSite::start(vec![held_crash(), held_crash()]).await;
+    let call = site.call(Method::GET, "/resume/x", &[("x-parts", "7")]);
+    let stop_upstream = async {
+        wait_for("the request to reach an upstream", || {
+            site.request_count(0) + site.request_count(1) == 1
+        })
+        .await;
+        quarantine(&site, 7);
+        wait_for("the list of the controller", || {
+            site.handle.state().queue.book().quarantine_left(&[7]).is_some()
+        })
+        .await;
+        site.upstreams.iter().for_each(FakeUpstream::open_gate);
+    };
+    let (answer, ()) = tokio::join!(call, stop_upstream);
+    assert_eq!(answer.status.as_u16(), 502, "it is not known that the request did not run");
+    assert_eq!(site.request_count(0) + site.request_count(1), 1);
+}
+
+/// Guards against crashes that the dispatcher does not learn of, and against blame for parts whose
+/// request was answered before its stream broke.
+#[tokio::test]
+async fn request_dropped_before_first_event_is_reported() {
+    let broken = vec![Step::Write(format!("{}{}", stream_head(), event_chunks(1, 2))), Step::Close];
+    let site = ExchangeSite::start(vec![vec![crash(), broken]]).await;
+    for parts in ["4,5", "6"] {
+        let answer = site.call(Method::POST, "/stream/x", &[("x-parts", parts)]).await;
+        assert!(!answer.complete);
+    }
+    wait_for("the report of the crash", || {
+        reported(&site, |report| report.casualties.iter().any(|casualty| casualty.parts == [4, 5]))
+    })
+    .await;
+    let blames_answered =
+        |report: &PartReport| report.casualties.iter().any(|casualty| casualty.parts.contains(&6));
+    assert!(!reported(&site, blames_answered));
+}
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -28,6 +28,7 @@
 pub const MARK_HEADER: HeaderName = HeaderName::from_static("x-mark");
 pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("x-leaving");
 pub const QUIET_HEADER: HeaderName = HeaderName::from_static("x-quiet-ms");
+pub const PARTS_HEADER: HeaderName = HeaderName::from_static("x-parts");
 pub const NOT_RUN_HEADER: HeaderName = HeaderName::from_static("x-not-run");
 
 /// An exchange protocol that uses the `x-` headers above.
@@ -51,6 +52,9 @@
             key: header_text(headers, &KEY_HEADER),
             deadline: header_number(headers, &WAIT_HEADER).map(Duration::from_millis),
             last_event: header_number(headers, &LAST_EVENT_HEADER),
+            parts: header_text(headers, &PARTS_HEADER).map_or_else(Vec::new, |value| {
+                value.split(',').filter_map(|part| part.parse().ok()).collect()
+            }),
             ..ExchangeHead::default()
         })
     }
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -1,7 +1,7 @@
 //! A fake controller that grants waiting requests slots of the upstreams in turn.
 
 use baobabfall_core::dispatch_messages::{
-    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, SlotGrant,
+    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, PartList, SlotGrant,
 };
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::local_dispatcher::route_of;
@@ -48,6 +48,8 @@
     pub free_slots: usize,
     /// Refusals in every dispatch answer.
     pub refusals: Vec<BacklogRefusal>,
+    /// List of quarantined parts of prompts in every dispatch answer.
+    pub parts: Option<PartList>,
     /// Grants to send once, in addition to those for the backlog.
     pub extra_grants: Vec<SlotGrant>,
     /// Answers to the next claims, in order; further claims are granted.
@@ -94,6 +96,7 @@
             term: 3,
             free_slots: usize::MAX,
             refusals: Vec::new(),
+            parts: None,
             extra_grants: Vec::new(),
             claim_answers: Vec::new(),
             lost_claim_answers: 0,
@@ -294,6 +297,7 @@
                     refusals: script.refusals.clone(),
                     routers: 1,
                     statements: Vec::new(),
+                    parts: script.parts.clone(),
                 });
             }
         }
