A stream without framing that ends before its first event is broken off

Callers saw: an upstream that ended before the first event of a stream with neither a length nor chunks reached the caller as a complete, empty success.

Cause: such a stream ends with its connection, and one that ends between two events counted as complete, also before the first.

Change: without an event it is broken off. One that ends within an event already was; answers that end with their connection already arrived whole.

--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -11,6 +11,7 @@
 use baobabfall_core::route_table::RouteKind;
 use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::units::millis;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
@@ -117,6 +118,10 @@
 ) -> RelayEnd {
     let event_cost = run.call.event_cost();
     let meter = opened.lease.slot().meter.clone();
+    // Such a stream ends with its connection, so that a complete one and one whose upstream
+    // ended look alike.
+    let ends_unframed = !opened.parts.headers.contains_key(CONTENT_LENGTH)
+        && !opened.parts.headers.contains_key(TRANSFER_ENCODING);
     loop {
         let frame = tokio::select! {
             frame = opened.body.frame() => frame,
@@ -124,6 +129,9 @@
             () = tokio::time::sleep_until(run.call.deadline) => return RelayEnd::Deadline,
         };
         let bytes = match frame {
+            None if ends_unframed && splitter.events() == 0 => {
+                return RelayEnd::Broken("the connection ended before the first event".to_owned());
+            }
             None if splitter.is_between_events() => return RelayEnd::Complete,
             None => return RelayEnd::Broken("the stream ended within an event".to_owned()),
             Some(Err(error)) => return RelayEnd::Broken(error.to_string()),
