Cut off upstreams that send bytes without end

Callers saw: a router read empty lines of a stream, or the digits of a chunk size, at full speed until the caller's deadline. Empty lines and comments also counted as events, the first one as the first token.

Cause: heads and buffered bodies had a limit, the framing of a body and what lies between two events had none.

Change: BoundedStream ends a connection to an upstream after 2 MiB without a part of an answer, and a stream is broken off after twice the largest event without an event. Empty lines and comments are relayed but not counted.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 //! settings, and the messages that the processes exchange.
 
 pub mod accept_gate;
+pub mod bounded_stream;
 pub mod codec;
 pub mod counted_stream;
 pub mod credentials;
--- a/crates/router/src/event_splitter.rs
+++ b/crates/router/src/event_splitter.rs
@@ -4,7 +4,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Maximum size of one event, in bytes.
-const EVENT_LIMIT: usize = 1 << 20;
+pub(crate) const EVENT_LIMIT: usize = 1 << 20;
 
 /// Error for an event that is larger than 1 MiB.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,7 +97,7 @@
     /// resumption.
     fn take_event(&mut self, event: &[u8]) -> bool {
         let Some(id) = event_id(event) else {
-            self.events += 1;
+            self.events += u64::from(has_field(event));
             return false;
         };
         if self.resuming && self.last_id.is_some_and(|last| id <= last) {
@@ -109,6 +109,12 @@
     }
 }
 
+/// False for empty lines and comments, which keep a connection alive.
+fn has_field(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, b"" | b"\r") && !line.starts_with(b":"))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -1,7 +1,7 @@
 //! Relays response bodies to the caller as they arrive: frame by frame, or event by
 //! event with resumption at another upstream.
 
-use crate::event_splitter::EventSplitter;
+use crate::event_splitter::{EVENT_LIMIT, EventSplitter};
 use crate::exchange_body::FrameEvent;
 use crate::exchange_meter::ExchangeOutcome;
 use crate::exchange_protocol::ExchangeProtocol;
@@ -16,6 +16,10 @@
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
 
+/// Most bytes without a complete event, with comments and empty lines. The largest
+/// event may arrive after as many bytes of them.
+const EVENT_DISTANCE_LIMIT: usize = 2 * EVENT_LIMIT;
+
 /// How the relay of one upstream's response ended.
 #[derive(Debug)]
 enum RelayEnd {
@@ -45,6 +49,7 @@
             None => break RelayEnd::Complete,
             Some(Err(error)) => break RelayEnd::Broken(error.to_string()),
             Some(Ok(frame)) => {
+                opened.connection.renew_allowance();
                 let Ok(bytes) = frame.into_data() else { continue };
                 if sender.send(FrameEvent::Data(bytes)).await.is_err() {
                     break RelayEnd::CallerGone;
@@ -118,6 +123,7 @@
 ) -> RelayEnd {
     let event_cost = run.call.event_cost();
     let meter = opened.lease.slot().meter.clone();
+    let mut bytes_since_event = 0;
     // Such a stream ends with its connection, so that a complete one and one whose upstream
     // ended look alike.
     let ends_unframed = !opened.parts.headers.contains_key(CONTENT_LENGTH)
@@ -137,6 +143,11 @@
             Some(Err(error)) => return RelayEnd::Broken(error.to_string()),
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
         };
+        opened.connection.renew_allowance();
+        bytes_since_event += bytes.len();
+        if bytes_since_event > EVENT_DISTANCE_LIMIT {
+            return RelayEnd::Broken("too many bytes without an event".to_owned());
+        }
         let before = splitter.events();
         let Ok(ready) = splitter.feed(&bytes) else {
             return RelayEnd::Broken("an event is too large".to_owned());
@@ -149,6 +160,9 @@
             run.state.router.queue.record_answered_parts(&run.call.head.parts);
             run.state.router.queue.notify();
         }
+        if splitter.events() > before {
+            bytes_since_event = 0;
+        }
         meter.charge((splitter.events() - before) * event_cost);
         if !ready.is_empty() && sender.send(FrameEvent::Data(ready)).await.is_err() {
             return RelayEnd::CallerGone;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -213,6 +213,9 @@
     }
 
     fn on_data(&mut self, data: Bytes) -> RelayStep {
+        if let Some(connection) = &self.connection {
+            connection.renew_allowance();
+        }
         self.waiting_since = None;
         self.bytes += u64::try_from(data.len()).unwrap_or(u64::MAX);
         if let Some(settlement) = &mut self.settlement {
--- a/crates/router/src/upstream_pool.rs
+++ b/crates/router/src/upstream_pool.rs
@@ -2,6 +2,7 @@
 
 use baobabfall_core::dispatch_messages::UpstreamRoute;
 use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_node::bounded_stream::{BoundedStream, ReadAllowance};
 use baobabfall_node::tcp_options::set_user_timeout;
 use bytes::Bytes;
 use http::header::HOST;
@@ -35,6 +36,10 @@
 /// Read buffer per connection in bytes, which also limits the size of an answer head.
 const BUFFER_LIMIT_BYTES: usize = 64 << 10;
 
+/// Most bytes that an upstream may send without a part of an answer. Framing may take
+/// six bytes for each byte of an answer that is buffered completely.
+const UNPRODUCTIVE_LIMIT_BYTES: usize = 2 << 20;
+
 /// Name and incarnation of an upstream.
 type PoolKey = (String, u64);
 
@@ -57,9 +62,16 @@
     stop: CancellationToken,
 }
 
+/// Sending side of a connection, and the bytes that may be read on it without progress.
 #[derive(Debug)]
-struct IdleConnection {
+struct PooledSender {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: PooledSender,
     since: Instant,
     limit: Duration,
 }
@@ -67,7 +79,7 @@
 /// A connection in use; dropping it closes the connection.
 #[derive(Debug)]
 pub struct UpstreamConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: PooledSender,
     key: PoolKey,
     pool: Arc<UpstreamPool>,
     reused: bool,
@@ -112,17 +124,19 @@
     /// Closes connections that have exceeded their idle time.
     pub fn expire(&self) {
         self.idle().retain(|_, held| {
-            held.retain(|idle| idle.since.elapsed() < idle.limit && !idle.sender.is_closed());
+            held.retain(|idle| {
+                idle.since.elapsed() < idle.limit && !idle.sender.sender.is_closed()
+            });
             !held.is_empty()
         });
     }
 
-    fn take_idle(&self, key: &PoolKey, limit: Duration) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, key: &PoolKey, limit: Duration) -> Option<PooledSender> {
         let mut idle = self.idle();
         let held = idle.get_mut(key)?;
         while let Some(connection) = held.pop() {
             if connection.since.elapsed() < limit.min(connection.limit)
-                && !connection.sender.is_closed()
+                && !connection.sender.sender.is_closed()
             {
                 return Some(connection.sender);
             }
@@ -130,9 +144,9 @@
         None
     }
 
-    async fn take_ready(&self, key: &PoolKey, limit: Duration) -> Option<SendRequest<Full<Bytes>>> {
+    async fn take_ready(&self, key: &PoolKey, limit: Duration) -> Option<PooledSender> {
         while let Some(mut sender) = self.take_idle(key, limit) {
-            if let Ok(Ok(())) = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await {
+            if let Ok(Ok(())) = tokio::time::timeout(READY_TIMEOUT, sender.sender.ready()).await {
                 return Some(sender);
             }
         }
@@ -172,13 +186,14 @@
         route: &UpstreamRoute,
         key: PoolKey,
     ) -> Result<UpstreamConnection, String> {
+        let allowance = ReadAllowance::new(UNPRODUCTIVE_LIMIT_BYTES);
         let connect = async {
             let stream = TcpStream::connect(route.address).await.map_err(|e| e.to_string())?;
             let _ = stream.set_nodelay(true);
             set_user_timeout(&stream);
             http1::Builder::new()
                 .max_buf_size(BUFFER_LIMIT_BYTES)
-                .handshake(TokioIo::new(stream))
+                .handshake(TokioIo::new(BoundedStream::new(stream, allowance.clone())))
                 .await
                 .map_err(|error| error.to_string())
         };
@@ -196,6 +211,7 @@
                 () = stop.cancelled() => {}
             }
         });
+        let sender = PooledSender { sender, allowance };
         Ok(UpstreamConnection { sender, key, pool: Arc::clone(self), reused: false })
     }
 }
@@ -209,11 +225,17 @@
         self.reused
     }
 
+    /// Records that a part of the answer arrived, so that more bytes may follow.
+    pub fn renew_allowance(&self) {
+        self.sender.allowance.renew();
+    }
+
     async fn send(
         mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Self), SendFailure> {
-        match self.sender.try_send_request(request).await {
+        self.renew_allowance();
+        match self.sender.sender.try_send_request(request).await {
             Ok(response) => Ok((response, self)),
             Err(mut failure) => {
                 let unsent = failure.take_message().map(Box::new);
@@ -231,7 +253,7 @@
     /// Like [`Self::give_back`], for an upstream that keeps idle connections open for
     /// `limit`.
     pub fn give_back_for(self, limit: Duration) {
-        if self.sender.is_closed() {
+        if self.sender.sender.is_closed() {
             return;
         }
         let mut idle = self.pool.idle();
--- a/crates/router/tests/support/fake_upstream.rs
+++ b/crates/router/tests/support/fake_upstream.rs
@@ -14,6 +14,8 @@
     Gate,
     /// Sends nothing more until the router closes the connection.
     Hang,
+    /// Sends the text again and again until the router closes the connection.
+    Endless(String),
     Close,
 }
 
@@ -109,6 +111,10 @@
                     while stream.read(&mut byte).await.is_ok_and(|count| count > 0) {}
                     break;
                 }
+                Step::Endless(text) => {
+                    while stream.write_all(text.as_bytes()).await.is_ok() {}
+                    break;
+                }
                 Step::Close => return,
             }
         }
