Answers to table polls share one encoding of the route table

Cause: a new route table is sent to every router at the same moment, and each answer held its own encoding: 87 times about 400 KB for 1,641 routes.

Change: the table is the last field of an answer and is encoded once; answers append the shared bytes. The message is the same on the wire.

Test: sync_answers_share_the_encoded_table fails when each answer has its own encoding.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -133,7 +133,7 @@
         match path {
             REPORT_PATH => self.report(request).await,
             SYNC_PATH => match read_message(request).await {
-                Ok(message) => message_response(&self.sync.sync(&message).await),
+                Ok(message) => self.sync.sync_response(&message).await,
                 Err(refusal) => refusal.response(),
             },
             REPLICA_PATH => match read_message(request).await {
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -4,11 +4,17 @@
 use crate::node_tracker::NodeTracker;
 use crate::registry_service::RegistryService;
 use crate::replica_driver::ReplicaHandle;
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::table_history::DifferenceContent;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
+use baobabfall_node::codec::{CodecError, MESSAGE_LIMIT, encode, encode_before_last, encode_field};
+use baobabfall_node::http_server::{FullResponse, error_response, pieces_response};
 use baobabfall_node::messages::{PlannedStop, StopList, SyncAnswer, SyncRequest, TableUpdate};
 use baobabfall_node::units::{millis, wall_clock_ms};
+use bytes::Bytes;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -21,13 +27,53 @@
     replica: ReplicaHandle,
     registry: RegistryService,
     tracker: NodeTracker,
+    /// Version and encoding of the latest route table that was sent.
+    encoded_routes: Arc<Mutex<Option<(u64, Bytes)>>>,
 }
 
 impl SyncService {
     /// Creates a service that reads the replica's applied state and the registry, and records each
     /// requesting node in `tracker`.
     pub fn new(replica: ReplicaHandle, registry: RegistryService, tracker: NodeTracker) -> Self {
-        Self { replica, registry, tracker }
+        Self { replica, registry, tracker, encoded_routes: Arc::default() }
+    }
+
+    /// Answers a request like [`Self::sync`] and encodes the answer. All answers share one encoding
+    /// of a route table.
+    pub async fn sync_response(&self, request: &SyncRequest) -> FullResponse {
+        let mut answer = self.sync(request).await;
+        let pieces = match answer.routes.take() {
+            None => encode(&answer).map(|bytes| vec![Bytes::from(bytes)]),
+            Some(routes) => self.encode_with_routes(&answer, &routes),
+        };
+        match pieces {
+            Ok(pieces) => pieces_response(pieces),
+            Err(error) => error_response(ErrorKind::Internal, &error.to_string()),
+        }
+    }
+
+    fn encode_with_routes(
+        &self,
+        answer: &SyncAnswer,
+        routes: &RouteTable,
+    ) -> Result<Vec<Bytes>, CodecError> {
+        let before = Bytes::from(encode_before_last(answer)?);
+        let mut encoded =
+            self.encoded_routes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let known = encoded.as_ref().filter(|(version, _)| *version == routes.version);
+        let bytes = match known {
+            Some((_, bytes)) => bytes.clone(),
+            None => {
+                let bytes = Bytes::from(encode_field(routes)?);
+                *encoded = Some((routes.version, bytes.clone()));
+                bytes
+            }
+        };
+        let length = before.len() + bytes.len();
+        match length <= MESSAGE_LIMIT {
+            true => Ok(vec![before, bytes]),
+            false => Err(CodecError::Oversized(length)),
+        }
     }
 
     /// Answers immediately if the node is outdated; otherwise answers when something changes or
--- a/crates/controller/tests/open_group.rs
+++ b/crates/controller/tests/open_group.rs
@@ -6,10 +6,16 @@
 mod group_fixture;
 
 use baobabfall_controller::membership::find_leader;
+use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::RouteTable;
-use baobabfall_node::messages::{AnnounceMessage, UpstreamDeparture};
+use baobabfall_node::codec::decode;
+use baobabfall_node::messages::{
+    AnnounceMessage, NodeKind, SyncAnswer, SyncRequest, UpstreamDeparture,
+};
+use bytes::Bytes;
 use group_fixture::{GroupFixture, PROCESS_TOKEN};
+use http_body_util::BodyExt;
 
 fn route_table(version: u64) -> RouteTable {
     RouteTable { version, ..RouteTable::default() }
@@ -150,3 +156,48 @@
     assert_eq!(find_leader(&addresses, PROCESS_TOKEN).await, Some(leader));
     assert!(started.elapsed().as_millis() < 900, "{:?}", started.elapsed());
 }
+
+fn sync_request(router: &str) -> SyncRequest {
+    SyncRequest {
+        node: NodeIdentity { name: router.to_owned(), incarnation: 1 },
+        kind: NodeKind::Router,
+        zone: "a".to_owned(),
+        revision: 1,
+        stops_version: 0,
+        registry_version: (0, 0),
+        in_progress: 0,
+        wait_ms: 0,
+        routes_version: 0,
+    }
+}
+
+/// Guards against a leader that runs out of memory when a large table is sent to all routers at
+/// once: their answers share one copy of the table.
+#[tokio::test]
+async fn sync_answers_share_the_encoded_table() {
+    let group = GroupFixture::start_open(3).await;
+    group.wait_for_voters(3).await;
+    replace_routes_at_leader(&group, 4).await;
+    let leader = group.leader().await;
+    let api = group.controllers[leader].as_ref().unwrap().api().clone();
+    let mut shared: Vec<Bytes> = Vec::new();
+    for number in 0..3 {
+        let response = api.sync.sync_response(&sync_request(&format!("router-{number}"))).await;
+        let mut body = response.into_body();
+        let mut message = Vec::new();
+        let mut last = Bytes::new();
+        while let Some(frame) = body.frame().await {
+            last = frame.unwrap().into_data().unwrap();
+            message.extend_from_slice(&last);
+        }
+        let answer: SyncAnswer = decode(&message).unwrap();
+        assert_eq!(*answer.routes.unwrap(), route_table(4));
+        shared.push(last);
+    }
+    assert!(shared.iter().all(|bytes| bytes.as_ptr() == shared[0].as_ptr()));
+    replace_routes_at_leader(&group, 5).await;
+    let response = api.sync.sync_response(&sync_request("router-0")).await;
+    let message = response.into_body().collect().await.unwrap().to_bytes();
+    let answer: SyncAnswer = decode(&message).unwrap();
+    assert_eq!(answer.routes.unwrap().version, 5, "a later table must not be an earlier copy");
+}
--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -10,6 +10,8 @@
 
 /// First byte of every message; a message with any other value is rejected.
 pub const MESSAGE_VERSION: u8 = 1;
+/// Encoding of `None`.
+const NIL: u8 = 0xc0;
 /// Largest accepted message in bytes, including the version byte.
 pub const MESSAGE_LIMIT: usize = 1 << 20;
 
@@ -55,6 +57,27 @@
     Ok(bytes)
 }
 
+/// Encodes a message whose last field is `None`, as far as that field.
+pub fn encode_before_last<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
+    let mut bytes = encode(message)?;
+    match bytes.pop() {
+        Some(NIL) => Ok(bytes),
+        _ => Err(CodecError::Malformed("the last field is not empty".to_owned())),
+    }
+}
+
+/// Encodes the value of a last field that [`encode_before_last`] has left out.
+///
+/// ```
+/// use baobabfall_node::codec::{decode, encode_before_last, encode_field};
+/// let mut bytes = encode_before_last(&(1u8, None::<&str>)).unwrap();
+/// bytes.extend(encode_field(&"a").unwrap());
+/// assert_eq!(decode::<(u8, Option<String>)>(&bytes).unwrap(), (1, Some("a".to_owned())));
+/// ```
+pub fn encode_field<T: Serialize>(value: &T) -> Result<Vec<u8>, CodecError> {
+    rmp_serde::to_vec_named(value).map_err(|error| CodecError::Malformed(error.to_string()))
+}
+
 /// Checks the size and version of a message and decodes it.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     if bytes.len() > MESSAGE_LIMIT {
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -3,13 +3,14 @@
 
 use crate::accept_gate::{AcceptGate, AdmittedConnection};
 use crate::codec::{self, MESSAGE_LIMIT};
+use crate::message_body::MessageBody;
 use crate::stop_signal::{StopPhase, StopSignal};
 use baobabfall_core::error_kind::ErrorKind;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body::Body;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
@@ -202,7 +203,7 @@
 }
 
 /// Response whose whole body is in memory.
-pub type FullResponse = Response<Full<Bytes>>;
+pub type FullResponse = Response<MessageBody>;
 
 /// JSON body of every error response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
@@ -298,9 +299,16 @@
     }
 }
 
+/// Builds a MessagePack response from an encoded message in pieces.
+pub fn pieces_response(pieces: Vec<Bytes>) -> FullResponse {
+    let mut response = Response::new(MessageBody::from_pieces(pieces));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/msgpack"));
+    response
+}
+
 /// Builds a response from an encoded body.
 pub fn bytes_response(status: u16, content_type: &'static str, bytes: Vec<u8>) -> FullResponse {
-    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    let mut response = Response::new(MessageBody::from(bytes));
     if let Ok(status) = http::StatusCode::from_u16(status) {
         *response.status_mut() = status;
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod log_events;
 pub mod log_queue;
 pub mod loop_watch;
+pub mod message_body;
 pub mod messages;
 pub mod node_metrics;
 pub mod operator_messages;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -81,15 +81,16 @@
     pub stops: Option<StopList>,
     /// Live upstreams, from a leader and when the node's version differs.
     pub registry: Option<RegistryView>,
-    /// The whole route table, when it is newer than the node's.
-    #[serde(default)]
-    pub routes: Option<Arc<RouteTable>>,
     /// Time since the controller applied its route table, in milliseconds.
     #[serde(default)]
     pub routes_age_ms: u64,
     /// Addresses of all controllers in the group.
     #[serde(default)]
     pub controllers: Vec<std::net::SocketAddr>,
+    /// The whole route table, when it is newer than the node's. The last field, so that
+    /// an encoded table can be appended to an answer that is encoded without one.
+    #[serde(default)]
+    pub routes: Option<Arc<RouteTable>>,
 }
 
 /// Changes from one revision of the workspace table to a later one.
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -17,11 +17,11 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::request_life::LifecycleEvent;
 use baobabfall_node::http_server::error_body;
+use baobabfall_node::message_body::MessageBody;
 use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::node_metrics::NodeMetrics;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use opentelemetry::KeyValue;
 use std::future::Future;
@@ -49,7 +49,7 @@
 #[derive(Debug)]
 pub enum RelayBody {
     /// Complete body that the router itself produced.
-    Whole(Full<Bytes>),
+    Whole(MessageBody),
     /// Body that is relayed from an upstream.
     Stream(Arc<WatchedRelay>),
 }
@@ -452,7 +452,7 @@
 
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> FramePoll {
         match self.get_mut() {
-            Self::Whole(full) => Pin::new(full)
+            Self::Whole(body) => Pin::new(body)
                 .poll_frame(context)
                 .map(|frame| frame.map(|result| result.map_err(|never| match never {}))),
             Self::Stream(relay) => relay.lock().poll_next(context),
@@ -461,14 +461,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(full) => full.is_end_stream(),
+            Self::Whole(body) => body.is_end_stream(),
             Self::Stream(relay) => matches!(relay.lock().source, RelaySource::Ended),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(full) => full.size_hint(),
+            Self::Whole(body) => body.size_hint(),
             Self::Stream(_) => SizeHint::default(),
         }
     }
