Routers record and report the request rates that upstreams name

Change: RateStatement in UpstreamNotice, read from the answer's header by the platform's adapter and by our own interface (baobabfall-rate-limit); LimitBook at the router, reported to the dispatcher and sent back to all routers as a versioned list; log events upstream_limited, upstream_unlimited, upstream_limits_changed, rate_limit_unreadable. Nothing decides by it yet.

--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -158,6 +158,7 @@
             };
             let has_content = answer.resync
                 || answer.parts.is_some()
+                || answer.limits.is_some()
                 || !answer.grants.is_empty()
                 || !answer.refusals.is_empty();
             if has_content || Instant::now() >= end {
@@ -187,7 +188,12 @@
         }
         inner.record_incarnation(&report.router);
         if let Some(dispatcher) = &mut inner.dispatcher {
+            let version = dispatcher.limits().version();
             dispatcher.apply_report(now, report);
+            if dispatcher.limits().version() != version {
+                let list = dispatcher.limits().list();
+                log::info!(event = "upstream_limits_changed", router = report.router.name.as_str(), version = dispatcher.limits().version(), limited = list.len(); "the request rates that upstreams name have changed");
+            }
         }
         let waker = inner.wakers.get_or_insert_with(report.router.name.clone(), Arc::default);
         let waker = Arc::clone(waker);
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -7,7 +7,9 @@
 
 use baobabfall_controller::dispatch_service::DispatchService;
 use baobabfall_controller::membership::{JOIN_PATH, JoinRequest};
-use baobabfall_core::dispatch_messages::{BacklogEntry, DispatchReport, NodeIdentity, PartReport};
+use baobabfall_core::dispatch_messages::{
+    BacklogEntry, DispatchReport, LimitReport, NodeIdentity, PartReport,
+};
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::replica_members::{MemberChange, ReplicaIdentity};
 use baobabfall_core::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
@@ -396,6 +398,7 @@
         statements: Vec::new(),
         restrictions: Vec::new(),
         parts: PartReport::default(),
+        limits: LimitReport::default(),
     }
 }
 
--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -3,7 +3,8 @@
 //! This module reads no clock; the benchmark times [`DecisionWorkload::run`].
 
 use crate::dispatch_messages::{
-    BacklogEntry, DispatchReport, LeaseEnd, LeaseUsage, NodeIdentity, PartReport, UNITS_PER_TOKEN,
+    BacklogEntry, DispatchReport, LeaseEnd, LeaseUsage, LimitReport, NodeIdentity, PartReport,
+    UNITS_PER_TOKEN,
 };
 use crate::dispatch_settings::DispatchSettings;
 use crate::slot_dispatcher::SlotDispatcher;
@@ -78,6 +79,7 @@
             statements: Vec::new(),
             restrictions: Vec::new(),
             parts: PartReport::default(),
+            limits: LimitReport::default(),
         };
         self.dispatcher.apply_report(Duration::ZERO, &report);
         self.dispatcher.finish_recovery(Duration::ZERO);
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -2,7 +2,7 @@
 //! routers that stop reporting.
 
 use crate::dispatch_messages::{
-    BacklogEntry, DispatchReport, LeaseId, LeaseUsage, NodeIdentity, PartReport,
+    BacklogEntry, DispatchReport, LeaseId, LeaseUsage, LimitReport, NodeIdentity, PartReport,
     UNKNOWN_FIRST_TOKEN_MS,
 };
 use crate::dispatch_state::{LeaseRecord, RouterState, TargetState};
@@ -63,6 +63,7 @@
         self.apply_backlog(id, report, &mut affected);
         self.apply_restrictions(now, id, report);
         self.apply_parts(now, id, &report.parts);
+        self.apply_limits(now, id, &report.limits);
         self.record_statements(&report.statements);
         self.apply_usage(now, id, report, &mut affected);
         self.apply_charges(now, id, report, &mut affected);
@@ -201,6 +202,21 @@
         self.announce_parts(version);
     }
 
+    /// Records what the router reports about the request rates that upstreams name.
+    fn apply_limits(&mut self, now: Duration, id: usize, report: &LimitReport) {
+        self.routers[id].limits_version = report.version;
+        let mut changed = false;
+        for limit in &report.changes {
+            changed |= self.limits.record(now, limit);
+        }
+        for limit in &report.known {
+            changed |= self.limits.restore(now, limit);
+        }
+        if changed {
+            self.wake_routers();
+        }
+    }
+
     /// Upstreams that want no requests from the router now.
     pub(crate) fn quiet_upstreams(&self, now: Duration, router: usize) -> Vec<usize> {
         let quiet = self.routers[router].quiet.iter().filter(|(upstream, (incarnation, until))| {
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -8,6 +8,7 @@
 //! the next report makes up for a lost one.
 
 use crate::account_statement::AccountStatement;
+use crate::upstream_limits::RequestRate;
 use crate::upstream_registry::WorkTarget;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -217,6 +218,47 @@
     pub quarantined: Vec<PartQuarantine>,
 }
 
+/// Request rate that an upstream names for itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLimit {
+    /// Name of the upstream.
+    #[serde(rename = "n")]
+    pub upstream: String,
+    /// Incarnation of the upstream; a later one is not limited.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Requests that the upstream takes from all routers together; `None` once it names no
+    /// rate any more.
+    #[serde(rename = "r")]
+    pub rate: Option<RequestRate>,
+}
+
+/// What a router reports about the request rates that upstreams name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Version of the [`LimitList`] that the router holds; zero when it has none of this
+    /// dispatcher.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// Changes that the router saw in answers and that are not acknowledged.
+    #[serde(default, rename = "c", skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<UpstreamLimit>,
+    /// In a full report, the other rates that the router knows.
+    #[serde(default, rename = "k", skip_serializing_if = "Vec::is_empty")]
+    pub known: Vec<UpstreamLimit>,
+}
+
+/// Request rates of all upstreams that have named one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitList {
+    /// Version of the list; increases with each change within a dispatcher's term.
+    #[serde(rename = "v")]
+    pub version: u64,
+    /// The rates.
+    #[serde(rename = "l")]
+    pub limits: Vec<UpstreamLimit>,
+}
+
 /// Report that a router sends to the dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchReport {
@@ -268,6 +310,9 @@
     /// leave it out.
     #[serde(default, rename = "p")]
     pub parts: PartReport,
+    /// Request rates that upstreams name. Routers of releases without this field leave it out.
+    #[serde(default, rename = "l")]
+    pub limits: LimitReport,
 }
 
 /// Address and protocol features with which a router calls an upstream.
@@ -353,4 +398,7 @@
     /// The list of parts of prompts, when the router holds another version of it.
     #[serde(default, skip_serializing_if = "Option::is_none", rename = "p")]
     pub parts: Option<PartList>,
+    /// The request rates of upstreams, when the router holds another version of them.
+    #[serde(default, skip_serializing_if = "Option::is_none", rename = "l")]
+    pub limits: Option<LimitList>,
 }
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -184,6 +184,8 @@
     pub quiet: SortedMap<usize, (u64, Duration)>,
     /// Version of the list of parts that the router holds.
     pub parts_version: u64,
+    /// Version of the list of request rates that the router holds.
+    pub limits_version: u64,
 }
 
 impl RouterState {
@@ -206,6 +208,7 @@
             needs_answer: false,
             quiet: SortedMap::new(),
             parts_version: 0,
+            limits_version: 0,
         }
     }
 }
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -35,6 +35,8 @@
         if changed {
             self.rebuild_pools(now);
         }
+        let Self { limits, upstream_names, .. } = self;
+        limits.retain(|name| upstream_names.contains_key(name));
     }
 
     /// Sets the upstreams that are under a planned stop. They get no more grants;
--- a/crates/core/src/rate_limit.rs
+++ b/crates/core/src/rate_limit.rs
@@ -38,6 +38,12 @@
         Self { rate_per_minute, capacity, level: capacity, refilled_at: now }
     }
 
+    /// Creates a bucket that holds `units`, at most its capacity.
+    pub fn with_level(now: Duration, rate_per_minute: u64, burst: Duration, units: u64) -> Self {
+        let full = Self::new(now, rate_per_minute, burst);
+        Self { level: full.capacity.min(i128::from(units) * LEVEL_PER_UNIT), ..full }
+    }
+
     /// Changes the rate and the burst. The level is kept, capped at the new capacity.
     pub fn set_rate(&mut self, now: Duration, rate_per_minute: u64, burst: Duration) {
         self.refill(now);
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::account_statement::StatementStore;
 use crate::cost_estimate::CostEstimate;
 use crate::crash_tracker::{CrashTracker, FoundPart};
-use crate::dispatch_messages::{BacklogRefusal, DispatchAnswer, LeaseId, SlotGrant};
+use crate::dispatch_messages::{BacklogRefusal, DispatchAnswer, LeaseId, LimitList, SlotGrant};
 use crate::dispatch_settings::DispatchSettings;
 use crate::dispatch_state::{
     LeaseRecord, PoolState, RouterState, TargetLocation, TargetState, UpstreamState,
@@ -20,6 +20,7 @@
 use crate::placement::{PrefixHints, SlotPreference};
 use crate::rate_limit::WorkspaceLimit;
 use crate::sorted_map::SortedMap;
+use crate::upstream_limits::UpstreamLimits;
 use crate::upstream_registry::{UpstreamKind, WorkTarget};
 use crate::workspace_table::WorkspaceTable;
 use std::time::Duration;
@@ -89,6 +90,7 @@
 ///     statements: vec![],
 ///     restrictions: Vec::new(),
 ///     parts: PartReport::default(),
+///     limits: LimitReport::default(),
 /// });
 /// assert_eq!(dispatcher.dispatch(now), 1);
 /// assert_eq!(dispatcher.routers_to_wake(), ["entry-1"]);
@@ -130,6 +132,8 @@
     pub(crate) prefix_hints: PrefixHints,
     /// Parts of prompts that crash upstreams.
     pub(crate) crashes: CrashTracker,
+    /// Request rates that upstreams have named.
+    pub(crate) limits: UpstreamLimits,
     /// Workspaces that wait because of their rate limits, ordered by the end of the wait.
     pub(crate) rate_limited: IndexedHeap<Duration>,
     /// Upstreams whose slots change over time: ejected ones and those in slow start.
@@ -179,6 +183,7 @@
             costs: CostEstimate::new(settings.estimate_limit),
             prefix_hints: PrefixHints::new(settings.placement.prefix_hint_limit),
             crashes: CrashTracker::default(),
+            limits: UpstreamLimits::new(1, 0),
             rate_limited: IndexedHeap::new(),
             changing_upstreams: Vec::new(),
         }
@@ -498,6 +503,7 @@
             routers,
             statements: Vec::new(),
             parts: None,
+            limits: None,
         };
         let Some(id) = self.router_names.get(router_name).copied() else { return answer };
         let mut pending_refusals = std::mem::take(&mut self.routers[id].pending_refusals);
@@ -519,9 +525,17 @@
         // A router that is not synced may hold quarantines that this dispatcher does not know yet.
         let holds_list = self.routers[id].parts_version == self.crashes.version();
         answer.parts = (!holds_list && !answer.resync).then(|| self.crashes.list(now));
+        let holds_limits = self.routers[id].limits_version == self.limits.version();
+        answer.limits = (!holds_limits && !answer.resync)
+            .then(|| LimitList { version: self.limits.version(), limits: self.limits.list() });
         answer
     }
 
+    /// The request rates that upstreams have named.
+    pub fn limits(&self) -> &UpstreamLimits {
+        &self.limits
+    }
+
     /// Quarantines parts of prompts that crash upstreams, and returns them.
     pub fn quarantine_parts(&mut self, now: Duration) -> Vec<FoundPart> {
         let version = self.crashes.version();
@@ -532,9 +546,12 @@
 
     /// Wakes every router when the list of parts is not of `version` any more.
     pub(crate) fn announce_parts(&mut self, version: u64) {
-        if self.crashes.version() == version {
-            return;
+        if self.crashes.version() != version {
+            self.wake_routers();
         }
+    }
+
+    pub(crate) fn wake_routers(&mut self) {
         for id in self.router_names.values() {
             self.routers[*id].needs_answer = true;
         }
--- a/crates/core/src/upstream_notices.rs
+++ b/crates/core/src/upstream_notices.rs
@@ -1,5 +1,6 @@
-//! What upstreams state about themselves in their answers: that they are leaving, or
-//! that they want no requests from this router for a time.
+//! What upstreams state about themselves in their answers: that they are leaving, that
+//! they want no requests from this router for a time, or how many they take from the
+//! whole fleet. The last is kept by [`crate::limit_book`].
 //!
 //! A router acts on a statement at once and tells the dispatcher, which stops
 //! granting slots there. Without it, a router that lost contact with the controllers
@@ -7,6 +8,7 @@
 //! upstream would spend its time on turning requests away.
 
 use crate::dispatch_messages::UpstreamRestriction;
+use crate::limit_book::RateStatement;
 use crate::sorted_map::SortedMap;
 use std::time::Duration;
 
@@ -26,12 +28,14 @@
     pub leaving: bool,
     /// Time for which the upstream wants no requests from this router.
     pub quiet: Option<Duration>,
+    /// Rate of requests that the upstream takes from all routers together.
+    pub rate: RateStatement,
 }
 
 impl UpstreamNotice {
-    /// True when the answer states nothing.
-    pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+    /// True when the answer restricts the use of the upstream by this router.
+    fn restricts(&self) -> bool {
+        self.leaving || self.quiet.is_some()
     }
 }
 
@@ -50,7 +54,7 @@
 /// use std::time::Duration;
 /// let mut notices = UpstreamNotices::default();
 /// let now = Duration::from_secs(1);
-/// let quiet = UpstreamNotice { leaving: false, quiet: Some(Duration::from_secs(2)) };
+/// let quiet = UpstreamNotice { quiet: Some(Duration::from_secs(2)), ..UpstreamNotice::default() };
 /// notices.record(now, "engine-1", 7, quiet);
 /// assert!(!notices.permits(now, "engine-1", 7));
 /// assert!(notices.permits(now, "engine-1", 8), "a restarted upstream stated nothing");
@@ -72,7 +76,7 @@
         notice: UpstreamNotice,
     ) -> bool {
         let known = self.records.get(name).copied();
-        if notice.is_empty() || known.is_some_and(|known| known.incarnation > incarnation) {
+        if !notice.restricts() || known.is_some_and(|known| known.incarnation > incarnation) {
             return false;
         }
         self.drop_expired(now);
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -118,6 +118,7 @@
             statements: Vec::new(),
             restrictions: Vec::new(),
             parts: PartReport::default(),
+            limits: LimitReport::default(),
         }
     }
 
@@ -269,6 +270,7 @@
             },
             restrictions: Vec::new(),
             parts: PartReport::default(),
+            limits: LimitReport::default(),
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/upstream_limits.rs
@@ -0,0 +1,95 @@
+//! Tests of the request rates that upstreams name.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod dispatch_fleet;
+
+use baobabfall_core::dispatch_messages::{LimitList, LimitReport, UpstreamLimit};
+use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
+use baobabfall_core::upstream_limits::{UpstreamLimits, read_rate};
+use dispatch_fleet::ms;
+use quickcheck::{Arbitrary, Gen};
+use std::time::Duration;
+
+const START: Duration = Duration::from_secs(60);
+
+fn limit(name: &str, rate: &str) -> UpstreamLimit {
+    UpstreamLimit { upstream: name.to_owned(), incarnation: 1, rate: read_rate(rate) }
+}
+
+fn limited(rate: &str) -> RateStatement {
+    RateStatement::Limited(read_rate(rate).unwrap())
+}
+
+/// Timing of a request that was sent and answered this long after the start.
+fn timing(sent: u64, received: u64) -> AnswerTiming {
+    AnswerTiming { sent_at: START + ms(sent), received_at: START + ms(received) }
+}
+
+/// Guards against a rate that ends because of an answer that was on its way when it was named, and
+/// against one that outlives its incarnation.
+#[test]
+fn record_late_answer_keeps_rate() {
+    let mut book = LimitBook::default();
+    assert_eq!(book.record(timing(0, 10), "e", 1, RateStatement::Unlimited, 1), None);
+    assert_eq!(book.record(timing(5, 20), "e", 1, limited("2"), 1), Some(limit("e", "2")));
+    assert_eq!(book.record(timing(15, 30), "e", 1, RateStatement::Unlimited, 1), None);
+    assert_eq!(book.record(timing(25, 40), "e", 1, RateStatement::Unreadable, 1), None);
+    assert_eq!(book.record(timing(25, 50), "e", 1, limited("2"), 1), None, "nothing new");
+    assert_eq!(book.record(timing(45, 60), "e", 1, RateStatement::Unlimited, 1), None);
+    assert_eq!(book.rate("e", 1), read_rate("2"));
+    assert_eq!(book.rate("e", 2), None);
+    let lifted = book.record(timing(55, 70), "e", 1, RateStatement::Unlimited, 2).unwrap();
+    assert_eq!((lifted.rate, book.rate("e", 1)), (None, None));
+    assert!(book.record(timing(80, 90), "e", 2, limited("3"), 2).is_some());
+    assert_eq!(book.record(timing(80, 91), "e", 1, RateStatement::Unlimited, 2), None);
+    assert_eq!(book.rate("e", 2), read_rate("3"));
+}
+
+/// Guards against changes that are lost with a report, and against a list of the dispatcher that
+/// takes back what it has not learned yet.
+#[test]
+fn apply_list_keeps_unacknowledged_changes() {
+    let mut book = LimitBook::default();
+    book.record(timing(0, 10), "e", 1, limited("2"), 1);
+    let list = |version, limits| LimitList { version, limits };
+    book.apply_list(START + ms(20), &list(1, vec![limit("f", "7")]));
+    assert_eq!((book.rate("e", 1), book.rate("f", 1)), (read_rate("2"), read_rate("7")));
+    let expected =
+        LimitReport { version: 1, changes: vec![limit("e", "2")], known: vec![limit("f", "7")] };
+    assert_eq!(book.report(true, 0), expected);
+    assert!(book.is_changed(0) && !book.is_changed(1));
+    book.acknowledge(1);
+    assert_eq!(book.report(false, 1).changes, []);
+    book.apply_list(START + ms(30), &list(3, vec![limit("e", "2")]));
+    book.apply_list(START + ms(31), &list(2, vec![limit("f", "7")]));
+    assert_eq!((book.rate("e", 1), book.rate("f", 1)), (read_rate("2"), None));
+    book.record(timing(40, 50), "e", 1, RateStatement::Unlimited, 5);
+    assert_eq!(book.report(false, 4).changes, [UpstreamLimit { rate: None, ..limit("e", "0") }]);
+    book.apply_list(START + ms(60), &list(4, vec![limit("e", "2")]));
+    assert_eq!(book.rate("e", 1), None);
+    book.acknowledge(5);
+    assert!(book.is_empty());
+}
+
+/// Guards against a panic or an upstream that is out of use for good because of the text of a rate.
+#[test]
+fn read_rate_any_text_is_bounded() {
+    let mut random = Gen::from_size_and_seed(24, 32);
+    let fixed = ["", "inf", "-inf", "NaN", "-0", "1e308", "1e-308", "0x10", "1.5.2", "0"];
+    let drawn: Vec<String> = (0..2_000)
+        .map(|round| match round % 2 {
+            0 => String::arbitrary(&mut random),
+            _ => f64::arbitrary(&mut random).to_string(),
+        })
+        .collect();
+    for text in fixed.into_iter().chain(drawn.iter().map(String::as_str)) {
+        let Some(rate) = read_rate(text) else { continue };
+        for shares in [1, 200, u32::MAX] {
+            let mut limits = UpstreamLimits::new(shares, 7);
+            limits.record(START, &UpstreamLimit { rate: Some(rate), ..limit("e", "1") });
+            let minutes = Duration::from_secs(60) * shares;
+            assert_eq!(limits.wait(START + minutes + ms(1), "e", 1), None, "{text:?} / {shares}");
+        }
+    }
+}
--- a/crates/core/tests/upstream_notices.rs
+++ b/crates/core/tests/upstream_notices.rs
@@ -6,16 +6,18 @@
 
 use baobabfall_core::dispatch_messages::{DispatchReport, UpstreamRestriction};
 use baobabfall_core::dispatch_settings::DispatchSettings;
+use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::upstream_notices::*;
 use dispatch_fleet::{ManualRouter, engine, entry, ms, ready, row};
 use quickcheck::{Arbitrary, Gen};
 use std::time::Duration;
 
 const START: Duration = Duration::from_secs(60);
-const LEAVING: UpstreamNotice = UpstreamNotice { leaving: true, quiet: None };
+const LEAVING: UpstreamNotice =
+    UpstreamNotice { leaving: true, quiet: None, rate: RateStatement::Unlimited };
 
 fn quiet(millis: u64) -> UpstreamNotice {
-    UpstreamNotice { leaving: false, quiet: Some(ms(millis)) }
+    UpstreamNotice { quiet: Some(ms(millis)), ..UpstreamNotice::default() }
 }
 
 fn restriction(name: &str, leaving: bool, quiet_ms: u32) -> UpstreamRestriction {
@@ -58,7 +60,8 @@
         let delay = read_delay(text).unwrap_or_default();
         assert!(delay <= QUIET_LIMIT, "{text:?} gave {delay:?}");
         let mut notices = UpstreamNotices::default();
-        notices.record(START, "e", 1, UpstreamNotice { leaving: false, quiet: Some(delay) });
+        let notice = UpstreamNotice { quiet: Some(delay), ..UpstreamNotice::default() };
+        notices.record(START, "e", 1, notice);
         assert!(notices.permits(START + QUIET_LIMIT, "e", 1));
     }
 }
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -31,6 +31,9 @@
 pub const NOT_RUN_HEADER: &str = "baobabfall-not-run";
 /// Response header of an upstream that is about to end: `true`.
 pub const LEAVING_HEADER: &str = "baobabfall-leaving";
+/// Header of an upstream's response: the requests per second that the upstream takes from
+/// all routers together.
+pub const RATE_LIMIT_HEADER: &str = "baobabfall-rate-limit";
 /// Response header with the id of the request.
 pub const REQUEST_ID_HEADER: &str = "baobabfall-request-id";
 
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -198,6 +198,10 @@
         name: "upstream_lapsed",
         meaning: "An upstream did not renew its announcement in time.",
     },
+    LogEvent {
+        name: "rate_limit_unreadable",
+        meaning: "An upstream named a request rate that is not a number; it was ignored and an earlier rate stays in force.",
+    },
     LogEvent {
         name: "retry_delay_unreadable",
         meaning: "An upstream turned a request away with a `Retry-After` that is not a number of seconds; it was ignored.",
@@ -206,6 +210,14 @@
         name: "upstream_leaving",
         meaning: "An answer of an upstream stated that it is leaving; the router sends it no more requests.",
     },
+    LogEvent {
+        name: "upstream_limited",
+        meaning: "An answer of an upstream named the requests that it takes from all routers together, `per_minute`; the dispatcher keeps that rate.",
+    },
+    LogEvent {
+        name: "upstream_limits_changed",
+        meaning: "The dispatcher learned from `router` that the request rate of an upstream has changed; `limited` upstreams have one now.",
+    },
     LogEvent {
         name: "upstream_quiet",
         meaning: "An upstream turned a request away and asked the router for no requests for `quiet_ms`.",
@@ -214,6 +226,10 @@
         name: "upstream_left",
         meaning: "The deregistration of an upstream is being committed to the log.",
     },
+    LogEvent {
+        name: "upstream_unlimited",
+        meaning: "An upstream that had named a request rate answered without one; the rate has ended.",
+    },
     LogEvent {
         name: "upstream_withdrawn",
         meaning: "The announcement of an upstream was withdrawn.",
--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -77,6 +77,7 @@
     };
     lease.mark_used(call.prompt_cost());
     let repeatable = call.route.kind.is_repeatable();
+    let sent_at = Instant::now();
     let exchange = state.router.pool.exchange(&route, request, repeatable);
     let answer = tokio::time::timeout_at(call.deadline, exchange).await;
     let (response, connection) = match answer {
@@ -99,7 +100,7 @@
     let (parts, body) = response.into_parts();
     let head = state.protocol.read_answer(&parts);
     if !head.misdirected {
-        state.router.queue.record_notice(&route, head.notice);
+        state.router.queue.record_notice(&route, sent_at, head.notice);
     }
     if let Some((kind, may_have_run, end, reason)) = check_head(state, call, &parts, &head) {
         lease.finish(end);
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -10,8 +10,10 @@
 use baobabfall_core::dispatch_messages::{
     BacklogEntry, BacklogRefusal, CostUnits, CrashCasualty, DispatchAnswer, DispatchReport,
     LeaseEnd, LeaseId, LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, PartId, PartList,
-    PromptSummary, SlotGrant, UNKNOWN_FIRST_TOKEN_MS, UpstreamRestriction, UpstreamRoute,
+    PromptSummary, SlotGrant, UNKNOWN_FIRST_TOKEN_MS, UpstreamLimit, UpstreamRestriction,
+    UpstreamRoute,
 };
+use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::part_book::PartBook;
 use baobabfall_core::sorted_map::SortedMap;
@@ -221,6 +223,7 @@
     statements: StatementStore,
     notices: NoticeBook,
     parts: PartBook,
+    limits: LimitBook,
 }
 
 impl LeaseBook {
@@ -246,6 +249,27 @@
         self.notices.started.elapsed()
     }
 
+    /// Records what the answer to a request sent at `sent_at` states about the request rate
+    /// of its upstream, and returns the change that follows from it.
+    pub fn record_rate(
+        &mut self,
+        route: &UpstreamRoute,
+        sent_at: Instant,
+        statement: RateStatement,
+    ) -> Option<UpstreamLimit> {
+        let timing = AnswerTiming {
+            sent_at: sent_at.saturating_duration_since(self.notices.started),
+            received_at: self.elapsed(),
+        };
+        let sequence = self.sequence + 1;
+        self.limits.record(timing, &route.name, route.incarnation, statement, sequence)
+    }
+
+    /// The request rates that upstreams have named.
+    pub fn limits(&self) -> &LimitBook {
+        &self.limits
+    }
+
     /// Records that an upstream began to answer a request with these parts of a prompt.
     /// Returns true when the dispatcher should learn of it.
     pub fn record_answered_parts(&mut self, parts: &[PartId]) -> bool {
@@ -378,6 +402,7 @@
             || self.leases.values().any(|lease| lease.change_sequence > since)
             || self.notices.change_sequences.values().any(|sequence| *sequence > since)
             || self.parts.is_changed(since)
+            || self.limits.is_changed(since)
     }
 
     /// True if the charge of any lease has changed since it was last reported.
@@ -426,6 +451,7 @@
             },
             restrictions: self.notices.restrictions(full, since),
             parts: self.parts.report(self.elapsed(), full, since),
+            limits: self.limits.report(full, since),
         }
     }
 
@@ -501,11 +527,15 @@
             self.last_grant = 0;
             self.full_needed = true;
             self.parts.forget_version();
+            self.limits.forget_version();
         }
         self.full_needed |= answer.resync;
         self.routers = answer.routers.max(1);
         answer.statements.iter().for_each(|statement| self.statements.record(statement));
         self.acknowledge(answer.acknowledged);
+        if let Some(list) = &answer.limits {
+            self.limits.apply_list(self.elapsed(), list);
+        }
         let mut decisions = Vec::new();
         for grant in answer.grants {
             if grant.lease.term == self.term && grant.lease.number > self.last_grant {
@@ -525,6 +555,7 @@
         self.leases.retain(|_, lease| lease.end.is_none() || lease.change_sequence > since);
         self.queues.retain(|_, queue| !queue.requests.is_empty() || queue.change_sequence > since);
         self.parts.acknowledge(since);
+        self.limits.acknowledge(since);
     }
 
     /// Matches a grant to the first queued request that may use its upstream. An
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -9,6 +9,7 @@
 use baobabfall_core::dispatch_messages::{
     CostUnits, LeaseEnd, PartId, PromptSummary, UpstreamRoute,
 };
+use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::queue_gate::QueueGate;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_notices::UpstreamNotice;
@@ -110,10 +111,11 @@
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records what an upstream stated about itself in an answer, and reports it to the
-    /// dispatcher at once.
-    pub fn record_notice(&self, route: &UpstreamRoute, notice: UpstreamNotice) {
-        if notice.is_empty() || !self.book().record_notice(route, notice) {
+    /// Records what an upstream stated about itself in the answer to a request sent at
+    /// `sent_at`, and reports it to the dispatcher at once.
+    pub fn record_notice(&self, route: &UpstreamRoute, sent_at: Instant, notice: UpstreamNotice) {
+        self.record_rate(route, sent_at, notice.rate);
+        if !self.book().record_notice(route, notice) {
             return;
         }
         self.notify();
@@ -126,6 +128,23 @@
         }
     }
 
+    fn record_rate(&self, route: &UpstreamRoute, sent_at: Instant, statement: RateStatement) {
+        let upstream = route.name.as_str();
+        if statement == RateStatement::Unreadable {
+            log::warn!(event = "rate_limit_unreadable", upstream = upstream; "the request rate that the upstream names is not a number and was ignored");
+        }
+        let Some(change) = self.book().record_rate(route, sent_at, statement) else { return };
+        self.notify();
+        match change.rate {
+            Some(rate) => {
+                log::info!(event = "upstream_limited", upstream = upstream, incarnation = route.incarnation, per_minute = rate.per_minute(); "the upstream limits the requests that it takes from all routers together")
+            }
+            None => {
+                log::info!(event = "upstream_unlimited", upstream = upstream, incarnation = route.incarnation; "the upstream does not limit its requests any more")
+            }
+        }
+    }
+
     /// Records that an upstream began to answer a request with these parts of a prompt.
     pub fn record_answered_parts(&self, parts: &[PartId]) {
         if !parts.is_empty() && self.book().record_answered_parts(parts) {
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -12,10 +12,12 @@
 use crate::upstream_pool::{ExchangeError, UpstreamConnection};
 use baobabfall_core::dispatch_messages::{LeaseEnd, UpstreamRoute};
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::request_life::LifecycleEvent;
 use baobabfall_core::upstream_notices::{UpstreamNotice, read_delay};
 use baobabfall_node::http_server::{
-    LEAVING_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, error_response_with, json_response,
+    LEAVING_HEADER, NOT_RUN_HEADER, RATE_LIMIT_HEADER, REQUEST_ID_HEADER, error_response_with,
+    json_response,
 };
 use baobabfall_node::messages::{ActionClaim, ActionOutcome, ClaimAnswer};
 use bytes::Bytes;
@@ -368,9 +370,10 @@
         request: http::Request<http_body_util::Full<Bytes>>,
     ) -> Result<OpenResponse, ExchangeError> {
         let repeatable = self.order.class.is_repeatable();
+        let sent_at = Instant::now();
         let (mut response, connection) =
             self.state.pool.exchange(route, request, repeatable).await?;
-        self.state.queue.record_notice(route, self.stated_notice(&response));
+        self.state.queue.record_notice(route, sent_at, self.stated_notice(&response));
         self.call.check_answer(&response).map_err(ExchangeError::Sent)?;
         let is_head_request = self.call.method == Method::HEAD;
         if !is_head_request && !is_framed(&response) {
@@ -406,8 +409,8 @@
         refused && not_run.is_some_and(|value| value.as_bytes() == b"true")
     }
 
-    /// What the upstream states about itself: that it is leaving, or, with a refusal, how
-    /// long it wants no requests.
+    /// What the upstream states about itself: that it is leaving, with a refusal how long it
+    /// wants no requests, and how many requests it takes.
     fn stated_notice(&self, response: &Response<Incoming>) -> UpstreamNotice {
         let text = |name: &str| response.headers().get(name)?.to_str().ok();
         let refused =
@@ -415,6 +418,9 @@
         UpstreamNotice {
             leaving: text(LEAVING_HEADER) == Some("true"),
             quiet: text(header::RETRY_AFTER.as_str()).filter(|_| refused).and_then(read_delay),
+            rate: RateStatement::read(
+                response.headers().get(RATE_LIMIT_HEADER).map(|v| v.as_bytes()),
+            ),
         }
     }
 
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -59,6 +59,7 @@
         routers: 1,
         statements,
         parts: None,
+        limits: None,
     }
 }
 
@@ -84,7 +85,7 @@
     book.build_report(&identity(), "a", 0);
     apply(&mut book, answer(4, 1, vec![]));
     let mut waiting = enqueue(&mut book, None);
-    let leaving = UpstreamNotice { leaving: true, quiet: None };
+    let leaving = UpstreamNotice { leaving: true, ..UpstreamNotice::default() };
     assert!(book.record_notice(&grant(4, 1).upstream, leaving));
     apply(&mut book, answer(4, 1, vec![grant(4, 1)]));
     assert!(take_granted_slot(&mut waiting).is_none());
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -4,6 +4,7 @@
 use super::fake_upstream::{FakeUpstream, Step, chunk};
 use super::{Answer, send, service_announcement, settings_text, wait_for};
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::retry_window::FleetRetryBudget;
 use baobabfall_core::route_table::*;
 use baobabfall_core::upstream_notices::UpstreamNotice;
@@ -28,6 +29,7 @@
 pub const MARK_HEADER: HeaderName = HeaderName::from_static("x-mark");
 pub const LEAVING_HEADER: HeaderName = HeaderName::from_static("x-leaving");
 pub const QUIET_HEADER: HeaderName = HeaderName::from_static("x-quiet-ms");
+pub const RATE_HEADER: HeaderName = HeaderName::from_static("x-rate");
 pub const PARTS_HEADER: HeaderName = HeaderName::from_static("x-parts");
 pub const NOT_RUN_HEADER: HeaderName = HeaderName::from_static("x-not-run");
 
@@ -82,6 +84,7 @@
             notice: UpstreamNotice {
                 leaving: parts.headers.contains_key(LEAVING_HEADER),
                 quiet: header_number(&parts.headers, &QUIET_HEADER).map(Duration::from_millis),
+                rate: RateStatement::read(parts.headers.get(&RATE_HEADER).map(|v| v.as_bytes())),
             },
         }
     }
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -1,7 +1,8 @@
 //! A fake controller that grants waiting requests slots of the upstreams in turn.
 
 use baobabfall_core::dispatch_messages::{
-    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, PartList, SlotGrant,
+    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, LimitList, PartList,
+    SlotGrant,
 };
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::local_dispatcher::route_of;
@@ -50,6 +51,8 @@
     pub refusals: Vec<BacklogRefusal>,
     /// List of quarantined parts of prompts in every dispatch answer.
     pub parts: Option<PartList>,
+    /// List of the upstreams' request rates in every dispatch answer.
+    pub limits: Option<LimitList>,
     /// Grants to send once, in addition to those for the backlog.
     pub extra_grants: Vec<SlotGrant>,
     /// Answers to the next claims, in order; further claims are granted.
@@ -97,6 +100,7 @@
             free_slots: usize::MAX,
             refusals: Vec::new(),
             parts: None,
+            limits: None,
             extra_grants: Vec::new(),
             claim_answers: Vec::new(),
             lost_claim_answers: 0,
@@ -298,6 +302,7 @@
                     routers: 1,
                     statements: Vec::new(),
                     parts: script.parts.clone(),
+                    limits: script.limits.clone(),
                 });
             }
         }
