--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -139,7 +139,17 @@
     rows: &[WorkspaceRow],
     engines: &[UpstreamAnnouncement],
 ) -> SlotDispatcher {
-    let mut dispatcher = SlotDispatcher::new(Duration::ZERO, 1, settings);
+    ready_in_term(1, settings, rows, engines)
+}
+
+/// Like [`ready`], for any term.
+pub fn ready_in_term(
+    term: u64,
+    settings: DispatchSettings,
+    rows: &[WorkspaceRow],
+    engines: &[UpstreamAnnouncement],
+) -> SlotDispatcher {
+    let mut dispatcher = SlotDispatcher::new(Duration::ZERO, term, settings);
     dispatcher.expect_routers([]);
     dispatcher.set_table(Duration::ZERO, &table(rows));
     dispatcher.set_upstreams(Duration::ZERO, engines);
--- a/crates/core/tests/upstream_limits.rs
+++ b/crates/core/tests/upstream_limits.rs
@@ -4,10 +4,14 @@
 
 mod dispatch_fleet;
 
-use baobabfall_core::dispatch_messages::{LimitList, LimitReport, UpstreamLimit};
+use baobabfall_core::dispatch_messages::{
+    DispatchReport, LeaseEnd, LimitList, LimitReport, SlotGrant, UpstreamLimit,
+};
+use baobabfall_core::dispatch_settings::DispatchSettings;
 use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
+use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use baobabfall_core::upstream_limits::{UpstreamLimits, read_rate};
-use dispatch_fleet::ms;
+use dispatch_fleet::{ManualRouter, engine, entry, ms, ready_in_term, row, usage};
 use quickcheck::{Arbitrary, Gen};
 use std::time::Duration;
 
@@ -93,3 +97,89 @@
         }
     }
 }
+
+/// Time between two rounds of reports.
+const STEP: Duration = ms(20);
+/// Time that a request runs.
+const RUN_TIME: Duration = ms(100);
+/// Time over which the requests of an upstream are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Routers that always have requests waiting, in front of the engines `e0`, with a rate of
+/// 1.9 requests a second, and `e1`, without one.
+struct BusyFleet {
+    routers: Vec<ManualRouter>,
+    running: Vec<(Duration, usize, SlotGrant)>,
+    /// Arrivals at `e0`.
+    limited: Vec<Duration>,
+    /// Arrivals at `e1`.
+    others: usize,
+}
+
+impl BusyFleet {
+    fn new(term: u64) -> Self {
+        let routers =
+            (0..40).map(|index| ManualRouter { term, ..ManualRouter::new(&format!("r{index}")) });
+        Self { routers: routers.collect(), running: Vec::new(), limited: Vec::new(), others: 0 }
+    }
+
+    fn dispatcher(term: u64) -> SlotDispatcher {
+        let engines = [engine("e0", &["m"], 12), engine("e1", &["m"], 12)];
+        ready_in_term(term, DispatchSettings::default(), &[row("a", 1, 999)], &engines)
+    }
+
+    /// Sends one report of each router and receives its grants.
+    fn step(&mut self, dispatcher: &mut SlotDispatcher, now: Duration, limits: &LimitReport) {
+        let (ended, running) =
+            std::mem::take(&mut self.running).into_iter().partition(|(end, _, _)| *end <= now);
+        self.running = running;
+        let ended: Vec<(Duration, usize, SlotGrant)> = ended;
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let ends = ended.iter().filter(|(_, holder, _)| *holder == index);
+            let ends = ends.map(|(_, _, grant)| usage(grant, 9, Some(LeaseEnd::Finished)));
+            let report = router.report(vec![entry("a", 3, 0)], ends.collect());
+            let limits = LimitReport { version: dispatcher.limits().version(), ..limits.clone() };
+            dispatcher.apply_report(now, &DispatchReport { limits, ..report });
+        }
+        dispatcher.dispatch(now);
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            for grant in router.receive(now, dispatcher) {
+                match grant.upstream.name.as_str() {
+                    "e0" => self.limited.push(now),
+                    _ => self.others += 1,
+                }
+                self.running.push((now + RUN_TIME, index, grant));
+            }
+        }
+    }
+
+    /// Most requests that `e0` got within [`WINDOW`].
+    fn most_in_window(&self) -> usize {
+        let within = |from: &Duration| {
+            self.limited.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count()
+        };
+        self.limited.iter().map(within).max().unwrap_or_default()
+    }
+}
+
+/// Guards against an upstream in need that gets more than the rate it named because each router, or
+/// the next dispatcher, knows only its own part of the requests.
+#[test]
+fn dispatch_limited_upstream_gets_its_rate() {
+    let changes = vec![limit("e0", "1.9")];
+    let named = LimitReport { changes, ..LimitReport::default() };
+    let known = LimitReport { known: named.changes.clone(), ..LimitReport::default() };
+    for (term, first) in [(1, &named), (2, &known)] {
+        let mut dispatcher = BusyFleet::dispatcher(term);
+        let mut fleet = BusyFleet::new(term);
+        fleet.step(&mut dispatcher, START, first);
+        for round in 1..600 {
+            fleet.step(&mut dispatcher, START + STEP * round, &LimitReport::default());
+        }
+        let rate = 1.9 * WINDOW.as_secs_f64();
+        let most = f64::from(u32::try_from(fleet.most_in_window()).unwrap());
+        assert!(most <= 1.5 * rate + 5.0, "term {term}: {most} requests in {WINDOW:?}");
+        assert!(fleet.limited.len() >= 18, "term {term}: the rate is used");
+        assert!(fleet.others > 1_000, "term {term}: the other upstream takes the rest");
+    }
+}
--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -4,6 +4,8 @@
 
 mod support;
 
+use baobabfall_core::dispatch_messages::DispatchReport;
+use baobabfall_core::upstream_limits::read_rate;
 use http::{HeaderValue, Method};
 use std::sync::Arc;
 use std::time::Duration;
@@ -208,3 +210,23 @@
         assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "late"), "{path}");
     }
 }
+
+/// Guards against routers that each send requests of a plain service to an upstream which takes only
+/// so many from all of them: once it names a rate, the dispatcher grants its requests.
+#[tokio::test]
+async fn exchange_limited_plain_upstream_needs_grant() {
+    let limited = || answer_with(200, "x-request: r1\r\nx-mark: m\r\nx-rate: 2\r\n", "a");
+    let site = ExchangeSite::start(vec![vec![limited(), limited(), limited()]]).await;
+    assert_eq!(site.call(Method::GET, "/plain/x", &[]).await.status.as_u16(), 200);
+    site.controller.script().free_slots = 0;
+    assert_eq!(site.call(Method::GET, "/plain/x", &[]).await.status.as_u16(), 503);
+    assert_eq!(total_requests(&site), [1]);
+    site.controller.script().free_slots = 1;
+    assert_eq!(site.call(Method::GET, "/plain/x", &[]).await.status.as_u16(), 200);
+    let reports = |report: &DispatchReport| {
+        let changes = report.limits.changes.iter();
+        changes.map(|limit| (limit.upstream.clone(), limit.rate)).collect::<Vec<_>>()
+    };
+    let expected = vec![("u0-plain".to_owned(), read_rate("2"))];
+    assert!(site.controller.script().reports.iter().any(|report| reports(report) == expected));
+}
