The dispatcher keeps the request rates that upstreams name

Cause: callers of a limited upstream saw it overloaded further: a rate for the whole fleet had no owner. Slots bound how many requests run at once, not how many begin in a second; grants, direct slots of routers and local mode had no budget over time. Change: a token bucket for each upstream that names a rate, at the dispatcher; without a token it has no free slot. Plain services with a limited upstream are shared by the dispatcher. In local mode each router has an equal share. Unused grants are put back.

--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -205,16 +205,23 @@
     /// Records what the router reports about the request rates that upstreams name.
     fn apply_limits(&mut self, now: Duration, id: usize, report: &LimitReport) {
         self.routers[id].limits_version = report.version;
-        let mut changed = false;
+        let version = self.limits.version();
         for limit in &report.changes {
-            changed |= self.limits.record(now, limit);
+            self.limits.record(now, limit);
         }
         for limit in &report.known {
-            changed |= self.limits.restore(now, limit);
+            self.limits.restore(now, limit);
         }
-        if changed {
-            self.wake_routers();
+        if self.limits.version() == version {
+            return;
+        }
+        for limit in report.changes.iter().chain(&report.known) {
+            if let Some(upstream) = self.upstream_names.get(&limit.upstream).copied() {
+                self.refresh_upstream(now, upstream);
+                self.track_slot_changes(upstream);
+            }
         }
+        self.wake_routers();
     }
 
     /// Upstreams that want no requests from the router now.
--- a/crates/core/src/dispatch_ledger.rs
+++ b/crates/core/src/dispatch_ledger.rs
@@ -252,12 +252,17 @@
             account.running -= 1;
             account.settle_charge(record.charge, settled);
         }
-        // Only grants of this term were charged to the request rate, so only they are refunded.
-        let unused = matches!(end, Some(LeaseEnd::Unused | LeaseEnd::Refused));
-        let unused = unused && lease.term == self.term;
+        // Only grants of this term were charged to the request rates, so only they are refunded.
+        let is_granted_here = lease.term == self.term;
+        let unused = matches!(end, Some(LeaseEnd::Unused | LeaseEnd::Refused)) && is_granted_here;
         if let Some(policy) = workspace.policy.as_mut().filter(|_| unused) {
             policy.limit.refund_request(now);
         }
+        // The upstream has received a request that it refused.
+        if end == Some(LeaseEnd::Unused) && is_granted_here {
+            let name = &self.upstreams[record.upstream].name;
+            self.limits.refund(now, name, record.incarnation);
+        }
         if end == Some(LeaseEnd::Finished) {
             let pair = (record.workspace, record.target);
             self.costs.learn(pair, record.cost_hint, record.reported);
@@ -329,7 +334,21 @@
         if !upstream.live || upstream.stopping || upstream.left == Some(upstream.incarnation) {
             return 0;
         }
-        upstream.capacity.slots(now, &self.settings.placement)
+        let slots = upstream.capacity.slots(now, &self.settings.placement);
+        match self.limits.wait(now, &upstream.name, upstream.incarnation) {
+            // The request rate allows no further request at present.
+            Some(_) => slots.min(upstream.running),
+            None => slots,
+        }
+    }
+
+    /// Time at which the slots of an upstream next change without an event.
+    pub(crate) fn next_slot_change(&self, now: Duration, id: usize) -> Option<Duration> {
+        let upstream = &self.upstreams[id];
+        let wait = self.limits.wait(now, &upstream.name, upstream.incarnation);
+        let allowed = wait.map(|wait| now + wait);
+        let change = upstream.capacity.next_change(now, &self.settings.placement);
+        change.into_iter().chain(allowed).min()
     }
 
     /// Updates the free slots of an upstream after its state has changed.
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -7,10 +7,11 @@
 
 use crate::cost_estimate::DEFAULT_ESTIMATE;
 use crate::dispatch_messages::{
-    BacklogEntry, CostUnits, LeaseId, LeaseUsage, SlotGrant, UpstreamRoute,
+    BacklogEntry, CostUnits, LeaseId, LeaseUsage, SlotGrant, UpstreamLimit, UpstreamRoute,
 };
 use crate::fair_order::{AccountValue, FairAccount, weighted_cost};
 use crate::sorted_map::SortedMap;
+use crate::upstream_limits::UpstreamLimits;
 use crate::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
 use crate::workspace_table::WorkspaceTable;
 use std::time::Duration;
@@ -149,6 +150,8 @@
     /// Local leases that ended since the last call of [`LocalDispatcher::forget_ended`].
     ended: Vec<LeaseUsage>,
     next_number: u64,
+    /// This router's share of the request rates that upstreams have named.
+    limits: UpstreamLimits,
 }
 
 impl LocalDispatcher {
@@ -169,6 +172,7 @@
             leases: SortedMap::new(),
             ended: Vec::new(),
             next_number: settings.first_number,
+            limits: UpstreamLimits::new(settings.routers, settings.seed),
         };
         local.set_table(table);
         for usage in held_leases.into_iter().filter(|usage| usage.end.is_none()) {
@@ -203,6 +207,12 @@
         self.upstreams = upstreams.collect();
     }
 
+    /// Sets the request rates that upstreams have named. This router uses an equal share of
+    /// each, because it does not know what other routers send.
+    pub fn set_limits(&mut self, now: Duration, limits: &[UpstreamLimit]) {
+        self.limits.replace(now, limits);
+    }
+
     fn count_running(&self, key: &(String, u64)) -> u32 {
         let leases = self.leases.values().map(|lease| &lease.usage);
         let running = leases.filter(|usage| usage.upstream == key.0 && usage.incarnation == key.1);
@@ -254,8 +264,10 @@
     pub fn dispatch(&mut self, now: Duration) -> Vec<SlotGrant> {
         let slots = self.usable_slots(now);
         let mut grants = Vec::new();
-        while let Some((key, upstream)) = self.next_request(&slots) {
-            grants.push(self.grant(&key, &upstream));
+        while let Some((key, upstream)) = self.next_request(now, &slots) {
+            let grant = self.grant(&key, &upstream);
+            self.limits.charge(now, &grant.upstream.name, grant.upstream.incarnation);
+            grants.push(grant);
         }
         grants
     }
@@ -291,13 +303,13 @@
 
     /// Key of the queue with the lowest account that a free slot can serve, and the
     /// name of the upstream to use.
-    fn next_request(&self, slots: &[u32]) -> Option<((String, WorkTarget), String)> {
+    fn next_request(&self, now: Duration, slots: &[u32]) -> Option<((String, WorkTarget), String)> {
         let candidates = self.backlog.iter().filter_map(|(key, entry)| {
             let workspace = self.workspaces.get(&key.0)?;
             if workspace.running >= workspace.concurrency {
                 return None;
             }
-            let upstream = self.choose_upstream(entry, slots)?;
+            let upstream = self.choose_upstream(now, entry, slots)?;
             let account = (pool_key(&upstream.announcement), key.0.clone());
             let value = self.accounts.get(&account).map_or(0, |account| account.value);
             Some((value, key, upstream))
@@ -306,10 +318,18 @@
         Some((key.clone(), upstream.announcement.name.clone()))
     }
 
-    fn choose_upstream(&self, entry: &BacklogEntry, slots: &[u32]) -> Option<&LocalUpstream> {
+    fn choose_upstream(
+        &self,
+        now: Duration,
+        entry: &BacklogEntry,
+        slots: &[u32],
+    ) -> Option<&LocalUpstream> {
         let upstreams = self.upstreams.values().zip(slots);
         let free = upstreams.filter(|(upstream, slots)| {
-            upstream.running < **slots && upstream.announcement.can_serve(&entry.target)
+            let UpstreamAnnouncement { name, incarnation, .. } = &upstream.announcement;
+            upstream.running < **slots
+                && upstream.announcement.can_serve(&entry.target)
+                && self.limits.wait(now, name, *incarnation).is_none()
         });
         let chosen = free.min_by_key(|(upstream, slots)| {
             let avoided = entry.avoid.as_ref() == Some(&upstream.announcement.name);
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -287,10 +287,12 @@
         }
         let placement = self.settings.placement;
         for id in std::mem::take(&mut self.changing_upstreams) {
-            if self.upstreams[id].capacity.advance(now, &placement) {
+            let upstream = &mut self.upstreams[id];
+            let is_limited = self.limits.is_limited(&upstream.name, upstream.incarnation);
+            if upstream.capacity.advance(now, &placement) || is_limited {
                 self.refresh_upstream(now, id);
             }
-            if self.upstreams[id].capacity.next_change(now, &placement).is_some() {
+            if self.next_slot_change(now, id).is_some() {
                 self.changing_upstreams.push(id);
             }
         }
@@ -391,6 +393,7 @@
         if let Some(policy) = &mut self.workspaces[workspace].policy {
             policy.limit.charge_request(now);
         }
+        self.charge_upstream_rate(now, upstream);
         self.push_grant(next.router, lease, &record);
         self.add_lease(now, next.router, lease, record);
         self.refresh_workspace(now, workspace);
@@ -398,6 +401,15 @@
         true
     }
 
+    /// Takes one request from the rate that the upstream has named, if any.
+    fn charge_upstream_rate(&mut self, now: Duration, id: usize) {
+        let upstream = &self.upstreams[id];
+        if self.limits.is_limited(&upstream.name, upstream.incarnation) {
+            self.limits.charge(now, &upstream.name, upstream.incarnation);
+            self.track_slot_changes(id);
+        }
+    }
+
     /// Returns the upstream for a prefix that no upstream is known to hold.
     /// With rendezvous hashing every dispatcher chooses the same one. A new
     /// dispatcher does not know which prefixes the upstreams hold, but still sends
@@ -591,9 +603,8 @@
     pub fn next_wakeup(&self, now: Duration) -> Option<Duration> {
         let recovery = self.recovering.then_some(self.started_at + self.settings.recovery_wait);
         let rate_limited = self.rate_limited.peek().map(|(due, _)| due);
-        let placement = &self.settings.placement;
         let slots = self.changing_upstreams.iter();
-        let slots = slots.filter_map(|id| self.upstreams[*id].capacity.next_change(now, placement));
+        let slots = slots.filter_map(|id| self.next_slot_change(now, *id));
         let silent = self.router_names.values().map(|id| &self.routers[*id]);
         let silent = silent.map(|router| match router.synced {
             true => router.last_report_at + self.settings.router_silence,
--- a/crates/core/src/upstream_limits.rs
+++ b/crates/core/src/upstream_limits.rs
@@ -150,6 +150,11 @@
         self.version += u64::from(self.records.len() < count);
     }
 
+    /// True when this incarnation of the upstream has named a rate.
+    pub fn is_limited(&self, name: &str, incarnation: u64) -> bool {
+        self.record_of(name, incarnation).is_some()
+    }
+
     /// Time until the upstream may get another request; `None` when it may get one now.
     pub fn wait(&self, now: Duration, name: &str, incarnation: u64) -> Option<Duration> {
         let record = self.record_of(name, incarnation)?;
--- a/crates/core/tests/upstream_limits.rs
+++ b/crates/core/tests/upstream_limits.rs
@@ -9,9 +9,10 @@
 };
 use baobabfall_core::dispatch_settings::DispatchSettings;
 use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
+use baobabfall_core::local_dispatcher::{LocalDispatcher, LocalSettings};
 use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use baobabfall_core::upstream_limits::{UpstreamLimits, read_rate};
-use dispatch_fleet::{ManualRouter, engine, entry, ms, ready_in_term, row, usage};
+use dispatch_fleet::{ManualRouter, engine, entry, ms, ready_in_term, row, table, usage};
 use quickcheck::{Arbitrary, Gen};
 use std::time::Duration;
 
@@ -152,14 +153,13 @@
             }
         }
     }
+}
 
-    /// Most requests that `e0` got within [`WINDOW`].
-    fn most_in_window(&self) -> usize {
-        let within = |from: &Duration| {
-            self.limited.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count()
-        };
-        self.limited.iter().map(within).max().unwrap_or_default()
-    }
+/// Most arrivals within [`WINDOW`].
+fn most_in_window(arrivals: &[Duration]) -> usize {
+    let within =
+        |from: &Duration| arrivals.iter().filter(|at| (*from..*from + WINDOW).contains(at)).count();
+    arrivals.iter().map(within).max().unwrap_or_default()
 }
 
 /// Guards against an upstream in need that gets more than the rate it named because each router, or
@@ -177,9 +177,72 @@
             fleet.step(&mut dispatcher, START + STEP * round, &LimitReport::default());
         }
         let rate = 1.9 * WINDOW.as_secs_f64();
-        let most = f64::from(u32::try_from(fleet.most_in_window()).unwrap());
+        let most = f64::from(u32::try_from(most_in_window(&fleet.limited)).unwrap());
         assert!(most <= 1.5 * rate + 5.0, "term {term}: {most} requests in {WINDOW:?}");
         assert!(fleet.limited.len() >= 18, "term {term}: the rate is used");
         assert!(fleet.others > 1_000, "term {term}: the other upstream takes the rest");
     }
 }
+
+/// Guards against an upstream that stays slow after it is well again, and against grants that were
+/// not used but count as requests.
+#[test]
+fn dispatch_unused_grant_and_lifted_rate_free_slots() {
+    let engines = [engine("e0", &["m"], 8)];
+    let settings = DispatchSettings::default();
+    let mut dispatcher = ready_in_term(1, settings, &[row("a", 1, 99)], &engines);
+    let mut router = ManualRouter::new("r");
+    let mut send = |dispatcher: &mut SlotDispatcher, now, usage, changes| {
+        let report = router.report(vec![entry("a", 20, 0)], usage);
+        let limits = LimitReport { changes, ..LimitReport::default() };
+        dispatcher.apply_report(now, &DispatchReport { limits, ..report });
+        dispatcher.dispatch(now);
+        router.receive(now, dispatcher)
+    };
+    assert!(send(&mut dispatcher, START, vec![], vec![limit("e0", "1")]).is_empty());
+    assert_eq!(dispatcher.next_wakeup(START), Some(START + ms(1_000)));
+    assert!(send(&mut dispatcher, START + ms(999), vec![], vec![]).is_empty());
+    let grants = send(&mut dispatcher, START + ms(1_000), vec![], vec![]);
+    assert_eq!(grants.len(), 1);
+    let unused = usage(&grants[0], 0, Some(LeaseEnd::Unused));
+    let grants = send(&mut dispatcher, START + ms(1_010), vec![unused], vec![]);
+    assert_eq!(grants.len(), 1, "the upstream has got no request");
+    let refused = usage(&grants[0], 0, Some(LeaseEnd::Refused));
+    assert!(send(&mut dispatcher, START + ms(1_020), vec![refused], vec![]).is_empty());
+    let ended = UpstreamLimit { rate: None, ..limit("e0", "1") };
+    let grants = send(&mut dispatcher, START + ms(1_030), vec![], vec![ended]);
+    assert_eq!(grants.len(), 6, "the refusal lowered the concurrency limit by a quarter");
+}
+
+/// Guards against routers that lost the dispatcher and together exceed the rate of an upstream.
+#[test]
+fn local_dispatch_limited_upstream_gets_its_rate() {
+    const ROUTERS: u32 = 200;
+    let engines = [engine("e0", &["m"], 12 * ROUTERS)];
+    let table = table(&[row("a", 1, 999)]);
+    let mut random = Gen::from_size_and_seed(24, 5);
+    let mut routers: Vec<LocalDispatcher> = (0..ROUTERS)
+        .map(|_| {
+            let seed = u64::arbitrary(&mut random);
+            let settings = LocalSettings { routers: ROUTERS, seed, ..LocalSettings::default() };
+            let mut local = LocalDispatcher::new(settings, &table, &[]);
+            local.set_upstreams(&engines);
+            local.set_limits(START, &[limit("e0", "10.2")]);
+            local.set_backlog(&entry("a", 999, 0));
+            local
+        })
+        .collect();
+    let mut arrivals = Vec::new();
+    for now in (0..1_500).map(|round| START + STEP * round) {
+        for local in &mut routers {
+            for grant in local.dispatch(now) {
+                arrivals.push(now);
+                local.record_usage(&usage(&grant, 9, Some(LeaseEnd::Finished)));
+            }
+        }
+    }
+    let rate = 10.2 * WINDOW.as_secs_f64();
+    let most = f64::from(u32::try_from(most_in_window(&arrivals)).unwrap());
+    assert!(most <= 1.5 * rate + 5.0, "{most} requests in {WINDOW:?}");
+    assert!(arrivals.len() > 240, "the rate is used: {}", arrivals.len());
+}
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -318,10 +318,12 @@
 
     /// Takes a slot of a service that is no model engine without asking the
     /// dispatcher. Not while the dispatcher is unreachable, because the router then
-    /// does not learn which upstreams have left.
+    /// does not learn which upstreams have left, and not while an upstream of the
+    /// service limits its requests, because only the dispatcher knows those of all
+    /// routers.
     fn take_direct_slot(&self, target: &WorkTarget) -> Option<SlotLease> {
         let router = &self.state.router;
-        if !self.call.plain || router.dispatch.is_lost() {
+        if !self.call.plain || router.dispatch.is_lost() || self.has_limited_upstream(target) {
             return None;
         }
         let permits = |name: &str, incarnation| router.queue.book().permits(name, incarnation);
@@ -329,6 +331,18 @@
         Some(SlotLease::direct(&router.direct, &self.call.service, slot))
     }
 
+    /// True when an upstream of the target has named a request rate.
+    fn has_limited_upstream(&self, target: &WorkTarget) -> bool {
+        let router = &self.state.router;
+        if router.queue.book().limits().is_empty() {
+            return false;
+        }
+        let upstreams = router.fleet.upstreams();
+        let book = router.queue.book();
+        let mut serving = upstreams.iter().filter(|upstream| upstream.can_serve(target));
+        serving.any(|upstream| book.limits().rate(&upstream.name, upstream.incarnation).is_some())
+    }
+
     /// Time until requests with the parts of this prompt may run again, if one of them
     /// crashed upstreams.
     fn quarantine_left(&self) -> Option<Duration> {
--- a/crates/router/src/local_mode.rs
+++ b/crates/router/src/local_mode.rs
@@ -156,7 +156,9 @@
         for entry in entries.values() {
             local.set_backlog(entry);
         }
-        let grants = local.dispatch(self.state.dispatch.elapsed());
+        let now = self.state.dispatch.elapsed();
+        local.set_limits(now, &book.limits().limits());
+        let grants = local.dispatch(now);
         let decisions = book.apply_local_grants(grants);
         book.merge_local_leases();
         drop(book);
