Log a fingerprint of the content of requests

Change: RequestContent::fingerprint, a hash of workspace, method, host, target and body; field fingerprint of attempt_failed, stream_broken and request_ended. Nothing decides by it yet. Conclusion: a repeated request can be followed over routers and attempts.

--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -6,6 +6,7 @@
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
 use crate::exchange_run::{ExchangeCall, ExchangeRun};
 use crate::exchange_state::ExchangeState;
+use crate::request_fingerprint::RequestContent;
 use crate::request_order::end_to_end_headers;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::{OPEN_WORKSPACE, RouteIndex, RouteKind, RouteRow};
@@ -108,9 +109,18 @@
     let engine = row.and_then(|row| row.engine.as_ref());
     let plain = row.is_some() && engine.is_none() && !route.kind.is_stream();
     let event_tokens = engine.map_or(0, |engine| engine.event_tokens);
+    let target = parts.uri.path_and_query().cloned().ok_or(ErrorKind::MalformedRequest)?;
+    let content = RequestContent {
+        workspace: &workspace,
+        method: &parts.method,
+        host: &head.host,
+        target: target.as_str(),
+        body: &body,
+    };
     Ok(ExchangeCall {
+        fingerprint: content.fingerprint(),
         method: parts.method.clone(),
-        target: parts.uri.path_and_query().cloned().ok_or(ErrorKind::MalformedRequest)?,
+        target,
         headers: forwarded_headers(&parts.headers),
         body,
         forward_workspace,
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -9,7 +9,9 @@
 use crate::exchange_stream::{pump_events, pump_frames};
 use crate::lease_book::QueueKey;
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
-use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptSummary, UNITS_PER_TOKEN};
+use baobabfall_core::dispatch_messages::{
+    CostUnits, LeaseEnd, PartId, PromptSummary, UNITS_PER_TOKEN,
+};
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::RouteRow;
 use baobabfall_core::upstream_notices::QUIET_LIMIT;
@@ -48,6 +50,8 @@
 /// A caller's request with everything that was decided before it is queued.
 #[derive(Clone, Debug)]
 pub struct ExchangeCall {
+    /// Hash of the content, which stays when the caller sends the request again.
+    pub fingerprint: PartId,
     /// HTTP method, forwarded unchanged.
     pub method: Method,
     /// Path and query as received.
@@ -198,7 +202,8 @@
             workspace = call.workspace.as_str(), upstream = self.avoid.as_deref().unwrap_or(""),
             status = status, attempts = self.attempts, events = events,
             queued_ms = millis(self.queued), elapsed_ms = millis(call.arrival.elapsed()),
-            routes_version = call.version; "request ended with an upstream's response"
+            routes_version = call.version, fingerprint = format!("{:016x}", call.fingerprint);
+            "request ended with an upstream's response"
         );
     }
 
@@ -253,7 +258,8 @@
         log::info!(
             event = "attempt_failed", request_id = call.head.request_id.as_str(),
             route = call.route.name.as_str(), upstream = failure.upstream.as_str(),
-            attempt = self.attempts, may_have_run = failure.may_have_run, again = will_retry;
+            attempt = self.attempts, may_have_run = failure.may_have_run, again = will_retry,
+            fingerprint = format!("{:016x}", call.fingerprint);
             "attempt failed: {}", failure.reason
         );
         will_retry
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -85,7 +85,8 @@
         log::info!(
             event = "stream_broken", request_id = run.call.head.request_id.as_str(),
             upstream = opened.lease.route().name.as_str(), events = splitter.events(),
-            last_event = splitter.last_id().unwrap_or(0), again = will_resume;
+            last_event = splitter.last_id().unwrap_or(0), again = will_resume,
+            fingerprint = format!("{:016x}", run.call.fingerprint);
             "event stream interrupted: {reason}"
         );
         if !will_resume {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod process;
 pub mod relay;
 pub mod relay_watch;
+pub mod request_fingerprint;
 pub mod request_order;
 pub mod request_queue;
 pub mod request_record;
