--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -4,8 +4,11 @@
 
 mod support;
 
-use baobabfall_core::dispatch_messages::{PartList, PartQuarantine, PartReport};
+use baobabfall_core::dispatch_messages::{DispatchReport, PartList, PartQuarantine, PartReport};
+use baobabfall_core::dispatch_settings::DispatchSettings;
+use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use http::Method;
+use std::time::Duration;
 use support::exchange_site::{ExchangeSite, event, event_chunks, stream_head};
 use support::fake_upstream::{FakeUpstream, Step};
 use support::wait_for;
@@ -94,3 +97,63 @@
         |report: &PartReport| report.casualties.iter().any(|casualty| casualty.parts.contains(&6));
     assert!(!reported(&site, blames_answered));
 }
+
+/// Upstreams of the site that got at least one request.
+fn crashed_upstreams(site: &ExchangeSite) -> usize {
+    (0..site.upstreams.len()).filter(|index| site.request_count(*index) > 0).count()
+}
+
+fn total_requests(site: &ExchangeSite) -> usize {
+    (0..site.upstreams.len()).map(|index| site.request_count(index)).sum()
+}
+
+/// The parts that a dispatcher with the router's reports would quarantine.
+fn quarantined_by(site: &ExchangeSite) -> PartList {
+    let mut dispatcher = SlotDispatcher::new(Duration::ZERO, 3, DispatchSettings::default());
+    for report in &site.controller.script().reports {
+        dispatcher.apply_report(Duration::ZERO, report);
+    }
+    let later = Duration::from_secs(2);
+    dispatcher.quarantine_parts(later);
+    let holds_none = DispatchReport { sequence: 1 << 40, ..report_of_router(site) };
+    dispatcher.apply_report(later, &holds_none);
+    let list = dispatcher.take_answer(later, &holds_none.router.name).parts;
+    list.unwrap_or(PartList { version: 0, watched: Vec::new(), quarantined: Vec::new() })
+}
+
+fn report_of_router(site: &ExchangeSite) -> DispatchReport {
+    let reports = &site.controller.script().reports;
+    let mut report = reports.last().unwrap().clone();
+    report.parts = PartReport::default();
+    report
+}
+
+/// Guards against a request that comes again and again, at any router, and crashes each upstream that
+/// begins to run it: callers with other requests find no upstream meanwhile.
+#[tokio::test]
+async fn repeated_request_that_crashes_upstreams_is_quarantined() {
+    for path in ["/plain/x", "/read/x", "/stream/x"] {
+        let crashes = || vec![crash(); 8];
+        let site = ExchangeSite::start(vec![crashes(), crashes(), crashes()]).await;
+        let call =
+            |body: &'static str| site.call_body(Method::POST, path, &[("x-parts", "3")], body);
+        for _ in 0..8 {
+            if crashed_upstreams(&site) == 3 {
+                break;
+            }
+            call("deadly").await;
+        }
+        assert_eq!(crashed_upstreams(&site), 3, "{path}");
+        wait_for("a report after the last crash", || !quarantined_by(&site).quarantined.is_empty())
+            .await;
+        let list = quarantined_by(&site);
+        assert_eq!(list.quarantined.len(), 1, "{path}: only what the requests have in common");
+        site.controller.script().parts = Some(list);
+        let sent = total_requests(&site);
+        wait_for("the list of the controller", || reported(&site, |parts| parts.version > 0)).await;
+        assert_eq!(call("deadly").await.status.as_u16(), 503, "{path}");
+        assert_eq!(total_requests(&site), sent, "{path}");
+        call("sound").await;
+        assert!(total_requests(&site) > sent, "{path}: another request is sent");
+    }
+}
