Whole requests are suspects of crashes, beside the parts of their prompts

Cause: callers of a plain service found none of its three upstreams up for seconds: a request that crashes upstreams came again, and a crash could only be blamed on shareable parts of prompts. Plain requests have none; parts of others were answered elsewhere and cleared. Change: a hash of the content of each exchange is reported, cleared, quarantined and refused like a part. It goes before its parts on equal evidence; crashes with a quarantined request count against a part again once one more crash has no other explanation. Measured: repeated_request_that_crashes_upstreams_is_quarantined failed before, passes. Conclusion: what crashes an upstream is the request; a part of its prompt is one way to describe it.

--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -122,7 +122,7 @@
             }
             for found in dispatcher.quarantine_parts(now) {
                 let part = format!("{:016x}", found.part);
-                log::warn!(event = "prompt_part_found", part = part, crashes = found.crashes; "upstreams crashed on requests with this part of a prompt; routers refuse such requests");
+                log::warn!(event = "prompt_part_found", part = part, whole_request = found.is_request, crashes = found.crashes; "upstreams crashed on this request, or on requests with this part of a prompt; routers refuse it");
             }
         });
     }
--- a/crates/core/src/crash_tracker.rs
+++ b/crates/core/src/crash_tracker.rs
@@ -1,16 +1,20 @@
-//! Finds the part of a prompt that crashes the upstreams that run it.
+//! Finds the request, or the part of a prompt, that crashes the upstreams that run it.
 //!
 //! Routers report the requests that an upstream dropped before the first token. The
-//! tracker looks for a part that explains most of these crashes and that no router has
-//! seen answered: such a part is quarantined, and routers refuse requests with it.
-//! Without it, every request with the part takes down another upstream with all
-//! requests that run there.
+//! tracker looks for content that explains most of these crashes and that no router has
+//! seen answered: a whole request that comes again, or a part that different prompts
+//! share. It is quarantined, and routers refuse requests with it. Without that, every
+//! such request takes down another upstream with all requests that run there.
 //!
 //! Most parts of the dropped requests are harmless: their requests only ran beside
 //! the one that crashed the upstream. Two things tell them apart. A harmless part is
 //! answered elsewhere, so routers are asked about every suspect. And it takes part in
 //! fewer crashes, so the part with the most crashes is taken first and the others are
 //! judged by the crashes that it does not explain.
+//!
+//! A whole request goes before its parts when they explain equally many crashes, because
+//! its quarantine refuses fewer others. Should a part be the cause, the next request with
+//! it crashes an upstream too; the earlier crashes then count against the part again.
 
 use crate::dispatch_messages::{CrashCasualty, PartId, PartList, PartQuarantine};
 use crate::sorted_map::SortedMap;
@@ -32,7 +36,7 @@
 pub const SOUND_RETENTION: Duration = Duration::from_secs(60);
 /// Most crashes that are remembered; the oldest is dropped.
 const CRASH_LIMIT: usize = 64;
-/// Most parts that are kept for one crash.
+/// Most parts, and most requests, that are kept for one crash.
 const CRASH_PART_LIMIT: usize = 256;
 /// Most suspects that routers are asked about, most frequent first.
 const WATCH_LIMIT: usize = 128;
@@ -51,7 +55,8 @@
 /// for (second, upstream) in ["engine-1", "engine-2", "engine-3"].into_iter().enumerate() {
 ///     let at = Duration::from_secs(second.try_into().unwrap());
 ///     let parts = vec![7, 100 + u64::try_from(second).unwrap()];
-///     let casualty = CrashCasualty { upstream: upstream.to_owned(), incarnation: 1, parts };
+///     let upstream = upstream.to_owned();
+///     let casualty = CrashCasualty { upstream, incarnation: 1, parts, request: None };
 ///     tracker.record_casualty(at, &casualty);
 /// }
 /// let found = tracker.evaluate(Duration::from_secs(3));
@@ -75,15 +80,46 @@
     at: Duration,
     /// Parts of the requests that were dropped, in order.
     parts: Vec<PartId>,
+    /// The requests that were dropped, in order.
+    requests: Vec<PartId>,
     /// True when one of its requests had a part that is in quarantine.
-    explained: bool,
+    has_quarantined_part: bool,
+    /// True when one of its requests is in quarantine.
+    has_quarantined_request: bool,
+}
+
+impl CrashRecord {
+    /// Marks the crash as explained if `id` was dropped in it.
+    fn record_quarantine(&mut self, id: PartId) {
+        self.has_quarantined_part |= self.parts.binary_search(&id).is_ok();
+        self.has_quarantined_request |= self.requests.binary_search(&id).is_ok();
+    }
+
+    fn is_explained(&self) -> bool {
+        self.has_quarantined_part || self.has_quarantined_request
+    }
+
+    fn contains(&self, id: PartId) -> bool {
+        self.parts.binary_search(&id).is_ok() || self.requests.binary_search(&id).is_ok()
+    }
+}
+
+/// Crashes for which a request or a part may be to blame.
+#[derive(Clone, Copy, Debug, Default)]
+struct SuspectRecord {
+    is_request: bool,
+    crashes: usize,
+    /// Those among the crashes that nothing in quarantine explains.
+    unexplained: usize,
 }
 
-/// A part that was put in quarantine.
+/// A request or part that was put in quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FoundPart {
-    /// The part.
+    /// The part, or the hash of the request.
     pub part: PartId,
+    /// True for a whole request.
+    pub is_request: bool,
     /// Number of crashes that it explains.
     pub crashes: usize,
 }
@@ -103,18 +139,20 @@
                 incarnation: casualty.incarnation,
                 at: now,
                 parts: Vec::new(),
-                explained: false,
+                requests: Vec::new(),
+                has_quarantined_part: false,
+                has_quarantined_request: false,
             });
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[index];
         for part in &casualty.parts {
-            crash.explained |= self.quarantined.contains_key(part);
-            if let Err(position) = crash.parts.binary_search(part)
-                && crash.parts.len() < CRASH_PART_LIMIT
-            {
-                crash.parts.insert(position, *part);
-            }
+            crash.has_quarantined_part |= self.quarantined.contains_key(part);
+            insert_bounded(&mut crash.parts, *part);
+        }
+        if let Some(request) = casualty.request {
+            crash.has_quarantined_request |= self.quarantined.contains_key(&request);
+            insert_bounded(&mut crash.requests, request);
         }
         self.refresh_watched();
     }
@@ -152,15 +190,18 @@
     pub fn evaluate(&mut self, now: Duration) -> Vec<FoundPart> {
         self.drop_expired(now);
         let mut found = Vec::new();
-        while let Some((parts, crashes)) = self.leading_suspects() {
-            let is_clear = parts.len() == 1 || crashes >= TIED_QUARANTINE_CRASHES;
-            let is_due = parts.iter().all(|part| now >= self.first_crash(*part) + CLEARANCE_TIME);
+        loop {
+            let leading = self.leading_suspects();
+            let Some(crashes) = leading.first().map(|suspect| suspect.crashes) else { break };
+            let is_clear = leading.len() == 1 || crashes >= TIED_QUARANTINE_CRASHES;
+            let is_due =
+                leading.iter().all(|found| now >= self.first_crash(found.part) + CLEARANCE_TIME);
             if crashes < QUARANTINE_CRASHES || !is_clear || !is_due {
                 break;
             }
-            for part in parts {
-                self.quarantine(now + QUARANTINE_TIME, part);
-                found.push(FoundPart { part, crashes });
+            for suspect in leading {
+                self.quarantine(now + QUARANTINE_TIME, suspect.part);
+                found.push(suspect);
             }
         }
         found
@@ -194,7 +235,7 @@
         }
         self.quarantined.insert(part, until);
         for crash in &mut self.crashes {
-            crash.explained |= crash.parts.binary_search(&part).is_ok();
+            crash.record_quarantine(part);
         }
         self.version += 1;
         self.refresh_watched();
@@ -211,34 +252,54 @@
         self.refresh_watched();
     }
 
-    /// Number of unexplained crashes of each part that is not known to be harmless.
-    fn suspects(&self) -> SortedMap<PartId, usize> {
-        let mut suspects = SortedMap::new();
-        for crash in self.crashes.iter().filter(|crash| !crash.explained) {
-            for part in crash.parts.iter().filter(|part| !self.sound.contains_key(*part)) {
-                *suspects.get_or_insert_with(*part, || 0) += 1;
+    /// The requests and parts that were dropped in crashes and are not known to be harmless.
+    ///
+    /// A crash with a quarantined part counts against nothing else. One with a quarantined
+    /// request counts against parts only, in case that the request was not the cause but one
+    /// of its parts.
+    fn suspects(&self) -> SortedMap<PartId, SuspectRecord> {
+        let mut suspects: SortedMap<PartId, SuspectRecord> = SortedMap::new();
+        for crash in self.crashes.iter().filter(|crash| !crash.has_quarantined_part) {
+            let unexplained = usize::from(!crash.is_explained());
+            for part in &crash.parts {
+                let suspect = suspects.get_or_insert_with(*part, SuspectRecord::default);
+                suspect.crashes += 1;
+                suspect.unexplained += unexplained;
+            }
+            for request in crash.requests.iter().filter(|_| unexplained > 0) {
+                let suspect = suspects.get_or_insert_with(*request, SuspectRecord::default);
+                suspect.is_request = true;
+                suspect.crashes += 1;
+                suspect.unexplained += 1;
             }
         }
+        suspects.retain(|part, suspect| suspect.unexplained > 0 && !self.sound.contains_key(part));
         suspects
     }
 
-    /// The suspects with the most unexplained crashes, and that number.
-    fn leading_suspects(&self) -> Option<(Vec<PartId>, usize)> {
+    /// The suspects with the most crashes. Whole requests go before parts.
+    fn leading_suspects(&self) -> Vec<FoundPart> {
         let suspects = self.suspects();
-        let most = *suspects.values().max()?;
-        let leading = suspects.iter().filter(|(_, crashes)| **crashes == most);
-        Some((leading.map(|(part, _)| *part).collect(), most))
+        let rank = |suspect: &SuspectRecord| (suspect.crashes, suspect.is_request);
+        let Some(first) = suspects.values().map(rank).max() else { return Vec::new() };
+        let leading = suspects.iter().filter(|(_, suspect)| rank(suspect) == first);
+        let found = leading.map(|(part, suspect)| FoundPart {
+            part: *part,
+            is_request: suspect.is_request,
+            crashes: suspect.crashes,
+        });
+        found.collect()
     }
 
     fn first_crash(&self, part: PartId) -> Duration {
-        let crashes = self.crashes.iter().filter(|crash| crash.parts.binary_search(&part).is_ok());
+        let crashes = self.crashes.iter().filter(|crash| crash.contains(part));
         crashes.map(|crash| crash.at).min().unwrap_or_default()
     }
 
     fn refresh_watched(&mut self) {
         let suspects = self.suspects();
         let mut by_crashes: Vec<(usize, PartId)> =
-            suspects.iter().map(|(part, crashes)| (*crashes, *part)).collect();
+            suspects.iter().map(|(part, suspect)| (suspect.crashes, *part)).collect();
         by_crashes.sort_unstable_by(|a, b| b.cmp(a));
         by_crashes.truncate(WATCH_LIMIT);
         let mut watched: Vec<PartId> = by_crashes.into_iter().map(|(_, part)| part).collect();
@@ -249,3 +310,12 @@
         }
     }
 }
+
+/// Inserts into a sorted list unless it holds [`CRASH_PART_LIMIT`] entries.
+fn insert_bounded(ids: &mut Vec<PartId>, id: PartId) {
+    if let Err(position) = ids.binary_search(&id)
+        && ids.len() < CRASH_PART_LIMIT
+    {
+        ids.insert(position, id);
+    }
+}
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -157,7 +157,7 @@
     pub quiet_ms: u32,
 }
 
-/// Hash of the id of one part of a prompt.
+/// Hash of the id of one part of a prompt, or of the content of a whole request.
 pub type PartId = u64;
 
 /// Request that an upstream dropped before its first token, most likely because it
@@ -173,9 +173,12 @@
     /// Shareable parts of the request's prompt.
     #[serde(rename = "p")]
     pub parts: Vec<PartId>,
+    /// Hash of the content of the request. Routers of releases without this field leave it out.
+    #[serde(default, rename = "r", skip_serializing_if = "Option::is_none")]
+    pub request: Option<PartId>,
 }
 
-/// Part of a prompt that crashes upstreams, so that requests with it are refused.
+/// Request, or part of a prompt, that crashes upstreams, so that it is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartQuarantine {
     /// The part.
--- a/crates/core/src/part_book.rs
+++ b/crates/core/src/part_book.rs
@@ -1,5 +1,5 @@
-//! What a router knows about the parts of prompts: which were answered lately, which
-//! the dispatcher asks about, and which are in quarantine.
+//! What a router knows about requests and the parts of their prompts: which were answered
+//! lately, which the dispatcher asks about, and which are in quarantine.
 
 use crate::crash_tracker::{QUARANTINE_TIME, SOUND_RETENTION};
 use crate::dispatch_messages::{CrashCasualty, PartId, PartList, PartQuarantine, PartReport};
@@ -13,19 +13,36 @@
 /// Most parts of one dropped request that are reported.
 const CASUALTY_PART_LIMIT: usize = 16;
 
-/// Parts of prompts at one router. Each change is reported from the report with the
+/// What a crash of its upstream may be blamed on: the request as a whole, or one of the
+/// shareable parts of its prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestSuspects<'a> {
+    /// Hash of the content of the request.
+    pub request: PartId,
+    /// Shareable parts of its prompt.
+    pub parts: &'a [PartId],
+}
+
+impl RequestSuspects<'_> {
+    fn ids(&self) -> impl Iterator<Item = &PartId> {
+        std::iter::once(&self.request).chain(self.parts)
+    }
+}
+
+/// Requests and parts of prompts at one router. Each change is reported from the report with the
 /// sequence number `sequence` on, until it is acknowledged.
 ///
 /// ```
 /// use baobabfall_core::dispatch_messages::{PartList, PartQuarantine};
-/// use baobabfall_core::part_book::PartBook;
+/// use baobabfall_core::part_book::{PartBook, RequestSuspects};
 /// use std::time::Duration;
 /// let mut book = PartBook::default();
 /// let now = Duration::from_secs(1);
 /// let quarantined = vec![PartQuarantine { part: 7, left_ms: 2_000 }];
 /// book.apply_list(now, &PartList { version: 1, watched: vec![], quarantined }, 1);
-/// assert_eq!(book.quarantine_left(now, &[3, 7]), Some(Duration::from_secs(2)));
-/// assert_eq!(book.quarantine_left(now, &[3]), None);
+/// let request = RequestSuspects { request: 9, parts: &[3, 7] };
+/// assert_eq!(book.quarantine_left(now, request), Some(Duration::from_secs(2)));
+/// assert_eq!(book.quarantine_left(now, RequestSuspects { parts: &[3], ..request }), None);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct PartBook {
@@ -42,17 +59,22 @@
 }
 
 impl PartBook {
-    /// Records that an upstream began to answer a request with these parts. Returns true
-    /// when the dispatcher should learn of it.
-    pub fn record_answer(&mut self, now: Duration, parts: &[PartId], sequence: u64) -> bool {
-        if self.answered.len() + parts.len() > SOUND_LIMIT {
+    /// Records that an upstream began to answer a request. Returns true when the dispatcher
+    /// should learn of it.
+    pub fn record_answer(
+        &mut self,
+        now: Duration,
+        answered: RequestSuspects<'_>,
+        sequence: u64,
+    ) -> bool {
+        if self.answered.len() + 1 + answered.parts.len() > SOUND_LIMIT {
             let mut times: Vec<Duration> = self.answered.values().copied().collect();
             times.sort_unstable();
             let median = times[times.len() / 2];
             self.answered.retain(|_, at| *at > median);
         }
         let mut changed = false;
-        for part in parts {
+        for part in answered.ids() {
             self.answered.insert(*part, now);
             changed |= self.report_sound(*part, sequence);
         }
@@ -61,7 +83,7 @@
 
     /// Records a request that an upstream dropped before its first token.
     pub fn record_casualty(&mut self, casualty: CrashCasualty, sequence: u64) {
-        if casualty.parts.is_empty() || self.casualties.len() >= CASUALTY_LIMIT {
+        if self.casualties.len() >= CASUALTY_LIMIT {
             return;
         }
         let mut casualty = casualty;
@@ -92,12 +114,12 @@
         added.copied().collect()
     }
 
-    /// Time until requests with one of these parts may run again; `None` when they may.
-    pub fn quarantine_left(&self, now: Duration, parts: &[PartId]) -> Option<Duration> {
+    /// Time until a request may run again if it or a part of it is in quarantine.
+    pub fn quarantine_left(&self, now: Duration, request: RequestSuspects<'_>) -> Option<Duration> {
         if self.quarantined.is_empty() {
             return None;
         }
-        let ends = parts.iter().filter_map(|part| self.quarantined.get(part));
+        let ends = request.ids().filter_map(|part| self.quarantined.get(part));
         ends.max().filter(|until| **until > now).map(|until| *until - now)
     }
 
--- a/crates/core/tests/crash_tracker.rs
+++ b/crates/core/tests/crash_tracker.rs
@@ -7,7 +7,7 @@
 use baobabfall_core::crash_tracker::{CrashTracker, QUARANTINE_TIME};
 use baobabfall_core::dispatch_messages::*;
 use baobabfall_core::dispatch_settings::DispatchSettings;
-use baobabfall_core::part_book::PartBook;
+use baobabfall_core::part_book::{PartBook, RequestSuspects};
 use dispatch_fleet::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -17,7 +17,13 @@
 const NONE: [PartId; 0] = [];
 
 fn casualty(upstream: &str, parts: &[PartId]) -> CrashCasualty {
-    CrashCasualty { upstream: upstream.to_owned(), incarnation: 1, parts: parts.to_vec() }
+    let parts = parts.to_vec();
+    CrashCasualty { upstream: upstream.to_owned(), incarnation: 1, parts, request: None }
+}
+
+/// A request that has no parts but `parts`, with the hash of its content.
+fn request(request: PartId, parts: &[PartId]) -> RequestSuspects<'_> {
+    RequestSuspects { request, parts }
 }
 
 fn crash(tracker: &mut CrashTracker, now: Duration, upstream: &str, requests: &[&[PartId]]) {
@@ -116,6 +122,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut tracker = CrashTracker::default();
         let mut down_until = [Duration::ZERO; 9];
+        let mut next_request = 1 << 32;
         let mut incarnation = 0;
         let mut running: Vec<Vec<[PartId; 3]>> = vec![Vec::new(); 9];
         let (mut crashes, mut fifth_crash) = (0, None);
@@ -143,7 +150,9 @@
                         upstream: format!("e{upstream}"),
                         incarnation,
                         parts: parts.to_vec(),
+                        request: Some(next_request),
                     };
+                    next_request += 1;
                     tracker.record_casualty(now, &crashed);
                 }
             } else if running[upstream].len() > 4 {
@@ -183,7 +192,7 @@
     let list = dispatcher.take_answer(ms(10_600), "r2").parts.unwrap();
     let mut other = PartBook::default();
     assert_eq!(other.apply_list(ms(10_600), &list, 1), [DEADLY]);
-    assert!(other.quarantine_left(ms(10_600), &[1, DEADLY]).is_some());
+    assert!(other.quarantine_left(ms(10_600), request(0, &[1, DEADLY])).is_some());
     // The next dispatcher learns of it from the full report of any router.
     let mut next = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
     other.forget_version();
@@ -200,13 +209,80 @@
 #[test]
 fn part_book_reports_earlier_answers_of_listed_parts() {
     let mut book = PartBook::default();
-    book.record_answer(ms(100), &[1, 2], 1);
+    book.record_answer(ms(100), request(0, &[1, 2]), 1);
     assert!(!book.is_changed(0), "answers are reported only for listed parts");
     let list = PartList { version: 1, watched: vec![2, 3], quarantined: vec![] };
     book.apply_list(ms(200), &list, 2);
     assert_eq!(book.report(ms(200), false, 1).sound, [2]);
     book.acknowledge(2);
     assert!(!book.is_changed(0));
-    assert!(book.record_answer(ms(300), &[3], 3));
+    assert!(book.record_answer(ms(300), request(0, &[3]), 3));
     assert_eq!(book.report(ms(300), false, 2).sound, [3]);
 }
+
+fn repeated(upstream: &str, request: PartId, parts: &[PartId]) -> CrashCasualty {
+    CrashCasualty { request: Some(request), ..casualty(upstream, parts) }
+}
+
+/// Guards against blame for the parts of a prompt when one request is to blame, and against a deadly
+/// part that is never found because each request with it is blamed by itself.
+#[test]
+fn evaluate_blames_request_before_its_parts() {
+    let mut tracker = CrashTracker::default();
+    for upstream in ["e0", "e1", "e2"] {
+        tracker.record_casualty(ms(100), &repeated(upstream, 50, &[1, DEADLY]));
+    }
+    assert_eq!(found_parts(&mut tracker, ms(700)), [50]);
+    assert_eq!(found_parts(&mut tracker, ms(800)), NONE, "no crash speaks against the parts alone");
+    tracker.record_casualty(ms(900), &repeated("e3", 51, &[2, DEADLY]));
+    assert_eq!(found_parts(&mut tracker, ms(900)), [DEADLY]);
+    tracker.record_casualty(ms(1_000), &repeated("e4", 52, &[2, DEADLY]));
+    assert_eq!(found_parts(&mut tracker, ms(9_000)), NONE);
+}
+
+/// Guards against a plain request that keeps the few upstreams of its service down: it is found soon
+/// after its third crash, and no request that is dropped beside it and sent again is refused.
+#[test]
+fn evaluate_finds_repeated_request_among_others() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut tracker = CrashTracker::default();
+        let mut down_until = [Duration::ZERO; 3];
+        let mut running: [Vec<PartId>; 3] = Default::default();
+        let mut waiting: Vec<PartId> = Vec::new();
+        let (mut found, mut crashes, mut third_crash) = (Vec::new(), 0_u64, None);
+        for step in 0..1_500 {
+            let now = ms(10_000 + step * 20);
+            let deadly = step > 100 && rng.random_range(0..20) == 0;
+            let other = match waiting.pop() {
+                Some(dropped) if rng.random_range(0..2) == 0 => dropped,
+                _ => 10_000 + step,
+            };
+            let request = if deadly { DEADLY } else { other };
+            let upstream = rng.random_range(0..3);
+            found.extend(found_parts(&mut tracker, now));
+            let due = third_crash.is_some_and(|third| now > third + ms(3_000));
+            assert!(!due || found.contains(&DEADLY), "seed {seed}: not found, {crashes} crashes");
+            if now < down_until[upstream] || found.contains(&request) {
+                continue;
+            }
+            running[upstream].push(request);
+            if deadly {
+                crashes += 1;
+                third_crash = (crashes == 3).then_some(now).or(third_crash);
+                down_until[upstream] = now + ms(1_200);
+                for dropped in running[upstream].drain(..) {
+                    let name = format!("e{upstream}");
+                    let casualty = repeated(&name, dropped, &[]);
+                    tracker
+                        .record_casualty(now, &CrashCasualty { incarnation: crashes, ..casualty });
+                    waiting.extend((dropped != DEADLY).then_some(dropped));
+                }
+            } else if running[upstream].len() > 4 {
+                let answered = running[upstream].remove(0);
+                tracker.record_sound(now, answered);
+            }
+        }
+        assert_eq!(found, [DEADLY], "seed {seed}");
+    }
+}
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -18,7 +18,7 @@
     },
     LogEvent {
         name: "attempt_failed",
-        meaning: "An upstream gave no answer that can be forwarded; `again` says whether another upstream is tried.",
+        meaning: "An upstream gave no answer that can be forwarded; `again` says whether another upstream is tried; `fingerprint` is the same for requests with the same content.",
     },
     LogEvent {
         name: "connections_closed_unread",
@@ -126,11 +126,11 @@
     },
     LogEvent {
         name: "prompt_part_found",
-        meaning: "The dispatcher found a part of a prompt that explains the latest crashes of upstreams; `part` is the hash of its id, `crashes` their number.",
+        meaning: "The dispatcher found a part of a prompt, or a whole request (`whole_request`), that explains the latest crashes of upstreams; `part` is the hash of the part's id or of the request's content, `crashes` their number.",
     },
     LogEvent {
         name: "prompt_part_quarantined",
-        meaning: "The router refuses requests with this part of a prompt with `prompt_quarantined`.",
+        meaning: "The router refuses requests with this part of a prompt, or with this content, with `prompt_quarantined`.",
     },
     LogEvent { name: "request_rejected", meaning: "A request was rejected before it was queued." },
     LogEvent {
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -13,6 +13,7 @@
     CostUnits, LeaseEnd, PartId, PromptSummary, UNITS_PER_TOKEN,
 };
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::part_book::RequestSuspects;
 use baobabfall_core::route_table::RouteRow;
 use baobabfall_core::upstream_notices::QUIET_LIMIT;
 use baobabfall_core::upstream_registry::{UpstreamKind, WorkTarget};
@@ -104,6 +105,11 @@
         })
     }
 
+    /// What a crash of the upstream that runs the request may be blamed on.
+    pub(crate) fn suspects(&self) -> RequestSuspects<'_> {
+        RequestSuspects { request: self.fingerprint, parts: &self.head.parts }
+    }
+
     fn cost_hint(&self) -> CostUnits {
         self.prompt_cost() + self.head.answer_tokens * UNITS_PER_TOKEN
     }
@@ -349,13 +355,10 @@
         serving.any(|upstream| book.limits().rate(&upstream.name, upstream.incarnation).is_some())
     }
 
-    /// Time until requests with the parts of this prompt may run again, if one of them
-    /// crashed upstreams.
+    /// Time until the request may run again, if it or a part of its prompt crashed
+    /// upstreams.
     fn quarantine_left(&self) -> Option<Duration> {
-        match self.call.head.parts.as_slice() {
-            [] => None,
-            parts => self.state.router.queue.book().quarantine_left(parts),
-        }
+        self.state.router.queue.book().quarantine_left(self.call.suspects())
     }
 
     /// Time until the first upstream of the target takes requests again, if each of them
@@ -460,7 +463,7 @@
                 // error counts as a failure there too.
                 let failed = opened.lease.is_direct() && response.status().is_server_error();
                 if response.status().is_success() {
-                    self.state.router.queue.record_answered_parts(&self.call.head.parts);
+                    self.state.router.queue.record_answered(self.call.suspects());
                 }
                 opened.complete(if failed { LeaseEnd::Failed } else { LeaseEnd::Finished });
                 let body = Full::new(collected.to_bytes());
@@ -468,7 +471,7 @@
             }
             Ok(Err(error)) => {
                 let route = opened.lease.route();
-                self.state.router.queue.record_casualty(route, &self.call.head.parts);
+                self.state.router.queue.record_casualty(route, self.call.suspects());
                 (ErrorKind::AnswerIncomplete, error.to_string())
             }
             Err(_) => (ErrorKind::DeadlineAfterDispatch, "the deadline passed".to_owned()),
--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -87,7 +87,7 @@
             return fail(ErrorKind::NoUpstream, false, false, reason);
         }
         Ok(Err(ExchangeError::Sent(reason))) => {
-            state.router.queue.record_casualty(&route, &call.head.parts);
+            state.router.queue.record_casualty(&route, call.suspects());
             lease.finish(LeaseEnd::Failed);
             return fail(ErrorKind::UpstreamFailed, true, true, reason);
         }
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -78,7 +78,7 @@
         };
         if splitter.events() == 0 {
             let route = opened.lease.route();
-            run.state.router.queue.record_casualty(route, &run.call.head.parts);
+            run.state.router.queue.record_casualty(route, run.call.suspects());
         }
         let resumable = run.call.route.kind == RouteKind::ResumableStream;
         let will_resume = resumable && run.try_retry(true);
@@ -158,7 +158,7 @@
             run.meter.record_first_event(run.call.arrival.elapsed());
             // The first event shows that the prompt was processed. It is reported at
             // once, because the dispatcher then grants further prompts.
-            run.state.router.queue.record_answered_parts(&run.call.head.parts);
+            run.state.router.queue.record_answered(run.call.suspects());
             run.state.router.queue.notify();
         }
         if splitter.events() > before {
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -15,7 +15,7 @@
 };
 use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
-use baobabfall_core::part_book::PartBook;
+use baobabfall_core::part_book::{PartBook, RequestSuspects};
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_notices::{UpstreamNotice, UpstreamNotices};
 use baobabfall_core::upstream_registry::WorkTarget;
@@ -270,26 +270,27 @@
         &self.limits
     }
 
-    /// Records that an upstream began to answer a request with these parts of a prompt.
-    /// Returns true when the dispatcher should learn of it.
-    pub fn record_answered_parts(&mut self, parts: &[PartId]) -> bool {
+    /// Records that an upstream began to answer a request. Returns true when the dispatcher
+    /// should learn of it.
+    pub fn record_answered(&mut self, answered: RequestSuspects<'_>) -> bool {
         let now = self.elapsed();
-        self.parts.record_answer(now, parts, self.sequence + 1)
+        self.parts.record_answer(now, answered, self.sequence + 1)
     }
 
     /// Records a request that an upstream dropped before its first token.
-    pub fn record_casualty(&mut self, route: &UpstreamRoute, parts: &[PartId]) {
+    pub fn record_casualty(&mut self, route: &UpstreamRoute, dropped: RequestSuspects<'_>) {
         let casualty = CrashCasualty {
             upstream: route.name.clone(),
             incarnation: route.incarnation,
-            parts: parts.to_vec(),
+            parts: dropped.parts.to_vec(),
+            request: Some(dropped.request),
         };
         self.parts.record_casualty(casualty, self.sequence + 1);
     }
 
-    /// Time until requests with one of these parts may run again; `None` when they may.
-    pub fn quarantine_left(&self, parts: &[PartId]) -> Option<Duration> {
-        self.parts.quarantine_left(self.elapsed(), parts)
+    /// Time until a request may run again if it or a part of it is in quarantine.
+    pub fn quarantine_left(&self, request: RequestSuspects<'_>) -> Option<Duration> {
+        self.parts.quarantine_left(self.elapsed(), request)
     }
 
     /// Applies the dispatcher's list of parts and returns those newly in quarantine.
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -6,10 +6,9 @@
     DecisionList, GrantedSlot, LeaseBook, QueueDecision, QueueKey, WaitingRequest,
 };
 use crate::load_tally::LoadTally;
-use baobabfall_core::dispatch_messages::{
-    CostUnits, LeaseEnd, PartId, PromptSummary, UpstreamRoute,
-};
+use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptSummary, UpstreamRoute};
 use baobabfall_core::limit_book::RateStatement;
+use baobabfall_core::part_book::RequestSuspects;
 use baobabfall_core::queue_gate::QueueGate;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_notices::UpstreamNotice;
@@ -145,20 +144,18 @@
         }
     }
 
-    /// Records that an upstream began to answer a request with these parts of a prompt.
-    pub fn record_answered_parts(&self, parts: &[PartId]) {
-        if !parts.is_empty() && self.book().record_answered_parts(parts) {
+    /// Records that an upstream began to answer a request.
+    pub fn record_answered(&self, answered: RequestSuspects<'_>) {
+        if self.book().record_answered(answered) {
             self.notify();
         }
     }
 
     /// Records a request that an upstream dropped before its first token, and reports it
     /// to the dispatcher at once.
-    pub fn record_casualty(&self, route: &UpstreamRoute, parts: &[PartId]) {
-        if !parts.is_empty() {
-            self.book().record_casualty(route, parts);
-            self.notify();
-        }
+    pub fn record_casualty(&self, route: &UpstreamRoute, dropped: RequestSuspects<'_>) {
+        self.book().record_casualty(route, dropped);
+        self.notify();
     }
 
     /// Waits for a change that should be reported to the dispatcher at once.
--- a/crates/router/tests/quarantine.rs
+++ b/crates/router/tests/quarantine.rs
@@ -6,6 +6,7 @@
 
 use baobabfall_core::dispatch_messages::{DispatchReport, PartList, PartQuarantine, PartReport};
 use baobabfall_core::dispatch_settings::DispatchSettings;
+use baobabfall_core::part_book::RequestSuspects;
 use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use http::Method;
 use std::time::Duration;
@@ -13,6 +14,8 @@
 use support::fake_upstream::{FakeUpstream, Step};
 use support::wait_for;
 
+/// A request with part 7 of a prompt.
+const WITH_PART_7: RequestSuspects<'_> = RequestSuspects { request: 0, parts: &[7] };
 const END: &str = "0\r\n\r\n";
 
 fn crash() -> Vec<Step> {
@@ -40,7 +43,7 @@
     let site = ExchangeSite::start(vec![vec![complete_stream()]]).await;
     quarantine(&site, 7);
     wait_for("the list of the controller", || {
-        site.handle.state().queue.book().quarantine_left(&[7]).is_some()
+        site.handle.state().queue.book().quarantine_left(WITH_PART_7).is_some()
     })
     .await;
     let answer = site.call(Method::POST, "/stream/x", &[("x-parts", "3,7")]).await;
@@ -69,7 +72,7 @@
         .await;
         quarantine(&site, 7);
         wait_for("the list of the controller", || {
-            site.handle.state().queue.book().quarantine_left(&[7]).is_some()
+            site.handle.state().queue.book().quarantine_left(WITH_PART_7).is_some()
         })
         .await;
         site.upstreams.iter().for_each(FakeUpstream::open_gate);
@@ -137,6 +140,11 @@
         let site = ExchangeSite::start(vec![crashes(), crashes(), crashes()]).await;
         let call =
             |body: &'static str| site.call_body(Method::POST, path, &[("x-parts", "3")], body);
+        // A dispatcher applies only reports of its own term, of which the first is full.
+        wait_for("the router to know the term", || {
+            site.controller.script().reports.iter().any(|report| report.full && report.term == 3)
+        })
+        .await;
         for _ in 0..8 {
             if crashed_upstreams(&site) == 3 {
                 break;
