Routers report the crashes of the last minute to the next dispatcher

Change: dropped requests are kept for as long as the dispatcher remembers crashes and are part of full reports. Conclusion: the count survives the loss of a leader, as quarantines did.

--- a/crates/core/src/crash_tracker.rs
+++ b/crates/core/src/crash_tracker.rs
@@ -31,7 +31,7 @@
 /// Time for which requests with a part are refused. One of them is then run again.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 /// Time for which a crash is remembered.
-const CRASH_RETENTION: Duration = Duration::from_secs(60);
+pub const CRASH_RETENTION: Duration = Duration::from_secs(60);
 /// Time for which a part counts as harmless after it was answered.
 pub const SOUND_RETENTION: Duration = Duration::from_secs(60);
 /// Most crashes that are remembered; the oldest is dropped.
--- a/crates/core/src/part_book.rs
+++ b/crates/core/src/part_book.rs
@@ -1,14 +1,14 @@
 //! What a router knows about requests and the parts of their prompts: which were answered
 //! lately, which the dispatcher asks about, and which are in quarantine.
 
-use crate::crash_tracker::{QUARANTINE_TIME, SOUND_RETENTION};
+use crate::crash_tracker::{CRASH_RETENTION, QUARANTINE_TIME, SOUND_RETENTION};
 use crate::dispatch_messages::{CrashCasualty, PartId, PartList, PartQuarantine, PartReport};
 use crate::sorted_map::SortedMap;
 use std::time::Duration;
 
 /// Most parts that are remembered as answered; older ones are dropped.
 const SOUND_LIMIT: usize = 4096;
-/// Most dropped requests that wait to be reported.
+/// Most dropped requests that are remembered.
 const CASUALTY_LIMIT: usize = 64;
 /// Most parts of one dropped request that are reported.
 const CASUALTY_PART_LIMIT: usize = 16;
@@ -54,8 +54,17 @@
     version: u64,
     /// Watched or quarantined parts that were answered, with their report.
     sound: SortedMap<PartId, u64>,
-    /// Dropped requests, with their report.
-    casualties: Vec<(CrashCasualty, u64)>,
+    /// Requests dropped within [`CRASH_RETENTION`], oldest first.
+    casualties: Vec<CasualtyRecord>,
+}
+
+#[derive(Clone, Debug)]
+struct CasualtyRecord {
+    casualty: CrashCasualty,
+    at: Duration,
+    /// Sequence number of the first report with the casualty; `None` once it is
+    /// acknowledged. It is still kept for the next dispatcher.
+    sequence: Option<u64>,
 }
 
 impl PartBook {
@@ -82,13 +91,16 @@
     }
 
     /// Records a request that an upstream dropped before its first token.
-    pub fn record_casualty(&mut self, casualty: CrashCasualty, sequence: u64) {
+    pub fn record_casualty(&mut self, now: Duration, casualty: CrashCasualty, sequence: u64) {
+        self.casualties.retain(|record| now < record.at + CRASH_RETENTION);
         if self.casualties.len() >= CASUALTY_LIMIT {
-            return;
+            let reported = self.casualties.iter().position(|record| record.sequence.is_none());
+            let Some(reported) = reported else { return };
+            self.casualties.remove(reported);
         }
         let mut casualty = casualty;
         casualty.parts.truncate(CASUALTY_PART_LIMIT);
-        self.casualties.push((casualty, sequence));
+        self.casualties.push(CasualtyRecord { casualty, at: now, sequence: Some(sequence) });
     }
 
     /// Applies the dispatcher's list and returns the parts that are newly in quarantine.
@@ -129,15 +141,18 @@
     }
 
     /// What a report contains: everything that is not acknowledged, and in a full report
-    /// also the quarantined parts, for a new dispatcher.
+    /// also the latest dropped requests and the quarantined parts, for a new dispatcher.
     pub fn report(&self, now: Duration, full: bool, since: u64) -> PartReport {
         let is_new = |sequence: &u64| full || *sequence > since;
         let sound = self.sound.iter().filter(|(_, sequence)| is_new(sequence));
-        let casualties = self.casualties.iter().filter(|(_, sequence)| is_new(sequence));
+        let casualties = self.casualties.iter().filter(|record| match full {
+            true => now < record.at + CRASH_RETENTION,
+            false => record.sequence.is_some_and(|sequence| sequence > since),
+        });
         let quarantined = self.quarantined.iter().filter(|(_, until)| full && **until > now);
         PartReport {
             version: self.version,
-            casualties: casualties.map(|(casualty, _)| casualty.clone()).collect(),
+            casualties: casualties.map(|record| record.casualty.clone()).collect(),
             sound: sound.map(|(part, _)| *part).collect(),
             quarantined: quarantined
                 .map(|(part, until)| PartQuarantine {
@@ -150,14 +165,16 @@
 
     /// Drops what the dispatcher has acknowledged.
     pub fn acknowledge(&mut self, since: u64) {
-        self.casualties.retain(|(_, sequence)| *sequence > since);
+        for record in &mut self.casualties {
+            record.sequence = record.sequence.filter(|sequence| *sequence > since);
+        }
         self.sound.retain(|_, sequence| *sequence > since);
     }
 
     /// True when there is something that the dispatcher has not acknowledged.
     pub fn is_changed(&self, since: u64) -> bool {
-        self.casualties.iter().any(|(_, sequence)| *sequence > since)
-            || self.sound.values().any(|sequence| *sequence > since)
+        let is_new = |record: &CasualtyRecord| record.sequence.is_some_and(|first| first > since);
+        self.casualties.iter().any(is_new) || self.sound.values().any(|sequence| *sequence > since)
     }
 
     fn report_sound(&mut self, part: PartId, sequence: u64) -> bool {
--- a/crates/core/tests/crash_tracker.rs
+++ b/crates/core/tests/crash_tracker.rs
@@ -181,7 +181,7 @@
     }
     let mut book = PartBook::default();
     for upstream in ["e0", "e1", "e2"] {
-        book.record_casualty(casualty(upstream, &[DEADLY]), 1);
+        book.record_casualty(ms(9_900), casualty(upstream, &[DEADLY]), 1);
     }
     let parts = book.report(ms(10_000), false, 0);
     let report = DispatchReport { parts, ..routers[0].report(vec![], vec![]) };
@@ -286,3 +286,26 @@
         assert_eq!(found, [DEADLY], "seed {seed}");
     }
 }
+
+/// Guards against a request that crashes upstreams for longer because the dispatcher that knew of the
+/// first crashes was lost.
+#[test]
+fn report_next_dispatcher_learns_earlier_crashes() {
+    let mut book = PartBook::default();
+    book.record_casualty(ms(1_000), repeated("e0", 50, &[]), 1);
+    book.record_casualty(ms(2_000), repeated("e1", 50, &[]), 2);
+    book.acknowledge(2);
+    assert_eq!(book.report(ms(2_100), false, 2).casualties, []);
+    book.record_casualty(ms(3_000), repeated("e2", 50, &[]), 3);
+    let engines = [engine("e0", &["m"], 4)];
+    let mut next = ready(DispatchSettings::default(), &[row("a", 1, 99)], &engines);
+    let mut router = ManualRouter::new("r1");
+    let parts = book.report(ms(3_100), true, 2);
+    let report = DispatchReport { parts, ..router.report(vec![], vec![]) };
+    assert!(next.apply_report(ms(3_100), &report));
+    let found = next.quarantine_parts(ms(3_700));
+    assert_eq!(found.iter().map(|found| found.part).collect::<Vec<_>>(), [50]);
+    book.acknowledge(3);
+    assert!(!book.is_changed(0));
+    assert_eq!(book.report(ms(62_500), true, 3).casualties, [repeated("e2", 50, &[])], "too old");
+}
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -285,7 +285,8 @@
             parts: dropped.parts.to_vec(),
             request: Some(dropped.request),
         };
-        self.parts.record_casualty(casualty, self.sequence + 1);
+        let now = self.elapsed();
+        self.parts.record_casualty(now, casualty, self.sequence + 1);
     }
 
     /// Time until a request may run again if it or a part of it is in quarantine.
