--- a/crates/standin/src/model_engine.rs
+++ b/crates/standin/src/model_engine.rs
@@ -9,7 +9,9 @@
 use crate::upstream_handle::{UpstreamHandle, UpstreamOptions, UpstreamTraits};
 use crate::upstream_state::{RunGuard, UpstreamState};
 use baobabfall_core::upstream_registry::UpstreamKind;
-use baobabfall_node::http_server::{NOT_RUN_HEADER, REQUEST_ID_HEADER, read_body};
+use baobabfall_node::http_server::{
+    NOT_RUN_HEADER, RATE_LIMIT_HEADER, REQUEST_ID_HEADER, read_body,
+};
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue, Method, Request, Response};
 use hyper::body::Incoming;
@@ -183,7 +185,7 @@
         let run = self.upstream.begin(permit, &request_id, None, path);
         let from = resume_position(&parts.headers);
         let answer = self.answer(params, form, from, &request_id, &draw, run).await;
-        with_request_id(answer, &request_id, &draw)
+        with_rate_limit(with_request_id(answer, &request_id, &draw), &self.upstream)
     }
 
     async fn answer(
@@ -355,6 +357,18 @@
     response
 }
 
+/// Adds the header that names the rate of the upstream, if it has one.
+pub(crate) fn with_rate_limit(
+    mut response: Response<AnswerBody>,
+    upstream: &UpstreamState,
+) -> Response<AnswerBody> {
+    let rate = upstream.rate_limit().map(|rate| HeaderValue::from_str(&rate.to_string()));
+    if let Some(Ok(value)) = rate {
+        response.headers_mut().insert(RATE_LIMIT_HEADER, value);
+    }
+    response
+}
+
 /// Adds the request id header, with a random id when the fault `WrongRequestId` was drawn.
 pub(crate) fn with_request_id(
     mut response: Response<AnswerBody>,
--- a/crates/standin/src/plain_service.rs
+++ b/crates/standin/src/plain_service.rs
@@ -4,7 +4,8 @@
 use crate::answer_text::expected_answer;
 use crate::faults::{FaultDraw, FaultKind};
 use crate::model_engine::{
-    BODY_LIMIT, BODY_TIMEOUT, health_answer, json_answer, refusal, request_id, with_request_id,
+    BODY_LIMIT, BODY_TIMEOUT, health_answer, json_answer, refusal, request_id, with_rate_limit,
+    with_request_id,
 };
 use crate::upstream_handle::{UpstreamHandle, UpstreamOptions, UpstreamTraits};
 use crate::upstream_state::UpstreamState;
@@ -149,7 +150,7 @@
         let bytes = body.to_string().into_bytes();
         let ending = AnswerEnding::of(&draw);
         let answer = whole_answer(200, "application/json", bytes, ending, Some(run));
-        with_request_id(answer, &request_id, &draw)
+        with_rate_limit(with_request_id(answer, &request_id, &draw), &self.upstream)
     }
 
     /// Checks the fencing token and marks the key as executed; the error is the message for the
--- a/crates/standin/src/upstream_state.rs
+++ b/crates/standin/src/upstream_state.rs
@@ -73,6 +73,10 @@
     executions: Mutex<Vec<ExecutionRecord>>,
     serial: AtomicU64,
     cancels: Mutex<SortedMap<(String, u64), CancellationToken>>,
+    /// Requests per second that the upstream names in its answers.
+    rate_limit: Mutex<Option<f64>>,
+    /// Arrivals since a rate was named first.
+    limited_arrivals: Mutex<Vec<Instant>>,
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -105,6 +109,8 @@
             executions: Mutex::new(Vec::new()),
             serial: AtomicU64::new(0),
             cancels: Mutex::new(SortedMap::new()),
+            rate_limit: Mutex::new(None),
+            limited_arrivals: Mutex::new(Vec::new()),
         }
     }
 
@@ -145,6 +151,22 @@
         *locked(&self.latest_start)
     }
 
+    /// Names a rate in all later answers, in requests per second; `None` ends it. Requests
+    /// beyond the rate are served all the same.
+    pub fn set_rate_limit(&self, per_second: Option<f64>) {
+        *locked(&self.rate_limit) = per_second;
+    }
+
+    /// The rate that answers name now.
+    pub fn rate_limit(&self) -> Option<f64> {
+        *locked(&self.rate_limit)
+    }
+
+    /// Arrivals of requests while a rate was named.
+    pub fn limited_arrivals(&self) -> Vec<Instant> {
+        locked(&self.limited_arrivals).clone()
+    }
+
     /// Current values of the counters.
     pub fn counters(&self) -> UpstreamCounters {
         let counters = &self.counters;
@@ -168,6 +190,9 @@
     /// Counts an arriving request and records its time if the upstream is leaving.
     pub fn count_start(&self) {
         self.counters.started.fetch_add(1, Ordering::Relaxed);
+        if self.rate_limit().is_some() {
+            locked(&self.limited_arrivals).push(Instant::now());
+        }
         if let Some(left_at) = *locked(&self.left_at) {
             self.counters.started_leaving.fetch_add(1, Ordering::Relaxed);
             *locked(&self.latest_start) = Some(left_at.elapsed());
