A stopping router refuses resumable streams that would outlast it

Change: the check holds for all streams; the caller gets a refusal with a short Retry-After and goes to another router at once. Ruled out: the change of configuration beside it (nine streams were cut at the moment the router ended, none by the change). Measured: stop_refuses_streams_that_outlast_it, extended by a resumable route, got 200 before and 503 after.

--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -9,7 +9,7 @@
 use crate::request_fingerprint::RequestContent;
 use crate::request_order::end_to_end_headers;
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_core::route_table::{OPEN_WORKSPACE, RouteIndex, RouteKind, RouteRow};
+use baobabfall_core::route_table::{OPEN_WORKSPACE, RouteIndex, RouteRow};
 use baobabfall_node::http_server::read_body;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -137,11 +137,11 @@
 }
 
 /// True when the router is shutting down and a stream of the route may last longer
-/// than running requests are given. It would be cut off, and a stream that is not
-/// resumable cannot continue at another router.
+/// than running requests are given. It would be cut off. Even a resumable one is better
+/// sent to another router at once than broken off and resumed there.
 fn may_outlast_shutdown<P: ExchangeProtocol>(state: &ExchangeState<P>, route: &RouteRow) -> bool {
     let running = state.router.options.settings.limits.stop_running;
-    route.kind == RouteKind::Stream
+    route.kind.is_stream()
         && state.router.drain.phase() > DrainPhase::Serving
         && running.is_some_and(|limit| route.timeout() > limit.0.mul_f64(STREAM_TIMEOUT_FACTOR))
 }
--- a/crates/router/tests/exchange_stops.rs
+++ b/crates/router/tests/exchange_stops.rs
@@ -41,10 +41,12 @@
         ExchangeSite::start_with(vec![vec![marked_answer("a")]], "stop_running = \"1s\"").await;
     site.handle.begin_stop();
     wait_for("the router to stop being ready", || !site.state.is_ready()).await;
-    let answer = site.call(Method::POST, "/long/x", &[]).await;
-    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stopping"));
-    assert!(answer.header("x-retry-ms").parse::<u64>().unwrap() <= 50);
-    assert_eq!(site.request_count(0), 0);
+    for path in ["/long/x", "/long-resume/x"] {
+        let answer = site.call(Method::POST, path, &[]).await;
+        assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stopping"), "{path}");
+        assert!(answer.header("x-retry-ms").parse::<u64>().unwrap() <= 50);
+        assert_eq!(site.request_count(0), 0, "{path}");
+    }
     let answer = site.call(Method::GET, "/read/x", &[]).await;
     assert_eq!(answer.status.as_u16(), 200, "requests on other routes must still be accepted");
 }
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -146,6 +146,10 @@
             plain_route("/plain/", RouteKind::Idempotent),
             plain_route("/plain-once/", RouteKind::Once),
             RouteRow { timeout_ms: 60_000, ..route("/long/", RouteKind::Stream, 1) },
+            RouteRow {
+                timeout_ms: 60_000,
+                ..route("/long-resume/", RouteKind::ResumableStream, 1)
+            },
             route("/public/", RouteKind::Idempotent, 1),
             short_route,
             model_route,
