Log which software version continues a stream

Logs named upstreams but not their software versions, and a caller's attempt did not tell which stream it takes up, so no log line could tell a stream that changes its version from one that does not. New event stream_resumed with both versions. Which upstream is chosen does not change. The larger route made one variant of AttemptResult too large for the linter, so its lease is boxed.

--- a/crates/bench/src/memory_slopes.rs
+++ b/crates/bench/src/memory_slopes.rs
@@ -196,6 +196,7 @@
         cancel: true,
         leaving: false,
         running: None,
+        software: None,
     }
 }
 
--- a/crates/bench/src/message_slopes.rs
+++ b/crates/bench/src/message_slopes.rs
@@ -8,6 +8,7 @@
 use crate::process_usage::resident_bytes;
 use crate::slope_fit::{SlopeFit, growth_over_logarithm, median};
 use baobabfall_core::decision_workload::DecisionWorkload;
+use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_core::upstream_registry::{UpstreamAnnouncement, UpstreamKind};
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
 use baobabfall_node::codec::{MESSAGE_LIMIT, encode};
@@ -104,6 +105,7 @@
         cancel: true,
         leaving: false,
         running: Some(12),
+        software: SoftwareVersion::parse("v1.2"),
     }
 }
 
--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -155,5 +155,6 @@
         cancel: false,
         leaving: false,
         running: None,
+        software: None,
     }
 }
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -8,6 +8,7 @@
 //! the next report makes up for a lost one.
 
 use crate::account_statement::AccountStatement;
+use crate::software_version::SoftwareVersion;
 use crate::upstream_limits::RequestRate;
 use crate::upstream_registry::WorkTarget;
 use serde::{Deserialize, Serialize};
@@ -340,6 +341,9 @@
     /// True if the upstream supports `POST /cancel/{request_id}`.
     #[serde(rename = "c")]
     pub cancel: bool,
+    /// Software version of the upstream; `None` when it is unknown.
+    #[serde(default, rename = "v", skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Permission to run one request of a workspace on an upstream.
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -149,6 +149,7 @@
             honours_fencing: announcement.is_some_and(|known| known.honours_fencing),
             resume: announcement.is_some_and(|known| known.resume),
             cancel: announcement.is_some_and(|known| known.cancel),
+            software: announcement.and_then(|known| known.software.clone()),
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod rotation_leave;
 pub mod route_table;
 pub mod slot_dispatcher;
+pub mod software_version;
 pub mod sorted_map;
 pub mod state_chart;
 pub mod table_history;
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -117,6 +117,7 @@
 ///     cancel: false,
 ///     leaving: false,
 ///     running: None,
+///     software: None,
 /// };
 /// let now = Duration::ZERO;
 /// let mut local = LocalDispatcher::new(LocalSettings::default(), &table, [&held]);
@@ -462,5 +463,6 @@
         honours_fencing: announcement.honours_fencing,
         resume: announcement.resume,
         cancel: announcement.cancel,
+        software: announcement.software.clone(),
     }
 }
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -63,6 +63,7 @@
 ///     cancel: false,
 ///     leaving: false,
 ///     running: None,
+///     software: None,
 /// };
 /// let mut dispatcher = SlotDispatcher::new(now, 1, DispatchSettings::default());
 /// dispatcher.expect_routers(["entry-1"]);
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -2,6 +2,7 @@
 //! upstream renews the announcement.
 
 use crate::error_kind::ErrorKind;
+use crate::software_version::SoftwareVersion;
 use crate::sorted_map::SortedMap;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -67,6 +68,9 @@
     /// date.
     #[serde(default)]
     pub running: Option<u32>,
+    /// Version of its software; `None` when it is unknown, which equals no other version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Maximum length of a name in bytes: of an upstream, model, service, zone, pool
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -58,6 +58,7 @@
         cancel: false,
         leaving: false,
         running: None,
+        software: None,
     }
 }
 
--- a/crates/router/src/exchange_protocol.rs
+++ b/crates/router/src/exchange_protocol.rs
@@ -34,6 +34,8 @@
     pub answer_tokens: u64,
     /// Id of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the resumed stream.
+    pub resumes: Option<String>,
 }
 
 /// What the router tells an upstream in addition to the caller's own headers.
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -7,8 +7,9 @@
 use crate::exchange_protocol::ExchangeProtocol;
 use crate::exchange_run::ExchangeRun;
 use crate::exchange_send::OpenExchange;
-use baobabfall_core::dispatch_messages::LeaseEnd;
+use baobabfall_core::dispatch_messages::{LeaseEnd, UpstreamRoute};
 use baobabfall_core::route_table::RouteKind;
+use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::units::millis;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -67,6 +68,10 @@
     mut opened: OpenExchange,
     sender: Sender<FrameEvent>,
 ) {
+    if run.call.head.last_event.is_some() {
+        let resumes = run.call.head.resumes.as_deref().unwrap_or("");
+        log_resumption(&run, &opened, resumes, "");
+    }
     let mut splitter = match run.call.head.last_event {
         Some(last) => EventSplitter::resume_after(Some(last)),
         None => EventSplitter::default(),
@@ -97,6 +102,7 @@
         }
         // Closing the connection stops the previous upstream before the next one
         // continues the stream.
+        let previous = software_text(opened.lease.route()).to_owned();
         opened.lease.finish(LeaseEnd::Failed);
         drop((opened.body, opened.connection));
         let last = splitter.last_id();
@@ -113,9 +119,32 @@
                 return;
             }
         };
+        log_resumption(&run, &opened, run.call.head.request_id.as_str(), &previous);
     }
 }
 
+/// Software version of an upstream for the log.
+fn software_text(route: &UpstreamRoute) -> &str {
+    route.software.as_ref().map_or("", SoftwareVersion::as_str)
+}
+
+/// Logs that an upstream continues the stream that request `resumes` began. `previous` is
+/// the software version that wrote the events before, if this router relayed them.
+fn log_resumption<P: ExchangeProtocol>(
+    run: &ExchangeRun<P>,
+    opened: &OpenExchange,
+    resumes: &str,
+    previous: &str,
+) {
+    let route = opened.lease.route();
+    log::info!(
+        event = "stream_resumed", request_id = run.call.head.request_id.as_str(),
+        resumes = resumes, upstream = route.name.as_str(), software = software_text(route),
+        previous_software = previous;
+        "an upstream continues an event stream"
+    );
+}
+
 async fn relay_events<P: ExchangeProtocol>(
     run: &ExchangeRun<P>,
     opened: &mut OpenExchange,
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -86,7 +86,7 @@
 /// Result of one attempt at one upstream.
 enum AttemptResult {
     /// A response that can be relayed.
-    Relay(Box<OpenResponse>, SlotLease, CancelGuard),
+    Relay(Box<OpenResponse>, Box<SlotLease>, CancelGuard),
     /// Failed, but may be retried. Holds the name of the upstream and the
     /// rejection to send if no retry is allowed.
     Retry(String, Rejection),
@@ -161,7 +161,7 @@
             };
             match attempt {
                 AttemptResult::Relay(answer, lease, cancel) => {
-                    return self.relay(*answer, lease, cancel);
+                    return self.relay(*answer, *lease, cancel);
                 }
                 AttemptResult::Reject(rejection) => return rejection.respond(&mut self.record),
                 AttemptResult::Retry(upstream, rejection) => {
@@ -334,7 +334,7 @@
                 lease.finish(LeaseEnd::Refused);
                 self.handle_refusal(answer, route)
             }
-            Ok(Ok(answer)) => AttemptResult::Relay(Box::new(answer), lease, cancel),
+            Ok(Ok(answer)) => AttemptResult::Relay(Box::new(answer), Box::new(lease), cancel),
             Ok(Err(ExchangeError::NotSent(reason))) => {
                 cancel.disarm();
                 lease.finish(LeaseEnd::Failed);
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -44,6 +44,7 @@
         honours_fencing: false,
         resume: false,
         cancel: false,
+        software: None,
     };
     SlotGrant { lease: LeaseId { term, number }, target, workspace, upstream }
 }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod fake_controller;
 pub mod fake_upstream;
 
+use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_core::upstream_registry::{UpstreamAnnouncement, UpstreamKind};
 use baobabfall_node::settings::parse_settings;
 use baobabfall_router::{Router, RouterHandle, RouterListeners, RouterOptions, RouterSettings};
@@ -46,6 +47,7 @@
         cancel: false,
         leaving: false,
         running: None,
+        software: SoftwareVersion::parse("v1"),
     }
 }
 
--- a/crates/standin/src/upstream_handle.rs
+++ b/crates/standin/src/upstream_handle.rs
@@ -119,6 +119,7 @@
             cancel: traits.cancel,
             leaving: false,
             running: None,
+            software: None,
         }
     }
 }
