--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -24,6 +24,7 @@
 pub const KEY_HEADER: HeaderName = HeaderName::from_static("x-key");
 pub const WAIT_HEADER: HeaderName = HeaderName::from_static("x-wait-ms");
 pub const LAST_EVENT_HEADER: HeaderName = HeaderName::from_static("x-last-event");
+pub const RESUMES_HEADER: HeaderName = HeaderName::from_static("x-resumes");
 pub const UPSTREAM_HEADER: HeaderName = HeaderName::from_static("x-upstream");
 pub const WORKSPACE_HEADER: HeaderName = HeaderName::from_static("x-workspace");
 pub const MARK_HEADER: HeaderName = HeaderName::from_static("x-mark");
@@ -54,6 +55,7 @@
             key: header_text(headers, &KEY_HEADER),
             deadline: header_number(headers, &WAIT_HEADER).map(Duration::from_millis),
             last_event: header_number(headers, &LAST_EVENT_HEADER),
+            resumes: header_text(headers, &RESUMES_HEADER),
             parts: header_text(headers, &PARTS_HEADER).map_or_else(Vec::new, |value| {
                 value.split(',').filter_map(|part| part.parse().ok()).collect()
             }),
@@ -255,16 +257,15 @@
         headers: &[(&str, &str)],
         body: &str,
     ) -> Request<Full<Bytes>> {
-        let mut builder = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "site")
-            .header("x-request", "r1")
-            .header("x-key", "key-a");
-        for (name, value) in headers {
-            builder = builder.header(*name, *value);
+        let mut request = Request::new(Full::new(Bytes::from(body.to_owned())));
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().unwrap();
+        let defaults = [("host", "site"), ("x-request", "r1"), ("x-key", "key-a")];
+        for (name, value) in defaults.iter().chain(headers) {
+            let name = HeaderName::from_bytes(name.as_bytes()).unwrap();
+            request.headers_mut().insert(name, value.parse().unwrap());
         }
-        builder.body(Full::new(Bytes::from(body.to_owned()))).unwrap()
+        request
     }
 
     /// Number of requests that upstream `index` received.
