The endless stand-in writes blocks, not single bytes

The router cuts such a stream off after 2 MiB, which it never got. Change: the fake writes the same endless text in blocks of 4 KiB. Bound, limit and cases of the test stay as they are. Conclusion: the sender was too slow to reach the limit; the router was right.

--- a/crates/router/tests/support/fake_upstream.rs
+++ b/crates/router/tests/support/fake_upstream.rs
@@ -6,6 +6,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Size of one write of [`Step::Endless`].
+const ENDLESS_BLOCK_BYTES: usize = 4 << 10;
+
 /// One step of a scripted answer; `{id}` in its text is replaced by the request id.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -112,7 +115,9 @@
                     break;
                 }
                 Step::Endless(text) => {
-                    while stream.write_all(text.as_bytes()).await.is_ok() {}
+                    // A system call for each byte would need seconds to reach a limit.
+                    let block = text.repeat(ENDLESS_BLOCK_BYTES / text.len());
+                    while stream.write_all(block.as_bytes()).await.is_ok() {}
                     break;
                 }
                 Step::Close => return,
