Streams go on only at the software version that began them

What callers saw: streams with events of two software versions of a service, which do not fit together: within one answer, and over the attempts of a caller. Cause: neither the request for a slot nor the grant named a version, and nobody kept which version began a stream. The class of fault: state that must outlive a request (which version wrote the first part) was kept nowhere. Change: a request that goes on with a stream asks for its service at one version. Each version has a queue of its own in the pool of the service, so accounts, limits and retry budgets stay shared and nobody is held up. The router records the origin of a stream (service and version) before it relays the first event and reports it; the dispatcher keeps it until the caller's deadline, and answers routers that take the stream up. Unknown streams, and versions without an upstream, are refused at once with codes of their own.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -324,7 +324,7 @@
 
     /// True when every router knows an upstream that serves the model.
     pub fn serves(&self, model: &str) -> bool {
-        let target = WorkTarget { kind: UpstreamKind::Model, name: model.to_owned() };
+        let target = WorkTarget::new(UpstreamKind::Model, model.to_owned());
         self.routers().all(|router| router.state().fleet.is_served(&target))
     }
 
--- a/crates/bench/src/memory_slopes.rs
+++ b/crates/bench/src/memory_slopes.rs
@@ -13,7 +13,9 @@
 use baobabfall_core::action_ledger::{ActionClaim, ActionKey, ActionLedger};
 use baobabfall_core::control_command::{ControlCommand, EditIdentity};
 use baobabfall_core::control_state::ControlState;
-use baobabfall_core::dispatch_messages::{DispatchReport, LimitReport, NodeIdentity, PartReport};
+use baobabfall_core::dispatch_messages::{
+    DispatchReport, LimitReport, NodeIdentity, OriginReport, PartReport,
+};
 use baobabfall_core::dispatch_settings::DispatchSettings;
 use baobabfall_core::replica_messages::LogEntry;
 use baobabfall_core::slot_dispatcher::SlotDispatcher;
@@ -218,6 +220,7 @@
         restrictions: Vec::new(),
         parts: PartReport::default(),
         limits: LimitReport::default(),
+        origins: OriginReport::default(),
         received_grant: 0,
         wait_ms: 0,
     }
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -8,7 +8,7 @@
 use baobabfall_controller::dispatch_service::DispatchService;
 use baobabfall_controller::membership::{JOIN_PATH, JoinRequest};
 use baobabfall_core::dispatch_messages::{
-    BacklogEntry, DispatchReport, LimitReport, NodeIdentity, PartReport,
+    BacklogEntry, DispatchReport, LimitReport, NodeIdentity, OriginReport, PartReport,
 };
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::replica_members::{MemberChange, ReplicaIdentity};
@@ -383,7 +383,7 @@
         sequence,
         full: true,
         backlog: vec![BacklogEntry {
-            target: WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() },
+            target: WorkTarget::new(UpstreamKind::Model, "small".to_owned()),
             workspace: "team-a".to_owned(),
             queued: 1,
             cost_hint: 0,
@@ -399,6 +399,7 @@
         restrictions: Vec::new(),
         parts: PartReport::default(),
         limits: LimitReport::default(),
+        origins: OriginReport::default(),
     }
 }
 
--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -3,8 +3,8 @@
 //! This module reads no clock; the benchmark times [`DecisionWorkload::run`].
 
 use crate::dispatch_messages::{
-    BacklogEntry, DispatchReport, LeaseEnd, LeaseUsage, LimitReport, NodeIdentity, PartReport,
-    UNITS_PER_TOKEN,
+    BacklogEntry, DispatchReport, LeaseEnd, LeaseUsage, LimitReport, NodeIdentity, OriginReport,
+    PartReport, UNITS_PER_TOKEN,
 };
 use crate::dispatch_settings::DispatchSettings;
 use crate::slot_dispatcher::SlotDispatcher;
@@ -50,7 +50,7 @@
         dispatcher.set_upstreams(now, &upstreams);
         let backlog = (0..backlogged).map(|index| BacklogEntry {
             prompts: Vec::new(),
-            target: WorkTarget { kind: UpstreamKind::Model, name: model_name(index % MODEL_COUNT) },
+            target: WorkTarget::new(UpstreamKind::Model, model_name(index % MODEL_COUNT)),
             workspace: workspace_name(index),
             queued: QUEUED_PER_WORKSPACE,
             cost_hint: UNITS_PER_TOKEN * 100,
@@ -80,6 +80,7 @@
             restrictions: Vec::new(),
             parts: PartReport::default(),
             limits: LimitReport::default(),
+            origins: OriginReport::default(),
         };
         self.dispatcher.apply_report(Duration::ZERO, &report);
         self.dispatcher.finish_recovery(Duration::ZERO);
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -2,8 +2,8 @@
 //! routers that stop reporting.
 
 use crate::dispatch_messages::{
-    BacklogEntry, DispatchReport, LeaseId, LeaseUsage, LimitReport, NodeIdentity, PartReport,
-    UNKNOWN_FIRST_TOKEN_MS,
+    BacklogEntry, DispatchReport, LeaseId, LeaseUsage, LimitReport, NodeIdentity, OriginReport,
+    PartReport, UNKNOWN_FIRST_TOKEN_MS,
 };
 use crate::dispatch_state::{LeaseRecord, RouterState, TargetState};
 use crate::fair_order::weighted_cost;
@@ -60,10 +60,11 @@
         self.arrival_clock += 1;
         let mut affected = Vec::new();
         self.apply_received_grants(id, report.received_grant, &mut affected);
-        self.apply_backlog(id, report, &mut affected);
+        self.apply_backlog(now, id, report, &mut affected);
         self.apply_restrictions(now, id, report);
         self.apply_parts(now, id, &report.parts);
         self.apply_limits(now, id, &report.limits);
+        self.apply_origins(now, id, &report.origins);
         self.record_statements(&report.statements);
         self.apply_usage(now, id, report, &mut affected);
         self.apply_charges(now, id, report, &mut affected);
@@ -145,8 +146,15 @@
         }
     }
 
-    fn apply_backlog(&mut self, id: usize, report: &DispatchReport, affected: &mut Vec<usize>) {
+    fn apply_backlog(
+        &mut self,
+        now: Duration,
+        id: usize,
+        report: &DispatchReport,
+        affected: &mut Vec<usize>,
+    ) {
         let mut listed = Vec::with_capacity(report.backlog.len());
+        let known_targets = self.targets.len();
         for entry in &report.backlog {
             let workspace = self.workspace_id(&entry.workspace);
             let Some(target) = self.target_id(&entry.target) else { continue };
@@ -155,6 +163,9 @@
             affected.push(workspace);
             listed.push((workspace, target));
         }
+        if self.targets[known_targets..].iter().any(|state| state.target.software.is_some()) {
+            self.rebuild_pools(now);
+        }
         if report.full {
             listed.sort_unstable();
             self.clear_unlisted(id, &listed, affected);
@@ -224,6 +235,21 @@
         self.wake_routers();
     }
 
+    /// Records which streams the router began, and which ones it asks for.
+    fn apply_origins(&mut self, now: Duration, id: usize, report: &OriginReport) {
+        for group in &report.begun {
+            for &(key, left_ms) in &group.streams {
+                let left = Duration::from_millis(left_ms.into());
+                self.origins.record(now, key, &group.origin, left);
+            }
+        }
+        let router = &mut self.routers[id];
+        for key in &report.lookups {
+            router.lookups.insert(*key, ());
+        }
+        router.needs_answer |= !report.lookups.is_empty();
+    }
+
     /// Upstreams that want no requests from the router now.
     pub(crate) fn quiet_upstreams(&self, now: Duration, router: usize) -> Vec<usize> {
         let quiet = self.routers[router].quiet.iter().filter(|(upstream, (incarnation, until))| {
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -263,6 +263,54 @@
     pub limits: Vec<UpstreamLimit>,
 }
 
+/// Hash of the workspace and the id of the request that began a stream.
+pub type StreamKey = u64;
+
+/// Service and software version of the upstream that sent the first event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Service that the upstream belongs to.
+    #[serde(rename = "s")]
+    pub service: String,
+    /// Software version of the upstream.
+    #[serde(rename = "v")]
+    pub software: SoftwareVersion,
+}
+
+/// Streams with the same origin.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginGroup {
+    /// Origin of the streams.
+    #[serde(rename = "o")]
+    pub origin: StreamOrigin,
+    /// Key of each stream, and the time in milliseconds for which its caller may take it up.
+    #[serde(rename = "k")]
+    pub streams: Vec<(StreamKey, u32)>,
+}
+
+/// What a router reports about the origins of streams.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReport {
+    /// Streams that the router began: all of them in a full report, otherwise those that are
+    /// not acknowledged.
+    #[serde(default, rename = "b", skip_serializing_if = "Vec::is_empty")]
+    pub begun: Vec<OriginGroup>,
+    /// Streams whose origin the router asks for, until it gets an answer.
+    #[serde(default, rename = "q", skip_serializing_if = "Vec::is_empty")]
+    pub lookups: Vec<StreamKey>,
+}
+
+/// Result of the lookup of one stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginAnswer {
+    /// Key of the stream.
+    #[serde(rename = "k")]
+    pub key: StreamKey,
+    /// Its origin; `None` when no router has reported it.
+    #[serde(rename = "o")]
+    pub origin: Option<StreamOrigin>,
+}
+
 /// Report that a router sends to the dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchReport {
@@ -317,6 +365,9 @@
     /// Request rates that upstreams name. Routers of releases without this field leave it out.
     #[serde(default, rename = "l")]
     pub limits: LimitReport,
+    /// Origins of streams. Routers of releases without this field leave it out.
+    #[serde(default, rename = "o")]
+    pub origins: OriginReport,
 }
 
 /// Address and protocol features with which a router calls an upstream.
@@ -408,4 +459,7 @@
     /// The request rates of upstreams, when the router holds another version of them.
     #[serde(default, skip_serializing_if = "Option::is_none", rename = "l")]
     pub limits: Option<LimitList>,
+    /// Results of the router's lookups of streams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty", rename = "o")]
+    pub origins: Vec<OriginAnswer>,
 }
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -4,7 +4,7 @@
 
 use crate::backlog_queue::BacklogQueue;
 use crate::dispatch_messages::{
-    BacklogRefusal, CostUnits, LeaseId, NodeIdentity, SlotGrant, UpstreamRoute,
+    BacklogRefusal, CostUnits, LeaseId, NodeIdentity, SlotGrant, StreamKey, UpstreamRoute,
 };
 use crate::fair_order::{AccountValue, FairAccount, IndexedHeap, ServiceWindow};
 use crate::placement::{FreeSlots, UpstreamCapacity};
@@ -187,6 +187,8 @@
     pub parts_version: u64,
     /// Version of the list of request rates that the router holds.
     pub limits_version: u64,
+    /// Streams whose origins the router asked for.
+    pub lookups: SortedMap<StreamKey, ()>,
 }
 
 impl RouterState {
@@ -210,6 +212,7 @@
             quiet: SortedMap::new(),
             parts_version: 0,
             limits_version: 0,
+            lookups: SortedMap::new(),
         }
     }
 }
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -98,6 +98,7 @@
             && known.pool == next.pool
             && known.zone == next.zone
             && known.address == next.address
+            && known.software == next.software
             && known.concurrency == next.concurrency;
         if let Some(load) = next.running {
             upstream.capacity.record_load(now, &placement, load, upstream.running);
@@ -174,7 +175,7 @@
         if let Some(pool) = known {
             return pool;
         }
-        let WorkTarget { kind, name } = self.targets[target].target.clone();
+        let WorkTarget { kind, name, .. } = self.targets[target].target.clone();
         match kind {
             UpstreamKind::Model => self.pool_id(kind, "models"),
             UpstreamKind::Service => self.pool_id(kind, &name),
@@ -183,7 +184,7 @@
 
     /// Recomputes which pools serve which targets, the free slots and every
     /// grant order.
-    fn rebuild_pools(&mut self, now: Duration) {
+    pub(crate) fn rebuild_pools(&mut self, now: Duration) {
         for pool in &mut self.pools {
             pool.members.clear();
             for target in &mut pool.targets {
@@ -229,9 +230,20 @@
         self.pools[pool].members.push(id);
         let mut locations: Vec<TargetLocation> = Vec::new();
         for name in &announcement.serves {
-            let target = WorkTarget { kind: announcement.kind, name: name.clone() };
-            let location = self.target_id(&target).map(|target| self.target_location(pool, target));
-            locations.extend(location.filter(|location| !locations.contains(location)));
+            let any_version = WorkTarget::new(announcement.kind, name.clone());
+            let own_version =
+                WorkTarget { software: announcement.software.clone(), ..any_version.clone() };
+            let targets = [
+                self.target_id(&any_version),
+                // Only exists once a router has asked for this version.
+                self.target_names.get(&own_version).copied(),
+            ];
+            for target in targets.into_iter().flatten() {
+                let location = self.target_location(pool, target);
+                if !locations.contains(&location) {
+                    locations.push(location);
+                }
+            }
         }
         for location in &locations {
             let related_targets = &mut self.pools[pool].targets[location.index].related_targets;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod software_version;
 pub mod sorted_map;
 pub mod state_chart;
+pub mod stream_origins;
 pub mod table_history;
 pub mod upstream_limits;
 pub mod upstream_notices;
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -91,7 +91,7 @@
 ///     hash_key("secret")
 /// );
 /// let table = WorkspaceTable::parse_csv(table.as_bytes()).unwrap();
-/// let target = WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() };
+/// let target = WorkTarget::new(UpstreamKind::Model, "small".to_owned());
 /// let mut held = LeaseUsage {
 ///     lease: LeaseId { term: 3, number: 7 },
 ///     upstream: "engine-1".to_owned(),
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -122,6 +122,21 @@
         }
         self.shares.last().map_or("", |share| &share.service)
     }
+
+    /// True when requests on the route may go to the service.
+    ///
+    /// ```
+    /// # use baobabfall_core::route_table::{RouteKind, RouteRow, RouteShare};
+    /// let share = |service: &str, weight| RouteShare { service: service.into(), weight };
+    /// let shares = vec![share("old", 0), share("new", 3)];
+    /// # let route = RouteRow { name: "r".into(), host: "h".into(), prefix: "/".into(),
+    /// #     kind: RouteKind::Once, timeout_ms: 1, objective_ms: 1, gap_ms: None,
+    /// #     priority: 0, shares, attempts: 1, public: true, affinity: false };
+    /// assert!(route.has_service("new") && !route.has_service("old"));
+    /// ```
+    pub fn has_service(&self, service: &str) -> bool {
+        self.shares.iter().any(|share| share.service == service && share.weight > 0)
+    }
 }
 
 /// A service: a set of interchangeable upstreams.
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -10,7 +10,9 @@
 use crate::account_statement::StatementStore;
 use crate::cost_estimate::CostEstimate;
 use crate::crash_tracker::{CrashTracker, FoundPart};
-use crate::dispatch_messages::{BacklogRefusal, DispatchAnswer, LeaseId, LimitList, SlotGrant};
+use crate::dispatch_messages::{
+    BacklogRefusal, DispatchAnswer, LeaseId, LimitList, OriginAnswer, SlotGrant,
+};
 use crate::dispatch_settings::DispatchSettings;
 use crate::dispatch_state::{
     LeaseRecord, PoolState, RouterState, TargetLocation, TargetState, UpstreamState,
@@ -20,6 +22,7 @@
 use crate::placement::{PrefixHints, SlotPreference};
 use crate::rate_limit::WorkspaceLimit;
 use crate::sorted_map::SortedMap;
+use crate::stream_origins::{FLEET_STREAM_LIMIT, OriginDirectory};
 use crate::upstream_limits::UpstreamLimits;
 use crate::upstream_registry::{UpstreamKind, WorkTarget};
 use crate::workspace_table::WorkspaceTable;
@@ -76,7 +79,7 @@
 ///     sequence: 1,
 ///     full: true,
 ///     backlog: vec![BacklogEntry {
-///         target: WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() },
+///         target: WorkTarget::new(UpstreamKind::Model, "small".to_owned()),
 ///         workspace: "team-a".to_owned(),
 ///         queued: 2,
 ///         cost_hint: 0,
@@ -92,6 +95,7 @@
 ///     restrictions: Vec::new(),
 ///     parts: PartReport::default(),
 ///     limits: LimitReport::default(),
+///     origins: OriginReport::default(),
 /// });
 /// assert_eq!(dispatcher.dispatch(now), 1);
 /// assert_eq!(dispatcher.routers_to_wake(), ["entry-1"]);
@@ -135,6 +139,8 @@
     pub(crate) crashes: CrashTracker,
     /// Request rates that upstreams have named.
     pub(crate) limits: UpstreamLimits,
+    /// Origins of the streams that routers have begun.
+    pub(crate) origins: OriginDirectory,
     /// Workspaces that wait because of their rate limits, ordered by the end of the wait.
     pub(crate) rate_limited: IndexedHeap<Duration>,
     /// Upstreams whose slots change over time: ejected ones and those in slow start.
@@ -185,6 +191,7 @@
             prefix_hints: PrefixHints::new(settings.placement.prefix_hint_limit),
             crashes: CrashTracker::default(),
             limits: UpstreamLimits::new(1, 0),
+            origins: OriginDirectory::new(FLEET_STREAM_LIMIT),
             rate_limited: IndexedHeap::new(),
             changing_upstreams: Vec::new(),
         }
@@ -272,6 +279,9 @@
         if self.recovering && self.is_recovered(now) {
             self.recovering = false;
             self.restore_accounts(now);
+            for router in self.routers.iter_mut().filter(|router| !router.lookups.is_empty()) {
+                router.needs_answer = true;
+            }
         }
         !self.recovering
     }
@@ -517,6 +527,7 @@
             statements: Vec::new(),
             parts: None,
             limits: None,
+            origins: Vec::new(),
         };
         let Some(id) = self.router_names.get(router_name).copied() else { return answer };
         let mut pending_refusals = std::mem::take(&mut self.routers[id].pending_refusals);
@@ -541,9 +552,21 @@
         let holds_limits = self.routers[id].limits_version == self.limits.version();
         answer.limits = (!holds_limits && !answer.resync)
             .then(|| LimitList { version: self.limits.version(), limits: self.limits.list() });
+        answer.origins = self.answer_lookups(now, id);
         answer
     }
 
+    /// Answers the router's lookups of streams. During the recovery they wait, because the
+    /// routers that began the streams may not have reported yet.
+    fn answer_lookups(&mut self, now: Duration, id: usize) -> Vec<OriginAnswer> {
+        if self.recovering {
+            return Vec::new();
+        }
+        let lookups = std::mem::take(&mut self.routers[id].lookups);
+        let find = |(key, ())| OriginAnswer { key, origin: self.origins.find(now, key).cloned() };
+        lookups.into_iter().map(find).collect()
+    }
+
     /// The request rates that upstreams have named.
     pub fn limits(&self) -> &UpstreamLimits {
         &self.limits
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -25,6 +25,22 @@
     pub kind: UpstreamKind,
     /// Name of the model or service.
     pub name: String,
+    /// Only software version that may do the work, for a request that goes on with a stream.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
+}
+
+impl WorkTarget {
+    /// Work that upstreams of any software version may do.
+    ///
+    /// ```
+    /// use baobabfall_core::upstream_registry::{UpstreamKind, WorkTarget};
+    /// let target = WorkTarget::new(UpstreamKind::Model, "small");
+    /// assert_eq!((target.name.as_str(), target.software), ("small", None));
+    /// ```
+    pub fn new(kind: UpstreamKind, name: impl Into<String>) -> Self {
+        Self { kind, name: name.into(), software: None }
+    }
 }
 
 /// Announcement that an upstream sends about itself and renews periodically.
@@ -149,9 +165,12 @@
         }
     }
 
-    /// True when this upstream serves the model or service `target`.
+    /// True when this upstream serves the model or service `target`, and has the software
+    /// version that `target` names, if any. An unknown version equals no other.
     pub fn can_serve(&self, target: &WorkTarget) -> bool {
-        self.kind == target.kind && self.serves.contains(&target.name)
+        self.kind == target.kind
+            && self.serves.contains(&target.name)
+            && (target.software.is_none() || self.software == target.software)
     }
 }
 
@@ -340,9 +359,12 @@
                     .to_owned(),
             );
         }
-        if next.kind != current.kind || next.address != current.address {
+        if next.kind != current.kind
+            || next.address != current.address
+            || next.software != current.software
+        {
             return Err(AnnouncementRefusal::invalid(
-                "Kind and address may only change with a new incarnation.",
+                "Kind, address and software version may only change with a new incarnation.",
             ));
         }
         Ok(())
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -18,7 +18,7 @@
 }
 
 pub fn target(name: &str) -> WorkTarget {
-    WorkTarget { kind: UpstreamKind::Model, name: name.to_owned() }
+    WorkTarget::new(UpstreamKind::Model, name.to_owned())
 }
 
 pub fn row(name: &str, weight: u32, concurrency: u32) -> WorkspaceRow {
@@ -120,6 +120,7 @@
             restrictions: Vec::new(),
             parts: PartReport::default(),
             limits: LimitReport::default(),
+            origins: OriginReport::default(),
         }
     }
 
@@ -282,6 +283,7 @@
             restrictions: Vec::new(),
             parts: PartReport::default(),
             limits: LimitReport::default(),
+            origins: OriginReport::default(),
         }
     }
 
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -182,6 +182,10 @@
         name: "stream_not_resumed",
         meaning: "An event stream could not be resumed at another upstream.",
     },
+    LogEvent {
+        name: "stream_not_taken_up",
+        meaning: "A caller takes up the stream that request `resumes` began, and it cannot go on; `reason` is the error code.",
+    },
     LogEvent {
         name: "stream_resumed",
         meaning: "An upstream with the software version `software` continues the stream that request `resumes` began; `previous_software` is the version that wrote the events before, if this router relayed them.",
--- a/crates/router/src/caller_api.rs
+++ b/crates/router/src/caller_api.rs
@@ -206,7 +206,7 @@
     }
 
     fn find_target(&mut self, kind: UpstreamKind, name: String) -> Result<WorkTarget, Rejection> {
-        let target = WorkTarget { kind, name };
+        let target = WorkTarget::new(kind, name);
         if self.state.fleet.is_served(&target) {
             self.record.set_model(&target.name);
             return Ok(target);
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -8,8 +8,11 @@
 use crate::exchange_state::ExchangeState;
 use crate::request_fingerprint::RequestContent;
 use crate::request_order::end_to_end_headers;
+use crate::stream_lookup::find_origin;
+use baobabfall_core::dispatch_messages::StreamOrigin;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::{OPEN_WORKSPACE, RouteIndex, RouteRow};
+use baobabfall_core::stream_origins::stream_key;
 use baobabfall_node::http_server::read_body;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -103,7 +106,11 @@
     }
     let deadline = head.deadline.unwrap_or(route.timeout()).min(route.timeout());
     let body = receive_body(state, &routes, parts, body).await?;
-    let service = route.pick_service(rand::random()).to_owned();
+    let origin = find_stream_origin(state, &head, &route, &workspace, arrival + deadline).await?;
+    let service = match &origin {
+        Some(origin) => origin.service.clone(),
+        None => route.pick_service(rand::random()).to_owned(),
+    };
     let version = routes.table().version;
     let row = routes.table().services.iter().find(|row| row.name == service);
     let engine = row.and_then(|row| row.engine.as_ref());
@@ -126,6 +133,7 @@
         forward_workspace,
         workspace,
         service,
+        origin,
         event_tokens,
         plain,
         version,
@@ -136,6 +144,42 @@
     })
 }
 
+/// Returns the origin of the stream that a caller takes up, or `None` for a new request.
+/// What two software versions write does not fit together, so a stream whose origin is not
+/// known cannot go on.
+async fn find_stream_origin<P: ExchangeProtocol>(
+    state: &ExchangeState<P>,
+    head: &ExchangeHead,
+    route: &RouteRow,
+    workspace: &str,
+    deadline: Instant,
+) -> Result<Option<StreamOrigin>, IntakeError> {
+    if head.last_event.is_none() || !route.kind.is_stream() {
+        return Ok(None);
+    }
+    let found = match &head.resumes {
+        Some(resumes) => {
+            let key = stream_key(workspace, resumes);
+            find_origin(&state.router.queue, key, deadline).await
+        }
+        None => Err(ErrorKind::StreamUnknown),
+    };
+    // A change of the route table may have moved the route to other services.
+    let found = found.and_then(|origin| match route.has_service(&origin.service) {
+        true => Ok(origin),
+        false => Err(ErrorKind::StreamVersionGone),
+    });
+    found.map(Some).map_err(|kind| {
+        log::info!(
+            event = "stream_not_taken_up", request_id = head.request_id.as_str(),
+            resumes = head.resumes.as_deref().unwrap_or(""), reason = kind.answer().code;
+            "the stream that the caller takes up cannot go on"
+        );
+        let retry_after = kind.answer().retry.then_some(UNAVAILABLE_RETRY_AFTER);
+        IntakeError { kind, retry_after }
+    })
+}
+
 /// True when the router is shutting down and a stream of the route may last longer
 /// than running requests are given. It would be cut off. Even a resumable one is better
 /// sent to another router at once than broken off and resumed there.
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -10,11 +10,12 @@
 use crate::lease_book::QueueKey;
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
 use baobabfall_core::dispatch_messages::{
-    CostUnits, LeaseEnd, PartId, PromptSummary, UNITS_PER_TOKEN,
+    CostUnits, LeaseEnd, PartId, PromptSummary, StreamOrigin, UNITS_PER_TOKEN, UpstreamRoute,
 };
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::part_book::RequestSuspects;
-use baobabfall_core::route_table::RouteRow;
+use baobabfall_core::route_table::{RouteKind, RouteRow};
+use baobabfall_core::stream_origins::stream_key;
 use baobabfall_core::upstream_notices::QUIET_LIMIT;
 use baobabfall_core::upstream_registry::{UpstreamKind, WorkTarget};
 use baobabfall_node::node_metrics::AnswerCompleteness;
@@ -66,8 +67,11 @@
     pub head: ExchangeHead,
     /// Route that matched the host and the path.
     pub route: RouteRow,
-    /// Service that was chosen at random, by weight, from the shares of the route.
+    /// Service that was chosen at random, by weight, from the shares of the route, or the one
+    /// that began the stream which the caller takes up.
     pub service: String,
+    /// Origin of the stream that the caller takes up.
+    pub origin: Option<StreamOrigin>,
     /// Tokens in one event of the service's streams; 0 without a model engine.
     pub event_tokens: u32,
     /// True when the service is no model engine and the route carries no streams.
@@ -120,6 +124,17 @@
     }
 }
 
+/// Which upstreams may send the next events of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum StreamBinding {
+    /// The caller has got no event, so any upstream may begin the stream.
+    Unbound,
+    /// Only upstreams of the software version that sent the first event.
+    Version(StreamOrigin),
+    /// None, because the version of the upstream that sent the first event is unknown.
+    Unresumable,
+}
+
 /// Execution of one exchange and its accounting.
 #[derive(Debug)]
 pub struct ExchangeRun<P: ExchangeProtocol> {
@@ -135,6 +150,7 @@
     avoid: Option<String>,
     number: Option<u64>,
     queued: Duration,
+    binding: StreamBinding,
     /// Server error of an upstream, returned if every later attempt fails.
     fallback: Option<Response<ExchangeBody>>,
 }
@@ -144,7 +160,9 @@
     /// the exchange ends.
     pub fn new(state: Arc<ExchangeState<P>>, call: ExchangeCall, progress: ProgressGuard) -> Self {
         let meter = ExchangeMeter::new(&state.router.metrics, &call);
+        let binding = call.origin.clone().map_or(StreamBinding::Unbound, StreamBinding::Version);
         Self {
+            binding,
             meter,
             state,
             call: Arc::new(call),
@@ -271,6 +289,51 @@
         will_retry
     }
 
+    /// Binds the stream to the software version of the upstream that sent its first event, and
+    /// keeps that version for callers who take the stream up at another router.
+    pub(crate) fn bind_stream(&mut self, route: &UpstreamRoute) {
+        if self.binding != StreamBinding::Unbound {
+            return;
+        }
+        let Some(software) = route.software.clone() else {
+            self.binding = StreamBinding::Unresumable;
+            return;
+        };
+        let call = &self.call;
+        let origin = StreamOrigin { service: call.service.clone(), software };
+        if call.route.kind == RouteKind::ResumableStream {
+            let key = stream_key(&call.workspace, &call.head.request_id);
+            let patience = call.head.deadline.unwrap_or(call.route.timeout());
+            let left = patience.saturating_sub(call.arrival.elapsed());
+            self.state.router.queue.book().record_origin(key, &origin, left);
+            self.state.router.queue.notify();
+        }
+        self.binding = StreamBinding::Version(origin);
+    }
+
+    /// What an upstream must serve to run the request or to continue its stream.
+    fn target(&self) -> WorkTarget {
+        let target = WorkTarget::new(UpstreamKind::Service, self.call.service.clone());
+        match &self.binding {
+            StreamBinding::Version(origin) => {
+                WorkTarget { software: Some(origin.software.clone()), ..target }
+            }
+            StreamBinding::Unbound | StreamBinding::Unresumable => target,
+        }
+    }
+
+    /// True when an upstream may continue the interrupted stream.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.call.route.kind == RouteKind::ResumableStream
+            && match self.binding {
+                StreamBinding::Unbound => true,
+                StreamBinding::Version(_) => {
+                    self.state.router.fleet.serving_count(&self.target()) > 0
+                }
+                StreamBinding::Unresumable => false,
+            }
+    }
+
     fn is_past_deadline(&self) -> bool {
         Instant::now() >= self.call.deadline
     }
@@ -381,9 +444,16 @@
 
     async fn wait_for_slot(&mut self) -> Result<SlotLease, (ErrorKind, Option<Duration>)> {
         let call = &self.call;
-        let target = WorkTarget { kind: UpstreamKind::Service, name: call.service.clone() };
-        if self.avoid.is_some() && self.state.router.fleet.serving_count(&target) < 2 {
-            self.avoid = None;
+        let target = self.target();
+        let is_bound = target.software.is_some();
+        if self.avoid.is_some() || is_bound {
+            let serving = self.state.router.fleet.serving_count(&target);
+            if serving == 0 && is_bound {
+                return Err((ErrorKind::StreamVersionGone, None));
+            }
+            if serving < 2 {
+                self.avoid = None;
+            }
         }
         if let Some(left) = self.quarantine_left() {
             return Err((ErrorKind::PromptQuarantined, Some(left)));
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -8,7 +8,6 @@
 use crate::exchange_run::ExchangeRun;
 use crate::exchange_send::OpenExchange;
 use baobabfall_core::dispatch_messages::{LeaseEnd, UpstreamRoute};
-use baobabfall_core::route_table::RouteKind;
 use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::units::millis;
@@ -77,7 +76,7 @@
         None => EventSplitter::default(),
     };
     loop {
-        let end = relay_events(&run, &mut opened, &mut splitter, &sender).await;
+        let end = relay_events(&mut run, &mut opened, &mut splitter, &sender).await;
         let RelayEnd::Broken(reason) = &end else {
             return finish_relay(&mut run, opened, &sender, end, splitter.events()).await;
         };
@@ -85,8 +84,7 @@
             let route = opened.lease.route();
             run.state.router.queue.record_casualty(route, run.call.suspects());
         }
-        let resumable = run.call.route.kind == RouteKind::ResumableStream;
-        let will_resume = resumable && run.try_retry(true);
+        let will_resume = run.is_resumable() && run.try_retry(true);
         log::info!(
             event = "stream_broken", request_id = run.call.head.request_id.as_str(),
             upstream = opened.lease.route().name.as_str(), events = splitter.events(),
@@ -146,7 +144,7 @@
 }
 
 async fn relay_events<P: ExchangeProtocol>(
-    run: &ExchangeRun<P>,
+    run: &mut ExchangeRun<P>,
     opened: &mut OpenExchange,
     splitter: &mut EventSplitter,
     sender: &Sender<FrameEvent>,
@@ -184,6 +182,7 @@
         };
         if before == 0 && splitter.events() > 0 {
             meter.set_first_token(Instant::now());
+            run.bind_stream(opened.lease.route());
             run.meter.record_first_event(run.call.arrival.elapsed());
             // The first event shows that the prompt was processed. It is reported at
             // once, because the dispatcher then grants further prompts.
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -6,17 +6,19 @@
 //! the first report that carries its latest change, so that a report contains
 //! exactly the changes that are not acknowledged yet.
 
+use crate::stream_lookup::LookupBook;
 use baobabfall_core::account_statement::{STATEMENT_LIMIT, StatementStore};
 use baobabfall_core::dispatch_messages::{
     BacklogEntry, BacklogRefusal, CostUnits, CrashCasualty, DispatchAnswer, DispatchReport,
-    LeaseEnd, LeaseId, LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, PartId, PartList,
-    PromptSummary, SlotGrant, UNKNOWN_FIRST_TOKEN_MS, UpstreamLimit, UpstreamRestriction,
-    UpstreamRoute,
+    LeaseEnd, LeaseId, LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, OriginReport, PartId,
+    PartList, PromptSummary, SlotGrant, StreamKey, StreamOrigin, UNKNOWN_FIRST_TOKEN_MS,
+    UpstreamLimit, UpstreamRestriction, UpstreamRoute,
 };
 use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::part_book::{PartBook, RequestSuspects};
 use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_core::stream_origins::OriginBook;
 use baobabfall_core::upstream_notices::{UpstreamNotice, UpstreamNotices};
 use baobabfall_core::upstream_registry::WorkTarget;
 use std::collections::VecDeque;
@@ -224,6 +226,8 @@
     notices: NoticeBook,
     parts: PartBook,
     limits: LimitBook,
+    origins: OriginBook,
+    lookups: LookupBook,
 }
 
 impl LeaseBook {
@@ -265,6 +269,26 @@
         self.limits.record(timing, &route.name, route.incarnation, statement, sequence)
     }
 
+    /// Records the origin of a stream that this router began and whose caller may take it up
+    /// for the time `left`.
+    pub fn record_origin(&mut self, key: StreamKey, origin: &StreamOrigin, left: Duration) {
+        let now = self.elapsed();
+        self.origins.record(now, key, origin, left, self.sequence + 1);
+    }
+
+    /// The origin of a stream that this router began.
+    pub fn known_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
+        self.origins.find(self.elapsed(), key).cloned()
+    }
+
+    /// Asks the dispatcher for the origin of a stream. `None` when too many lookups wait.
+    pub fn look_up_origin(
+        &mut self,
+        key: StreamKey,
+    ) -> Option<oneshot::Receiver<Option<StreamOrigin>>> {
+        self.lookups.add(key, self.sequence + 1)
+    }
+
     /// The request rates that upstreams have named.
     pub fn limits(&self) -> &LimitBook {
         &self.limits
@@ -405,6 +429,8 @@
             || self.notices.change_sequences.values().any(|sequence| *sequence > since)
             || self.parts.is_changed(since)
             || self.limits.is_changed(since)
+            || self.origins.is_changed(since)
+            || self.lookups.is_changed(since)
     }
 
     /// True if the charge of any lease has changed since it was last reported.
@@ -454,6 +480,10 @@
             restrictions: self.notices.restrictions(full, since),
             parts: self.parts.report(self.elapsed(), full, since),
             limits: self.limits.report(full, since),
+            origins: OriginReport {
+                begun: self.origins.report(self.elapsed(), full, since),
+                lookups: self.lookups.keys(),
+            },
         }
     }
 
@@ -535,6 +565,7 @@
         self.routers = answer.routers.max(1);
         answer.statements.iter().for_each(|statement| self.statements.record(statement));
         self.acknowledge(answer.acknowledged);
+        answer.origins.iter().for_each(|origin| self.lookups.resolve(origin));
         if let Some(list) = &answer.limits {
             self.limits.apply_list(self.elapsed(), list);
         }
@@ -558,6 +589,7 @@
         self.queues.retain(|_, queue| !queue.requests.is_empty() || queue.change_sequence > since);
         self.parts.acknowledge(since);
         self.limits.acknowledge(since);
+        self.origins.acknowledge(since);
     }
 
     /// Matches a grant to the first queued request that may use its upstream. An
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod router;
 pub mod router_state;
 pub mod settings;
+pub mod stream_lookup;
 pub mod table_sync;
 pub mod table_view;
 pub mod upstream_pool;
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 
 fn key() -> QueueKey {
-    (WorkTarget { kind: UpstreamKind::Model, name: "small".to_owned() }, "team-a".to_owned())
+    (WorkTarget::new(UpstreamKind::Model, "small".to_owned()), "team-a".to_owned())
 }
 
 fn identity() -> NodeIdentity {
@@ -61,6 +61,7 @@
         statements,
         parts: None,
         limits: None,
+        origins: Vec::new(),
     }
 }
 
--- a/crates/router/tests/rejections.rs
+++ b/crates/router/tests/rejections.rs
@@ -276,10 +276,10 @@
 async fn refused_backlog_is_answered_immediately() {
     let fleet = start_fleet(vec![], vec![], vec![], "").await;
     let refusal = baobabfall_core::dispatch_messages::BacklogRefusal {
-        target: baobabfall_core::upstream_registry::WorkTarget {
-            kind: baobabfall_core::upstream_registry::UpstreamKind::Model,
-            name: "small".to_owned(),
-        },
+        target: baobabfall_core::upstream_registry::WorkTarget::new(
+            baobabfall_core::upstream_registry::UpstreamKind::Model,
+            "small".to_owned(),
+        ),
         workspace: "team-a".to_owned(),
         keep: 0,
         retry_after_ms: 2500,
--- a/crates/router/tests/stream_versions.rs
+++ b/crates/router/tests/stream_versions.rs
@@ -4,11 +4,18 @@
 
 mod support;
 
+use baobabfall_core::dispatch_messages::StreamOrigin;
+use baobabfall_core::route_table::RouteShare;
 use baobabfall_core::software_version::SoftwareVersion;
+use baobabfall_core::stream_origins::stream_key;
 use http::Method;
-use support::Answer;
-use support::exchange_site::{ExchangeSite, event, event_chunks, start_peers, stream_head};
-use support::fake_upstream::Step;
+use std::sync::Arc;
+use std::time::Duration;
+use support::exchange_site::{
+    ExchangeSite, event, event_chunks, route_table, start_peers, stream_head,
+};
+use support::fake_upstream::{Step, header_of};
+use support::{Answer, wait_for};
 
 const END: &str = "0\r\n\r\n";
 /// Headers of an attempt that goes on after event 2 of the stream that request `r1` began.
@@ -82,3 +89,90 @@
     }
     assert_eq!(site.request_count(0), 0);
 }
+
+/// Guards against a caller who cannot take a stream up at another router than the one that began
+/// it, and against one who waits for a stream that the dispatcher does not know.
+#[tokio::test]
+async fn stream_of_another_router_goes_on() {
+    let site = site_of(vec![("v1", vec![rest_for("r2")]), ("v2", vec![rest_for("r2")])]).await;
+    let software = SoftwareVersion::parse("v2").unwrap();
+    let origin = StreamOrigin { service: "cases".to_owned(), software };
+    let key = stream_key("team-a", "r1");
+    site.controller.script().origins.insert(key, origin);
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert!(answer.complete, "{}", answer.body);
+    assert_eq!((site.request_count(0), site.request_count(1)), (0, 1));
+    site.controller.script().origins.clear();
+    let unknown = [("x-request", "r2"), ("x-resumes", "r9"), ("x-last-event", "2")];
+    let started = tokio::time::Instant::now();
+    let answer = site.call(Method::POST, "/long-resume/x", &unknown).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stream_unknown"));
+    assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+}
+
+/// Guards against a caller who is told that a stream is lost while only the dispatcher is silent,
+/// and against one who is held until the deadline.
+#[tokio::test]
+async fn taken_up_stream_may_be_retried_while_dispatcher_is_silent() {
+    let site = site_of(vec![("v1", vec![])]).await;
+    site.controller.script().silent = true;
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "peer_unreachable"));
+    assert_ne!(answer.header("x-retry-ms"), "");
+    assert_eq!(site.request_count(0), 0);
+}
+
+/// Guards against a stream that goes on at an upstream whose version is not known.
+#[tokio::test]
+async fn stream_of_unknown_version_is_not_continued() {
+    let site = site_of(vec![("", vec![broken_after_two()]), ("", vec![rest_for("r1")])]).await;
+    let answer = site.call(Method::POST, "/resume/x", &[]).await;
+    assert!(!answer.complete);
+    assert_eq!(site.request_count(0) + site.request_count(1), 1);
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stream_unknown"));
+}
+
+/// Guards against a retry that is held to the version of an upstream which sent no event.
+#[tokio::test]
+async fn stream_without_event_begins_anew_at_any_version() {
+    let crash = vec![Step::Write(stream_head()), Step::Close];
+    let whole = vec![Step::Write(format!("{}{}{END}", stream_head(), event_chunks(1, 5)))];
+    let site = site_of(vec![("v1", vec![crash]), ("v2", vec![whole])]).await;
+    let answer = site.call(Method::POST, "/resume/x", &[]).await;
+    assert!(answer.complete);
+    assert_eq!(answer.body, (1..5).map(event).collect::<String>());
+}
+
+/// Guards against a stream that goes on in another service of its route, and against one that
+/// goes on in a service that its route has left.
+#[tokio::test]
+async fn taken_up_stream_stays_in_its_service() {
+    let site = site_of(vec![("v1", vec![rest_for("r2"), rest_for("r2")])]).await;
+    let software = SoftwareVersion::parse("v1").unwrap();
+    let origin = StreamOrigin { service: "lookups".to_owned(), software };
+    site.controller.script().origins.insert(stream_key("team-a", "r1"), origin);
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stream_version_gone"));
+    let mut routes = route_table(6);
+    let split = |service: &str, weight| RouteShare { service: service.to_owned(), weight };
+    let row = routes.routes.iter_mut().find(|row| row.prefix == "/long-resume/").unwrap();
+    row.shares = vec![split("cases", 1_000_000), split("lookups", 1)];
+    site.controller.script().routes = Some(Arc::new(routes));
+    wait_for("the routes", || site.handle.state().fleet.routes_version() == 6).await;
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert!(answer.complete, "{}", answer.body);
+    let log = site.upstreams[0].log();
+    assert_eq!(header_of(&log.requests[0].0, "x-upstream"), "u0-plain");
+}
+
+/// Guards against callers who take up a stream of another workspace by its id.
+#[tokio::test]
+async fn stream_of_another_workspace_is_unknown() {
+    let site = site_of(vec![("v1", vec![broken_after_two(), rest_for("r2")])]).await;
+    begin_stream(&site).await;
+    let book = site.handle.state().queue.book().known_origin(stream_key("team-a", "r1"));
+    assert_eq!(book.unwrap().software, SoftwareVersion::parse("v1").unwrap());
+    let others = site.handle.state().queue.book().known_origin(stream_key("team-b", "r1"));
+    assert_eq!(others, None);
+}
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -1,12 +1,13 @@
 //! A fake controller that grants waiting requests slots of the upstreams in turn.
 
 use baobabfall_core::dispatch_messages::{
-    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, LimitList, PartList,
-    SlotGrant,
+    BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, LimitList, OriginAnswer,
+    PartList, SlotGrant, StreamKey, StreamOrigin,
 };
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::local_dispatcher::route_of;
 use baobabfall_core::route_table::RouteTable;
+use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{WorkspaceTable, hash_key};
 use baobabfall_node::http_server::{
@@ -53,6 +54,8 @@
     pub parts: Option<PartList>,
     /// List of the upstreams' request rates in every dispatch answer.
     pub limits: Option<LimitList>,
+    /// Origins of streams that other routers began.
+    pub origins: SortedMap<StreamKey, StreamOrigin>,
     /// Grants to send once, in addition to those for the backlog.
     pub extra_grants: Vec<SlotGrant>,
     /// Answers to the next claims, in order; further claims are granted.
@@ -101,6 +104,7 @@
             refusals: Vec::new(),
             parts: None,
             limits: None,
+            origins: SortedMap::new(),
             extra_grants: Vec::new(),
             claim_answers: Vec::new(),
             lost_claim_answers: 0,
@@ -257,6 +261,12 @@
         }
     }
 
+    fn answer_lookups(&self, lookups: &[StreamKey]) -> Vec<OriginAnswer> {
+        let find =
+            |key: &StreamKey| OriginAnswer { key: *key, origin: self.origins.get(key).cloned() };
+        lookups.iter().map(find).collect()
+    }
+
     fn grant_slot(&mut self, entry: &baobabfall_core::dispatch_messages::BacklogEntry) {
         let usable = |candidate: &&UpstreamAnnouncement| {
             candidate.can_serve(&entry.target)
@@ -303,6 +313,7 @@
                     statements: Vec::new(),
                     parts: script.parts.clone(),
                     limits: script.limits.clone(),
+                    origins: script.answer_lookups(&report.origins.lookups),
                 });
             }
         }
