Callers who do not name the stream that they take up are known by its content

What callers saw: with every attempt to take a stream up was refused as stream_unknown when it did not name the request that began the stream. Change: the origin of a stream is also recorded under the hash of its request's content. A key with two origins is ambiguous and counts as unknown; the next dispatcher learns that as well. For a content only the dispatcher is asked, since another router may hold the same content at another version. Weighed: go on whenever one version serves (wrong for a router that has just started), and refuse as before.

--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -240,7 +240,7 @@
         for group in &report.begun {
             for &(key, left_ms) in &group.streams {
                 let left = Duration::from_millis(left_ms.into());
-                self.origins.record(now, key, &group.origin, left);
+                self.origins.record(now, key, group.origin.as_ref(), left);
             }
         }
         let router = &mut self.routers[id];
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -263,7 +263,7 @@
     pub limits: Vec<UpstreamLimit>,
 }
 
-/// Hash of the workspace and the id of the request that began a stream.
+/// Hash of the workspace and the id, or of the content, of the request that began a stream.
 pub type StreamKey = u64;
 
 /// Service and software version of the upstream that sent the first event of a stream.
@@ -280,9 +280,9 @@
 /// Streams with the same origin.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginGroup {
-    /// Origin of the streams.
+    /// Origin of the streams; `None` for keys of several streams with different origins.
     #[serde(rename = "o")]
-    pub origin: StreamOrigin,
+    pub origin: Option<StreamOrigin>,
     /// Key of each stream, and the time in milliseconds for which its caller may take it up.
     #[serde(rename = "k")]
     pub streams: Vec<(StreamKey, u32)>,
@@ -306,7 +306,7 @@
     /// Key of the stream.
     #[serde(rename = "k")]
     pub key: StreamKey,
-    /// Its origin; `None` when no router has reported it.
+    /// Its origin; `None` when no router has reported it or when it is ambiguous.
     #[serde(rename = "o")]
     pub origin: Option<StreamOrigin>,
 }
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -10,16 +10,17 @@
 
 /// Longest time for which the origin of a stream is kept.
 const LIFETIME_LIMIT: Duration = Duration::from_secs(600);
-/// Most streams that a dispatcher remembers, each in 16 bytes. At 2,800 streams a second whose
-/// callers wait for 15 s there are 42,000.
+/// Most keys that a dispatcher remembers, each in 16 bytes. At 2,800 streams a second whose
+/// callers wait for 15 s there are 84,000, two for each stream.
 pub const FLEET_STREAM_LIMIT: usize = 1 << 18;
-/// Most of its own streams that a router remembers.
+/// Most keys of its own streams that a router remembers.
 pub const ROUTER_STREAM_LIMIT: usize = 1 << 14;
 /// Number of distinct origins from which unused ones are removed.
 const ORIGIN_LIMIT: usize = 64;
 
 /// Key of the stream that request `request_id` of a workspace begins. Workspaces cannot take
-/// up each other's streams, whatever ids they choose.
+/// up each other's streams, whatever ids they choose. Streams are also recorded by the hash of
+/// their request's content, for callers who do not name the request.
 ///
 /// ```
 /// use baobabfall_core::stream_origins::stream_key;
@@ -37,8 +38,8 @@
 #[derive(Clone, Copy, Debug)]
 struct StreamEntry {
     key: StreamKey,
-    /// Index of the stream's origin.
-    origin: u32,
+    /// Index of the stream's origin; `None` when streams with this key have several.
+    origin: Option<u32>,
 }
 
 /// Origins of streams for as long as their callers may take them up.
@@ -54,7 +55,7 @@
 /// let software = SoftwareVersion::parse("v1").unwrap();
 /// let origin = StreamOrigin { service: "chat".to_owned(), software };
 /// let mut directory = OriginDirectory::new(100);
-/// directory.record(Duration::ZERO, 7, &origin, Duration::from_secs(5));
+/// directory.record(Duration::ZERO, 7, Some(&origin), Duration::from_secs(5));
 /// assert_eq!(directory.find(Duration::from_secs(4), 7), Some(&origin));
 /// assert_eq!(directory.find(Duration::from_secs(9), 7), None);
 /// ```
@@ -83,26 +84,36 @@
         self.len == 0
     }
 
-    /// Records which origin began a stream that can be taken up for the time `left`. At the
-    /// limit, the streams that expire next make room.
-    pub fn record(&mut self, now: Duration, key: StreamKey, origin: &StreamOrigin, left: Duration) {
+    /// Records which origin began a stream that can be taken up for the time `left`; `None`
+    /// when it is ambiguous. So is a key that was recorded with another origin. At the limit,
+    /// the streams that expire next make room.
+    pub fn record(
+        &mut self,
+        now: Duration,
+        key: StreamKey,
+        origin: Option<&StreamOrigin>,
+        left: Duration,
+    ) {
         self.expire(now);
-        self.remove(key);
+        let mut second = (now + left.min(LIFETIME_LIMIT)).as_secs();
+        let mut origin = origin.map(|origin| self.origin_index(origin));
+        if let Some((known_second, known)) = self.take(key) {
+            second = second.max(known_second);
+            origin = origin.filter(|_| known.origin == origin);
+        }
         if self.len >= self.limit {
             self.drop_first_second();
         }
-        let origin = self.origin_index(origin);
-        let second = (now + left.min(LIFETIME_LIMIT)).as_secs();
         let entries = self.expiries.get_or_insert_with(second, Vec::new);
         let position = entries.partition_point(|entry| entry.key < key);
         entries.insert(position, StreamEntry { key, origin });
         self.len += 1;
     }
 
-    /// The origin of a stream that can still be taken up.
+    /// The origin of a stream that can still be taken up, unless it is ambiguous.
     pub fn find(&self, now: Duration, key: StreamKey) -> Option<&StreamOrigin> {
         let (_, entry) = self.locate(now, key)?;
-        self.origins.get(usize::try_from(entry.origin).ok()?)
+        self.origins.get(usize::try_from(entry.origin?).ok()?)
     }
 
     /// All streams that can still be taken up, grouped by origin.
@@ -121,13 +132,15 @@
         now: Duration,
         entries: impl Iterator<Item = (u64, StreamEntry)>,
     ) -> Vec<OriginGroup> {
-        let empty = |origin: &StreamOrigin| OriginGroup { origin: origin.clone(), streams: vec![] };
-        let mut groups: Vec<OriginGroup> = self.origins.iter().map(empty).collect();
+        let origins = self.origins.iter().cloned().map(Some).chain([None]);
+        let mut groups: Vec<OriginGroup> =
+            origins.map(|origin| OriginGroup { origin, streams: Vec::new() }).collect();
+        let ambiguous = self.origins.len();
         for (second, entry) in entries {
             let left = Duration::from_secs(second + 1).saturating_sub(now);
             let left_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
-            let group = usize::try_from(entry.origin).ok();
-            if let Some(group) = group.and_then(|index| groups.get_mut(index)) {
+            let index = entry.origin.and_then(|index| usize::try_from(index).ok());
+            if let Some(group) = groups.get_mut(index.unwrap_or(ambiguous)) {
                 group.streams.push((entry.key, left_ms));
             }
         }
@@ -146,14 +159,14 @@
         self.len -= self.expiries.remove(&second).map_or(0, |entries| entries.len());
     }
 
-    fn remove(&mut self, key: StreamKey) {
-        for entries in self.expiries.values_mut() {
+    fn take(&mut self, key: StreamKey) -> Option<(u64, StreamEntry)> {
+        for (second, entries) in self.expiries.iter_mut() {
             if let Some(position) = position_of(entries, key) {
-                entries.remove(position);
                 self.len -= 1;
-                return;
+                return Some((*second, entries.remove(position)));
             }
         }
+        None
     }
 
     fn origin_index(&mut self, origin: &StreamOrigin) -> u32 {
@@ -172,12 +185,14 @@
         let old = std::mem::take(&mut self.origins);
         let mut renumbered: Vec<Option<u32>> = vec![None; old.len()];
         for entry in self.expiries.values_mut().flatten() {
-            let Ok(index) = usize::try_from(entry.origin) else { continue };
+            let index = entry.origin.and_then(|index| usize::try_from(index).ok());
+            let Some(index) = index else { continue };
             let next = u32::try_from(self.origins.len()).unwrap_or(u32::MAX);
-            entry.origin = *renumbered[index].get_or_insert_with(|| {
+            let origin = *renumbered[index].get_or_insert_with(|| {
                 self.origins.push(old[index].clone());
                 next
             });
+            entry.origin = Some(origin);
         }
     }
 }
@@ -211,7 +226,7 @@
         left: Duration,
         sequence: u64,
     ) {
-        self.begun.record(now, key, origin, left);
+        self.begun.record(now, key, Some(origin), left);
         self.unacknowledged.insert(key, sequence);
         if self.unacknowledged.len() > ROUTER_STREAM_LIMIT {
             let begun = &self.begun;
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -37,7 +37,7 @@
 }
 
 fn begun(streams: &[(StreamKey, u32)]) -> OriginReport {
-    let group = OriginGroup { origin: origin("v1"), streams: streams.to_vec() };
+    let group = OriginGroup { origin: Some(origin("v1")), streams: streams.to_vec() };
     OriginReport { begun: vec![group], lookups: Vec::new() }
 }
 
@@ -58,19 +58,27 @@
     let mut rng = SeededRng::new(35);
     for _ in 0..50 {
         let mut directory = OriginDirectory::new(1_000);
-        let mut naive: SortedMap<StreamKey, (u64, StreamOrigin)> = SortedMap::new();
+        let mut naive: SortedMap<StreamKey, (u64, Option<StreamOrigin>)> = SortedMap::new();
         let mut second = 0;
         for _ in 0..400 {
             second += u64::try_from(rng.below(3)).unwrap() / 2;
             let now = Duration::from_secs(second);
             let key = u64::try_from(rng.below(60)).unwrap();
-            let began = origin(&format!("v{}", rng.below(90)));
+            let began = origin(&format!("v{}", rng.below(90) * rng.below(2)));
             let left = u64::try_from(rng.below(20)).unwrap();
-            directory.record(now, key, &began, Duration::from_secs(left));
-            naive.insert(key, (second + left, began));
+            directory.record(now, key, Some(&began), Duration::from_secs(left));
+            naive.retain(|_, (end, _)| *end >= second);
+            let entry = match naive.remove(&key) {
+                Some((end, known)) => {
+                    (end.max(second + left), known.filter(|known| *known == began))
+                }
+                None => (second + left, Some(began)),
+            };
+            naive.insert(key, entry);
             for key in 0..60 {
                 let expected = naive.get(&key).filter(|(end, _)| *end >= second);
-                assert_eq!(directory.find(now, key), expected.map(|(_, origin)| origin));
+                let expected = expected.and_then(|(_, origin)| origin.as_ref());
+                assert_eq!(directory.find(now, key), expected);
             }
         }
     }
@@ -82,7 +90,7 @@
     let mut directory = OriginDirectory::new(100);
     for key in 0..1_000_u64 {
         let left = Duration::from_secs(1 + key / 10);
-        directory.record(NOW, key, &origin("v1"), left);
+        directory.record(NOW, key, Some(&origin("v1")), left);
         assert!(directory.len() <= 100);
     }
     assert_eq!(directory.find(NOW, 999), Some(&origin("v1")));
@@ -107,6 +115,28 @@
     assert_eq!(keys(book.report(NOW + Duration::from_secs(11), true, 4)), [0; 0]);
 }
 
+/// Guards against a guess: streams of requests with the same content that began at two versions,
+/// at two routers, are ambiguous, also for the next dispatcher.
+#[test]
+fn record_two_origins_is_ambiguous() {
+    let lifetime = Duration::from_secs(9);
+    let mut directory = OriginDirectory::new(100);
+    directory.record(NOW, 7, Some(&origin("v1")), lifetime);
+    directory.record(NOW, 7, Some(&origin("v1")), lifetime);
+    assert_eq!(directory.find(NOW, 7), Some(&origin("v1")));
+    directory.record(NOW, 7, Some(&origin("v2")), lifetime);
+    directory.record(NOW, 7, Some(&origin("v2")), lifetime);
+    assert_eq!(directory.find(NOW, 7), None);
+    let mut next = OriginDirectory::new(100);
+    next.record(NOW, 7, Some(&origin("v1")), lifetime);
+    for group in directory.groups(NOW) {
+        for (key, left_ms) in group.streams {
+            next.record(NOW, key, group.origin.as_ref(), ms(left_ms.into()));
+        }
+    }
+    assert_eq!((next.len(), next.find(NOW, 7)), (1, None));
+}
+
 /// Guards against callers who cannot take a stream up at another router, after the router that
 /// began it is gone, or after a change of the leader.
 #[test]
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -8,7 +8,7 @@
 use crate::exchange_state::ExchangeState;
 use crate::request_fingerprint::RequestContent;
 use crate::request_order::end_to_end_headers;
-use crate::stream_lookup::find_origin;
+use crate::stream_lookup::{StreamReference, find_origin};
 use baobabfall_core::dispatch_messages::StreamOrigin;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::{OPEN_WORKSPACE, RouteIndex, RouteRow};
@@ -106,7 +106,20 @@
     }
     let deadline = head.deadline.unwrap_or(route.timeout()).min(route.timeout());
     let body = receive_body(state, &routes, parts, body).await?;
-    let origin = find_stream_origin(state, &head, &route, &workspace, arrival + deadline).await?;
+    let target = parts.uri.path_and_query().cloned().ok_or(ErrorKind::MalformedRequest)?;
+    let content = RequestContent {
+        workspace: &workspace,
+        method: &parts.method,
+        host: &head.host,
+        target: target.as_str(),
+        body: &body,
+    };
+    let fingerprint = content.fingerprint();
+    let stream = match &head.resumes {
+        Some(resumes) => StreamReference::Request(stream_key(&workspace, resumes)),
+        None => StreamReference::Content(fingerprint),
+    };
+    let origin = find_stream_origin(state, &head, &route, stream, arrival + deadline).await?;
     let service = match &origin {
         Some(origin) => origin.service.clone(),
         None => route.pick_service(rand::random()).to_owned(),
@@ -116,16 +129,8 @@
     let engine = row.and_then(|row| row.engine.as_ref());
     let plain = row.is_some() && engine.is_none() && !route.kind.is_stream();
     let event_tokens = engine.map_or(0, |engine| engine.event_tokens);
-    let target = parts.uri.path_and_query().cloned().ok_or(ErrorKind::MalformedRequest)?;
-    let content = RequestContent {
-        workspace: &workspace,
-        method: &parts.method,
-        host: &head.host,
-        target: target.as_str(),
-        body: &body,
-    };
     Ok(ExchangeCall {
-        fingerprint: content.fingerprint(),
+        fingerprint,
         method: parts.method.clone(),
         target,
         headers: forwarded_headers(&parts.headers),
@@ -151,19 +156,13 @@
     state: &ExchangeState<P>,
     head: &ExchangeHead,
     route: &RouteRow,
-    workspace: &str,
+    stream: StreamReference,
     deadline: Instant,
 ) -> Result<Option<StreamOrigin>, IntakeError> {
     if head.last_event.is_none() || !route.kind.is_stream() {
         return Ok(None);
     }
-    let found = match &head.resumes {
-        Some(resumes) => {
-            let key = stream_key(workspace, resumes);
-            find_origin(&state.router.queue, key, deadline).await
-        }
-        None => Err(ErrorKind::StreamUnknown),
-    };
+    let found = find_origin(&state.router.queue, stream, deadline).await;
     // A change of the route table may have moved the route to other services.
     let found = found.and_then(|origin| match route.has_service(&origin.service) {
         true => Ok(origin),
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -302,11 +302,13 @@
         let call = &self.call;
         let origin = StreamOrigin { service: call.service.clone(), software };
         if call.route.kind == RouteKind::ResumableStream {
-            let key = stream_key(&call.workspace, &call.head.request_id);
             let patience = call.head.deadline.unwrap_or(call.route.timeout());
             let left = patience.saturating_sub(call.arrival.elapsed());
-            self.state.router.queue.book().record_origin(key, &origin, left);
-            self.state.router.queue.notify();
+            let queue = &self.state.router.queue;
+            for key in [stream_key(&call.workspace, &call.head.request_id), call.fingerprint] {
+                queue.book().record_origin(key, &origin, left);
+            }
+            queue.notify();
         }
         self.binding = StreamBinding::Version(origin);
     }
--- a/crates/router/src/stream_lookup.rs
+++ b/crates/router/src/stream_lookup.rs
@@ -77,18 +77,34 @@
     }
 }
 
+/// What a caller says about the stream that it takes up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamReference {
+    /// The request that began it, which began no other.
+    Request(StreamKey),
+    /// Only the content of the request. Other routers may have begun streams of requests with
+    /// the same content, at other versions.
+    Content(StreamKey),
+}
+
 /// Returns the origin of a stream, from this router's own streams or from the dispatcher.
 pub async fn find_origin(
     queue: &SharedQueue,
-    key: StreamKey,
+    stream: StreamReference,
     deadline: Instant,
 ) -> Result<StreamOrigin, ErrorKind> {
     let asked = Instant::now();
     let limit = deadline.min(asked + ANSWER_WAIT);
     loop {
-        if let Some(origin) = queue.book().known_origin(key) {
-            return Ok(origin);
-        }
+        let key = match stream {
+            StreamReference::Content(key) => key,
+            StreamReference::Request(key) => {
+                if let Some(origin) = queue.book().known_origin(key) {
+                    return Ok(origin);
+                }
+                key
+            }
+        };
         let receiver = queue.book().look_up_origin(key).ok_or(ErrorKind::LimitReached)?;
         queue.notify();
         match tokio::time::timeout_at(limit, receiver).await {
--- a/crates/router/tests/stream_versions.rs
+++ b/crates/router/tests/stream_versions.rs
@@ -166,6 +166,29 @@
     assert_eq!(header_of(&log.requests[0].0, "x-upstream"), "u0-plain");
 }
 
+/// Guards against callers whose streams never go on because they do not name the request that
+/// began them; its content tells.
+#[tokio::test]
+async fn stream_without_named_request_goes_on_by_content() {
+    let site =
+        site_of(vec![("v1", vec![broken_after_two(), rest_for("r2")]), ("v2", vec![])]).await;
+    site.controller.script().free_slots = 1;
+    let answer = site.call_body(Method::POST, "/long-resume/x", &[], "a").await;
+    assert!(!answer.complete);
+    wait_for("the report of the stream", || {
+        site.controller.script().copy_reported_origins();
+        !site.controller.script().origins.is_empty()
+    })
+    .await;
+    site.controller.script().free_slots = usize::MAX;
+    let takes_up = [("x-request", "r2"), ("x-last-event", "2")];
+    let other = site.call_body(Method::POST, "/long-resume/x", &takes_up, "b").await;
+    assert_eq!((other.status.as_u16(), other.body.as_str()), (503, "stream_unknown"));
+    let answer = site.call_body(Method::POST, "/long-resume/x", &takes_up, "a").await;
+    assert_eq!((answer.status.as_u16(), answer.complete), (200, true), "{}", answer.body);
+    assert_eq!((site.request_count(0), site.request_count(1)), (2, 0));
+}
+
 /// Guards against callers who take up a stream of another workspace by its id.
 #[tokio::test]
 async fn stream_of_another_workspace_is_unknown() {
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -261,6 +261,15 @@
         }
     }
 
+    /// Keeps the origins of the streams that the router has reported.
+    pub fn copy_reported_origins(&mut self) {
+        for group in self.reports.iter().flat_map(|report| &report.origins.begun) {
+            for (key, _) in &group.streams {
+                self.origins.insert(*key, group.origin.clone().unwrap());
+            }
+        }
+    }
+
     fn answer_lookups(&self, lookups: &[StreamKey]) -> Vec<OriginAnswer> {
         let find =
             |key: &StreamKey| OriginAnswer { key: *key, origin: self.origins.get(key).cloned() };
