A stream is not resumed at an upstream that came back with other software

What callers saw: nothing yet; found by reading, as the same cause in the project's own interface. Cause: a broken stream is resumed at the upstream that began it, by name and address. Between the break and the resumption the upstream may have come back as another incarnation with another software version. Change: before a resumption the router compares the announced incarnation and version; other or unknown software ends the stream with an error event. Stand-ins announce the version of this package. Measured: stream_of_replaced_software_is_not_resumed fails before (the stream went on) and passes now; stream_relay passes.

--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -490,6 +490,7 @@
             call: Arc::clone(&self.call),
             pool: Arc::clone(&self.state.pool),
             route: route.clone(),
+            fleet: Arc::clone(&self.state.fleet),
             attempts_left: limits.resumptions,
             attempts_made: 0,
         });
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -1,6 +1,7 @@
 //! Resumes an interrupted event stream at the same upstream.
 
 use crate::request_order::UpstreamCall;
+use crate::table_view::FleetView;
 use crate::upstream_pool::{UpstreamConnection, UpstreamPool};
 use baobabfall_core::dispatch_messages::UpstreamRoute;
 use http::HeaderValue;
@@ -38,6 +39,8 @@
     pub pool: Arc<UpstreamPool>,
     /// The upstream that runs the request.
     pub route: UpstreamRoute,
+    /// Upstreams as announced, to notice that this one came back with other software.
+    pub fleet: Arc<FleetView>,
     /// Resumptions that are still allowed.
     pub attempts_left: u32,
     /// Resumptions started so far.
@@ -69,7 +72,21 @@
         }))
     }
 
+    /// True unless the upstream came back with another or an unknown software version, whose
+    /// events do not fit those that were relayed.
+    fn has_same_software(&self) -> bool {
+        let upstreams = self.fleet.upstreams();
+        let known = upstreams.iter().find(|upstream| upstream.name == self.route.name);
+        known.is_none_or(|upstream| {
+            upstream.incarnation == self.route.incarnation
+                || (upstream.software.is_some() && upstream.software == self.route.software)
+        })
+    }
+
     async fn run(self, position: u64) -> Result<ResumedStream, String> {
+        if !self.has_same_software() {
+            return Err("the upstream came back with other software".to_owned());
+        }
         let mut request = self.call.request(&self.route, None)?;
         request.headers_mut().insert(RESUME_HEADER, HeaderValue::from(position));
         let answer = self.pool.exchange(&self.route, request, true).await;
--- a/crates/router/tests/stream_relay.rs
+++ b/crates/router/tests/stream_relay.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use baobabfall_core::dispatch_messages::LeaseEnd;
+use baobabfall_core::software_version::SoftwareVersion;
 use support::fake_controller::FakeController;
 use support::fake_upstream::{
     END_EVENT, FakeUpstream, Step, chunk, complete_answer, event, event_chunks, header_of,
@@ -75,6 +76,32 @@
     assert_eq!(router.metric("baobabfall_answers_total", "completeness=\"whole\""), 1);
 }
 
+/// Guards against a stream that goes on at its upstream after that came back with other software.
+#[tokio::test]
+async fn stream_of_replaced_software_is_not_resumed() {
+    let mut broken = broken_stream(0, 2);
+    broken.insert(1, Step::Gate);
+    let (upstream, controller, router) = start_relay(vec![broken, resumed_stream(2, 5)]).await;
+    let call = router.post("/v1/completions", &[], STREAM_REQUEST);
+    let replace_software = async {
+        wait_for("the request", || upstream.log().requests.len() == 1).await;
+        {
+            let mut script = controller.script();
+            script.upstreams[0].incarnation = 2;
+            script.upstreams[0].software = SoftwareVersion::parse("v2");
+            script.registry_version += 1;
+        }
+        wait_for("the new incarnation", || {
+            router.handle.state().fleet.registry().upstreams[0].incarnation == 2
+        })
+        .await;
+        upstream.open_gate();
+    };
+    let (answer, ()) = tokio::join!(call, replace_software);
+    assert!(answer.body.contains("event: error\n"), "{}", answer.body);
+    assert_eq!(upstream.log().requests.len(), 1);
+}
+
 /// Guards against a stream that silently lacks an event because the upstream resumed it too late.
 #[tokio::test]
 async fn resumed_stream_with_gap_ends_with_error_event() {
--- a/crates/standin/src/upstream_handle.rs
+++ b/crates/standin/src/upstream_handle.rs
@@ -4,6 +4,7 @@
 use crate::answer_body::AnswerBody;
 use crate::faults::FaultSwitch;
 use crate::upstream_state::{ExecutionRecord, UpstreamCounters, UpstreamState};
+use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::{UpstreamAnnouncement, UpstreamKind};
 use baobabfall_node::http_server::{ServerLimits, serve};
@@ -119,7 +120,7 @@
             cancel: traits.cancel,
             leaving: false,
             running: None,
-            software: None,
+            software: SoftwareVersion::parse(env!("CARGO_PKG_VERSION")),
         }
     }
 }
