Streams that have begun go before later requests of their workspace

Refusals of the code before are not logged by reason, so it is not known how many there were. Cause: a stream that went on used to keep its arrival number in the queue of its workspace. With a queue for each version it is a new arrival at the dispatcher, and among queues of one workspace the oldest arrival goes first. Change: among queues of one workspace, and at equal accounts, those of begun streams go first, at the dispatcher and in local mode. The order among workspaces is not touched.

--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -315,7 +315,11 @@
             let value = self.accounts.get(&account).map_or(0, |account| account.value);
             Some((value, key, upstream))
         });
-        let (_, key, upstream) = candidates.min_by_key(|(value, key, _)| (*value, *key))?;
+        let (_, key, upstream) = candidates.min_by_key(|(value, key, _)| {
+            let (workspace, target) = key;
+            // Streams that have begun go before requests that have not.
+            (*value, workspace, target.software.is_none(), target)
+        })?;
         Some((key.clone(), upstream.announcement.name.clone()))
     }
 
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -462,7 +462,8 @@
 
     /// Returns the workspace with the lowest account that a free slot of the pool
     /// can serve, and the index of its target. Among targets of the same workspace
-    /// it chooses the one whose first request has waited longest.
+    /// it chooses streams that have begun, which are older than requests that have
+    /// not, and then the one whose first request has waited longest.
     fn next_workspace(&self, pool: usize) -> Option<(usize, usize)> {
         let targets = self.pools[pool].targets.iter().enumerate();
         let heads =
@@ -470,13 +471,15 @@
                 let (value, workspace) = target.order.peek()?;
                 Some((value, workspace, target.target, index))
             });
-        let arrival = |workspace: usize, target: usize| {
-            self.workspaces[workspace].queues.get(&target).and_then(|queue| queue.first_arrival())
+        let age_order = |workspace: usize, target: usize| {
+            let queue = self.workspaces[workspace].queues.get(&target);
+            let has_begun = self.targets[target].target.software.is_some();
+            (!has_begun, queue.and_then(|queue| queue.first_arrival()))
         };
         let mut best: Option<(AccountValue, usize, usize, usize)> = None;
         for head in heads {
             let better = best.is_none_or(|best| match (head.0, head.1).cmp(&(best.0, best.1)) {
-                std::cmp::Ordering::Equal => arrival(head.1, head.2) < arrival(best.1, best.2),
+                std::cmp::Ordering::Equal => age_order(head.1, head.2) < age_order(best.1, best.2),
                 order => order.is_lt(),
             });
             if better {
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -223,6 +223,24 @@
     assert!(served[0].abs_diff(served[1]) <= 1, "{served:?}");
 }
 
+/// Guards against a stream that has begun and waits behind later requests of its own workspace.
+#[test]
+fn dispatch_bound_request_goes_before_later_ones_of_its_workspace() {
+    let rows = [row("a", 1, 9)];
+    let mut dispatcher = ready(DispatchSettings::default(), &rows, &[engine_of("e1", "v1", 1)]);
+    let mut router = ManualRouter::new("r");
+    let report = router.report(vec![entry("a", 3, 0)], vec![]);
+    dispatcher.apply_report(ms(0), &report);
+    dispatcher.dispatch(ms(0));
+    let first = router.receive(ms(0), &mut dispatcher);
+    assert_eq!(granted(&first), [("e1", None)]);
+    let ended = usage(&first[0], 5, Some(LeaseEnd::Failed));
+    let report = router.report(vec![entry("a", 2, 0), bound_entry("a", 1, "v1")], vec![ended]);
+    dispatcher.apply_report(ms(10), &report);
+    dispatcher.dispatch(ms(10));
+    assert_eq!(granted(&router.receive(ms(10), &mut dispatcher)), [("e1", Some("v1"))]);
+}
+
 /// Guards against bound requests of a version that nobody announced, or whose version is unknown.
 #[test]
 fn dispatch_unknown_version_equals_no_other() {
@@ -266,4 +284,7 @@
     local.set_backlog(&bound_entry("a", 1, "v3"));
     let grants = local.dispatch(NOW);
     assert_eq!(granted(&grants), [("e2", Some("v2")); 4]);
+    local.set_upstreams(&[engine_of("e3", "v3", 1)]);
+    local.set_backlog(&entry("a", 2, 0));
+    assert_eq!(granted(&local.dispatch(NOW)), [("e3", Some("v3"))], "a begun stream goes first");
 }
