Experiment origins: cost of remembering which version began each stream

Cause: the leader's directory of streams needs figures at the target size. Change: baobabfall-bench origins times recording and lookup beside one sorted list, and measures reports.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod memory_slopes;
 pub mod message_slopes;
 pub mod options;
+pub mod origins;
 pub mod process_usage;
 pub mod recovery;
 pub mod restart_store;
@@ -71,5 +72,6 @@
         ExperimentName::Recovery => recovery::run(options).await,
         ExperimentName::Actions => actions::run(options).await,
         ExperimentName::Slopes => slopes::run(options).await,
+        ExperimentName::Origins => origins::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -36,6 +36,7 @@
     Recovery "recovery",
     Actions "actions",
     Slopes "slopes",
+    Origins "origins",
 }
 
 /// What to run and how.
