A resumption names the software version that began the stream

What callers saw: nothing yet; found by reading. An upstream may come back with other software before its announcement arrives, and a stream of the project's own interface goes on there. Cause: the request that resumes a stream did not say which software began it, so the upstream could not refuse. Change: baobabfall-software names the announced version in a resumption; stand-in engines refuse another one with 409. Measured: generate_resumed_for_other_software_is_refused and the new assertion of broken_stream_is_resumed_and_overlap_is_cut pass.

--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -4,6 +4,7 @@
 use crate::table_view::FleetView;
 use crate::upstream_pool::{UpstreamConnection, UpstreamPool};
 use baobabfall_core::dispatch_messages::UpstreamRoute;
+use baobabfall_core::software_version::SoftwareVersion;
 use http::HeaderValue;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -14,6 +15,9 @@
 /// Header with the number of events that were relayed; the upstream continues after
 /// them.
 pub const RESUME_HEADER: &str = "baobabfall-resume-from";
+/// Header with the software version that began the stream. An upstream with another one refuses
+/// the resumption; the router may not have learned yet that it came back with it.
+pub const SOFTWARE_HEADER: &str = "baobabfall-software";
 /// Delay before the first resumption. Each further one waits four times as long, up
 /// to [`DELAY_LIMIT`], which reaches an upstream that restarts its listener without
 /// flooding it.
@@ -89,6 +93,10 @@
         }
         let mut request = self.call.request(&self.route, None)?;
         request.headers_mut().insert(RESUME_HEADER, HeaderValue::from(position));
+        let software = self.route.software.as_ref().map(SoftwareVersion::as_str);
+        if let Some(value) = software.and_then(|text| HeaderValue::from_str(text).ok()) {
+            request.headers_mut().insert(SOFTWARE_HEADER, value);
+        }
         let answer = self.pool.exchange(&self.route, request, true).await;
         let (response, connection) = answer.map_err(|error| error.to_string())?;
         self.call.check_answer(&response)?;
--- a/crates/router/tests/stream_relay.rs
+++ b/crates/router/tests/stream_relay.rs
@@ -71,6 +71,7 @@
     assert_eq!(answer.body, format!("{expected}{END_EVENT}"));
     let log = upstream.log();
     assert_eq!(header_of(&log.requests[1].0, "baobabfall-resume-from"), "2");
+    assert_eq!(header_of(&log.requests[1].0, "baobabfall-software"), "v1");
     assert_eq!(log.requests[1].1, STREAM_REQUEST);
     drop(log);
     assert_eq!(router.metric("baobabfall_answers_total", "completeness=\"whole\""), 1);
--- a/crates/standin/src/model_engine.rs
+++ b/crates/standin/src/model_engine.rs
@@ -6,7 +6,7 @@
 };
 use crate::answer_text::{answer_seed, expected_answer};
 use crate::faults::{FaultDraw, FaultKind};
-use crate::upstream_handle::{UpstreamHandle, UpstreamOptions, UpstreamTraits};
+use crate::upstream_handle::{SOFTWARE, UpstreamHandle, UpstreamOptions, UpstreamTraits};
 use crate::upstream_state::{RunGuard, UpstreamState};
 use baobabfall_core::upstream_registry::UpstreamKind;
 use baobabfall_node::http_server::{
@@ -24,6 +24,8 @@
 
 /// Request header with the token position from which an interrupted stream resumes.
 pub const RESUME_HEADER: &str = "baobabfall-resume-from";
+/// Request header with the software version that began an interrupted stream.
+pub const SOFTWARE_HEADER: &str = "baobabfall-software";
 /// Number of prompt bytes counted as one token; partial tokens round up.
 pub const BYTES_PER_TOKEN: usize = 4;
 /// Maximum size of a request body in bytes.
@@ -176,6 +178,11 @@
             }
         };
         drop(body);
+        let software = parts.headers.get(SOFTWARE_HEADER);
+        if software.is_some_and(|software| software.as_bytes() != SOFTWARE.as_bytes()) {
+            let message = "Other software began the stream.";
+            return refusal(409, message, &request_id, Some(&self.upstream));
+        }
         if draw.has(FaultKind::Refuse) {
             return refusal(503, "The engine is full.", &request_id, Some(&self.upstream));
         }
--- a/crates/standin/src/upstream_handle.rs
+++ b/crates/standin/src/upstream_handle.rs
@@ -19,6 +19,9 @@
 use tokio::task::JoinHandle;
 use tower::Service;
 
+/// Software version that stand-in upstreams announce.
+pub const SOFTWARE: &str = env!("CARGO_PKG_VERSION");
+
 /// Interval at which a draining upstream checks whether requests are still in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -120,7 +123,7 @@
             cancel: traits.cancel,
             leaving: false,
             running: None,
-            software: SoftwareVersion::parse(env!("CARGO_PKG_VERSION")),
+            software: SoftwareVersion::parse(SOFTWARE),
         }
     }
 }
--- a/crates/standin/tests/model_engine.rs
+++ b/crates/standin/tests/model_engine.rs
@@ -4,7 +4,8 @@
 
 use baobabfall_standin::answer_text::expected_answer;
 use baobabfall_standin::faults::FaultKind;
-use baobabfall_standin::model_engine::{EngineOptions, RESUME_HEADER, start};
+use baobabfall_standin::model_engine::{EngineOptions, RESUME_HEADER, SOFTWARE_HEADER, start};
+use baobabfall_standin::upstream_handle::SOFTWARE;
 use common::{exchange, send, streamed_text};
 use std::time::Duration;
 
@@ -48,6 +49,18 @@
     assert_eq!(streamed_text(&body), expected_answer("request-1", 40)[30 * 6..]);
 }
 
+/// Guards against a stream that goes on at other software before its announcement tells.
+#[tokio::test]
+async fn generate_resumed_for_other_software_is_refused() {
+    let engine = start(EngineOptions::new("engine-1", "m")).await.unwrap();
+    for (software, expected) in [(SOFTWARE, 200), ("other", 409)] {
+        let headers = [ID, (RESUME_HEADER, "30"), (SOFTWARE_HEADER, software)];
+        let (status, _, _) =
+            exchange(engine.address(), "POST", CHAT, &headers, &chat_body(40, true)).await.unwrap();
+        assert_eq!(status, expected, "{software}");
+    }
+}
+
 /// Guards against an unbounded queue: once slots and queue are full, a request must be refused
 /// and marked as not run.
 #[tokio::test]
