A version that is first heard of in a running lease gets its queue

What callers saw: nothing yet; found by reading. After a change of the leader, streams that go on at a version could wait in vain. Cause: the dispatcher added a version to the pools only when a request for it was reported first. A lease of that version, adopted from a full report of the term before, made the version known without adding it. Change: a report's requests and leases are both searched for new versions, before either is applied. Measured: dispatch_serves_version_of_an_adopted_lease fails before and passes now; the tests of core pass.

--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -57,10 +57,11 @@
         router.sequence = report.sequence;
         let zone = self.zone_id(&report.zone);
         self.routers[id].zone = zone;
+        self.add_versions(now, report);
         self.arrival_clock += 1;
         let mut affected = Vec::new();
         self.apply_received_grants(id, report.received_grant, &mut affected);
-        self.apply_backlog(now, id, report, &mut affected);
+        self.apply_backlog(id, report, &mut affected);
         self.apply_restrictions(now, id, report);
         self.apply_parts(now, id, &report.parts);
         self.apply_limits(now, id, &report.limits);
@@ -112,6 +113,20 @@
         }
     }
 
+    /// Adds the software versions that the report is the first to ask for to the pools of
+    /// their upstreams.
+    fn add_versions(&mut self, now: Duration, report: &DispatchReport) {
+        let known_targets = self.targets.len();
+        let queued = report.backlog.iter().map(|entry| &entry.target);
+        let running = report.usage.iter().map(|usage| &usage.target);
+        for target in queued.chain(running).filter(|target| target.software.is_some()) {
+            self.target_id(target);
+        }
+        if self.targets.len() > known_targets {
+            self.rebuild_pools(now);
+        }
+    }
+
     /// Returns the index of a target and adds the target if it is new. `None`
     /// if it is new and [`TARGET_LIMIT`] is reached.
     pub(crate) fn target_id(&mut self, target: &WorkTarget) -> Option<usize> {
@@ -146,15 +161,8 @@
         }
     }
 
-    fn apply_backlog(
-        &mut self,
-        now: Duration,
-        id: usize,
-        report: &DispatchReport,
-        affected: &mut Vec<usize>,
-    ) {
+    fn apply_backlog(&mut self, id: usize, report: &DispatchReport, affected: &mut Vec<usize>) {
         let mut listed = Vec::with_capacity(report.backlog.len());
-        let known_targets = self.targets.len();
         for entry in &report.backlog {
             let workspace = self.workspace_id(&entry.workspace);
             let Some(target) = self.target_id(&entry.target) else { continue };
@@ -163,9 +171,6 @@
             affected.push(workspace);
             listed.push((workspace, target));
         }
-        if self.targets[known_targets..].iter().any(|state| state.target.software.is_some()) {
-            self.rebuild_pools(now);
-        }
         if report.full {
             listed.sort_unstable();
             self.clear_unlisted(id, &listed, affected);
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -241,6 +241,29 @@
     assert_eq!(granted(&router.receive(ms(10), &mut dispatcher)), [("e1", Some("v1"))]);
 }
 
+/// Guards against bound requests that are never granted because the next dispatcher first heard
+/// of their version from a running lease.
+#[test]
+fn dispatch_serves_version_of_an_adopted_lease() {
+    let rows = [row("a", 1, 9)];
+    let mut dispatcher = ready(DispatchSettings::default(), &rows, &[engine_of("e1", "v1", 4)]);
+    let mut router = ManualRouter::new("r");
+    let adopted = LeaseUsage {
+        lease: LeaseId { term: 0, number: 1 },
+        upstream: "e1".to_owned(),
+        incarnation: 1,
+        target: bound_entry("a", 1, "v1").target,
+        workspace: "a".to_owned(),
+        charged: 5,
+        first_token_ms: None,
+        end: None,
+    };
+    dispatcher.apply_report(ms(0), &router.report(vec![], vec![adopted]));
+    dispatcher.apply_report(ms(10), &router.report(vec![bound_entry("a", 1, "v1")], vec![]));
+    dispatcher.dispatch(ms(10));
+    assert_eq!(granted(&router.receive(ms(10), &mut dispatcher)), [("e1", Some("v1"))]);
+}
+
 /// Guards against bound requests of a version that nobody announced, or whose version is unknown.
 #[test]
 fn dispatch_unknown_version_equals_no_other() {
