--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -283,7 +283,7 @@
     /// Origin of the streams; `None` for keys of several streams with different origins.
     #[serde(rename = "o")]
     pub origin: Option<StreamOrigin>,
-    /// Key of each stream, and the time in milliseconds for which its caller may take it up.
+    /// Key of each stream, and the time in milliseconds for which its caller may resume it.
     #[serde(rename = "k")]
     pub streams: Vec<(StreamKey, u32)>,
 }
--- a/crates/core/src/error_kind.rs
+++ b/crates/core/src/error_kind.rs
@@ -74,7 +74,7 @@
     NoUpstream: 503, "no_upstream", true, true, 5;
     /// Requests with a part of this prompt crashed upstreams.
     PromptQuarantined: 503, "prompt_quarantined", true, true, 5;
-    /// Nobody knows which software version began the stream that the caller takes up.
+    /// It is not known which software version began the stream that the caller resumes.
     StreamUnknown: 503, "stream_unknown", true, false, 5;
     /// No upstream is left with the software version that began the stream.
     StreamVersionGone: 503, "stream_version_gone", true, false, 5;
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -1,5 +1,5 @@
-//! Which service and software version began each event stream, so that a caller who takes a
-//! stream up at any router gets the rest of it from the same version.
+//! Which service and software version began each event stream, so that a caller who resumes
+//! a stream at any router gets the rest of it from the same version.
 //!
 //! Each router reports the streams that it begins; the dispatcher keeps those of all routers
 //! and answers lookups.
@@ -18,8 +18,8 @@
 /// Number of distinct origins from which unused ones are removed.
 const ORIGIN_LIMIT: usize = 64;
 
-/// Key of the stream that request `request_id` of a workspace begins. Workspaces cannot take
-/// up each other's streams, whatever ids they choose. Streams are also recorded by the hash of
+/// Key of the stream that request `request_id` of a workspace begins. Workspaces cannot
+/// resume each other's streams, whatever ids they choose. Streams are also recorded by the hash of
 /// their request's content, for callers who do not name the request.
 ///
 /// ```
@@ -84,7 +84,7 @@
         self.len == 0
     }
 
-    /// Records which origin began a stream that can be taken up for the time `left`; `None`
+    /// Records which origin began a stream that can be resumed for the time `left`; `None`
     /// when it is ambiguous. So is a key that was recorded with another origin. At the limit,
     /// the streams that expire next make room.
     pub fn record(
@@ -110,13 +110,13 @@
         self.len += 1;
     }
 
-    /// The origin of a stream that can still be taken up, unless it is ambiguous.
+    /// The origin of a stream that can still be resumed, unless it is ambiguous.
     pub fn find(&self, now: Duration, key: StreamKey) -> Option<&StreamOrigin> {
         let (_, entry) = self.locate(now, key)?;
         self.origins.get(usize::try_from(entry.origin?).ok()?)
     }
 
-    /// All streams that can still be taken up, grouped by origin.
+    /// All streams that can still be resumed, grouped by origin.
     pub fn groups(&self, now: Duration) -> Vec<OriginGroup> {
         let live = self.expiries.iter().filter(|(second, _)| **second >= now.as_secs());
         self.group(now, live.flat_map(|(second, list)| list.iter().map(|entry| (*second, *entry))))
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -137,7 +137,7 @@
     assert_eq!((next.len(), next.find(NOW, 7)), (1, None));
 }
 
-/// Guards against callers who cannot take a stream up at another router, after the router that
+/// Guards against callers who cannot resume a stream at another router, after the router that
 /// began it is gone, or after a change of the leader.
 #[test]
 fn lookup_of_another_router_is_answered() {
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -183,8 +183,8 @@
         meaning: "An event stream could not be resumed at another upstream.",
     },
     LogEvent {
-        name: "stream_not_taken_up",
-        meaning: "A caller takes up the stream that request `resumes` began, and it cannot go on; `reason` is the error code.",
+        name: "stream_resume_refused",
+        meaning: "A caller asks to resume the stream that request `resumes` began, and it cannot be resumed; `reason` is the error code.",
     },
     LogEvent {
         name: "stream_resumed",
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -149,9 +149,9 @@
     })
 }
 
-/// Returns the origin of the stream that a caller takes up, or `None` for a new request.
-/// What two software versions write does not fit together, so a stream whose origin is not
-/// known cannot go on.
+/// Returns the origin of the stream that a caller resumes, or `None` for a new request.
+/// The output of two software versions cannot be combined, so a stream of unknown origin
+/// cannot be resumed.
 async fn find_stream_origin<P: ExchangeProtocol>(
     state: &ExchangeState<P>,
     head: &ExchangeHead,
@@ -170,9 +170,9 @@
     });
     found.map(Some).map_err(|kind| {
         log::info!(
-            event = "stream_not_taken_up", request_id = head.request_id.as_str(),
+            event = "stream_resume_refused", request_id = head.request_id.as_str(),
             resumes = head.resumes.as_deref().unwrap_or(""), reason = kind.answer().code;
-            "the stream that the caller takes up cannot go on"
+            "the stream cannot be resumed"
         );
         let retry_after = kind.answer().retry.then_some(UNAVAILABLE_RETRY_AFTER);
         IntakeError { kind, retry_after }
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -68,9 +68,9 @@
     /// Route that matched the host and the path.
     pub route: RouteRow,
     /// Service that was chosen at random, by weight, from the shares of the route, or the one
-    /// that began the stream which the caller takes up.
+    /// that began the stream which the caller resumes.
     pub service: String,
-    /// Origin of the stream that the caller takes up.
+    /// Origin of the stream that the caller resumes.
     pub origin: Option<StreamOrigin>,
     /// Tokens in one event of the service's streams; 0 without a model engine.
     pub event_tokens: u32,
@@ -290,7 +290,7 @@
     }
 
     /// Binds the stream to the software version of the upstream that sent its first event, and
-    /// keeps that version for callers who take the stream up at another router.
+    /// keeps that version for callers who resume the stream at another router.
     pub(crate) fn bind_stream(&mut self, route: &UpstreamRoute) {
         if self.binding != StreamBinding::Unbound {
             return;
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -269,7 +269,7 @@
         self.limits.record(timing, &route.name, route.incarnation, statement, sequence)
     }
 
-    /// Records the origin of a stream that this router began and whose caller may take it up
+    /// Records the origin of a stream that this router began and whose caller may resume it
     /// for the time `left`.
     pub fn record_origin(&mut self, key: StreamKey, origin: &StreamOrigin, left: Duration) {
         let now = self.elapsed();
--- a/crates/router/src/stream_lookup.rs
+++ b/crates/router/src/stream_lookup.rs
@@ -1,4 +1,4 @@
-//! Finds out which software version began a stream that a caller takes up.
+//! Finds out which software version began a stream that a caller resumes.
 
 use crate::request_queue::SharedQueue;
 use baobabfall_core::dispatch_messages::{OriginAnswer, StreamKey, StreamOrigin};
@@ -77,7 +77,7 @@
     }
 }
 
-/// What a caller says about the stream that it takes up.
+/// What a caller says about the stream that it resumes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamReference {
     /// The request that began it, which began no other.
--- a/crates/router/tests/stream_versions.rs
+++ b/crates/router/tests/stream_versions.rs
@@ -61,7 +61,7 @@
     assert_eq!(site.request_count(1), 0);
 }
 
-/// Guards against a caller who takes a stream up and gets events of another software version.
+/// Guards against a caller who resumes a stream and gets events of another software version.
 #[tokio::test]
 async fn taken_up_stream_stays_at_its_version() {
     let site = site_of(vec![
@@ -90,7 +90,7 @@
     assert_eq!(site.request_count(0), 0);
 }
 
-/// Guards against a caller who cannot take a stream up at another router than the one that began
+/// Guards against a caller who cannot resume a stream at another router than the one that began
 /// it, and against one who waits for a stream that the dispatcher does not know.
 #[tokio::test]
 async fn stream_of_another_router_goes_on() {
@@ -189,7 +189,7 @@
     assert_eq!((site.request_count(0), site.request_count(1)), (2, 0));
 }
 
-/// Guards against callers who take up a stream of another workspace by its id.
+/// Guards against callers who resume a stream of another workspace by its id.
 #[tokio::test]
 async fn stream_of_another_workspace_is_unknown() {
     let site = site_of(vec![("v1", vec![broken_after_two(), rest_for("r2")])]).await;
