--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -182,7 +182,9 @@
         let join_task = join_group(options, replica.clone(), identity, advertised);
         tasks.spawn(until_draining(join_task, signal.clone()));
     }
-    tasks.spawn(until_draining(watch_event_loop(api.metrics.clone(), |_| {}), signal.clone()));
+    let watched = api.dispatch.clone();
+    let watch = watch_event_loop(api.metrics.clone(), move |delay| watched.record_delay(delay));
+    tasks.spawn(until_draining(watch, signal.clone()));
     tasks.spawn(until_draining(record_metrics(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_dispatcher(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_expiry(api.clone()), signal.clone()));
@@ -361,6 +363,7 @@
     let mut ticks = tokio::time::interval(METRICS_INTERVAL);
     loop {
         ticks.tick().await;
+        api.dispatch.log_load();
         let revision = api.replica.state().history().revision();
         api.metrics.table_revision.record(revision, &[]);
         for view in operator_views::fairness(&api.operators) {
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -6,6 +6,7 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::slot_dispatcher::SlotDispatcher;
 use baobabfall_core::sorted_map::SortedMap;
+use baobabfall_node::units::millis;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -37,6 +38,10 @@
     new_routers: Vec<NodeIdentity>,
     /// Term of the latest dispatcher. It never decreases.
     dispatch_term: u64,
+    /// Reports since the last reading of the load.
+    reports: u64,
+    /// Longest delay of the event loop since then.
+    longest_delay: Duration,
 }
 
 impl DispatchService {
@@ -127,6 +132,35 @@
         });
     }
 
+    /// Records how late the event loop ran a due task.
+    pub fn record_delay(&self, delay: Duration) {
+        let mut inner = self.lock();
+        inner.longest_delay = inner.longest_delay.max(delay);
+    }
+
+    /// Logs what was granted and returned since the last call, if requests wait for a slot.
+    pub fn log_load(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let reports = std::mem::take(&mut inner.reports);
+        let delay = std::mem::take(&mut inner.longest_delay);
+        let Some(dispatcher) = &mut inner.dispatcher else { return };
+        let load = dispatcher.take_load(now);
+        if load.waiting == 0 && load.unused == 0 {
+            return;
+        }
+        log::info!(
+            event = "dispatch_load", reports = reports, waiting = load.waiting,
+            granted = load.granted, unused = load.unused,
+            most_unused = load.most_unused.count, unused_router = load.most_unused.router,
+            running = load.running, slots = load.slots,
+            most_running = load.most_running.count, running_router = load.most_running.router,
+            prefill = load.prefill, prefill_window = load.prefill_window,
+            longest_delay_ms = millis(delay);
+            "requests wait for slots"
+        );
+    }
+
     /// Removes and returns the routers that reported with a new incarnation since the last call.
     pub fn take_new_routers(&self) -> Vec<NodeIdentity> {
         std::mem::take(&mut self.lock().new_routers)
@@ -186,6 +220,7 @@
         if !is_known && inner.wakers.len() >= ROUTER_LIMIT {
             return Err(ErrorKind::LimitReached);
         }
+        inner.reports += 1;
         inner.record_incarnation(&report.router);
         if let Some(dispatcher) = &mut inner.dispatcher {
             let version = dispatcher.limits().version();
--- a/crates/core/src/dispatch_ledger.rs
+++ b/crates/core/src/dispatch_ledger.rs
@@ -243,6 +243,7 @@
     ) {
         let Some(record) = self.routers[router].leases.remove(&lease) else { return };
         self.withdraw_grant(router, lease, &record);
+        self.routers[router].unused_grants += u64::from(end == Some(LeaseEnd::Unused));
         let settled = record.reported.saturating_sub(record.already_charged);
         let settled = weighted_cost(settled, record.weight);
         let workspace = &mut self.workspaces[record.workspace];
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -187,6 +187,8 @@
     pub parts_version: u64,
     /// Version of the list of request rates that the router holds.
     pub limits_version: u64,
+    /// Grants that the router returned unused since the last reading of the load.
+    pub unused_grants: u64,
     /// Streams whose origins the router asked for.
     pub lookups: SortedMap<StreamKey, ()>,
 }
@@ -212,6 +214,7 @@
             quiet: SortedMap::new(),
             parts_version: 0,
             limits_version: 0,
+            unused_grants: 0,
             lookups: SortedMap::new(),
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod dispatch_fairness;
 mod dispatch_intake;
 mod dispatch_ledger;
+pub mod dispatch_load;
 pub mod dispatch_messages;
 pub mod dispatch_settings;
 pub mod dispatch_state;
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -112,6 +112,8 @@
     pub(crate) expected_routers: Option<Vec<String>>,
     pub(crate) last_grant: u64,
     pub(crate) decisions: u64,
+    /// Value of `decisions` at the last reading of the load.
+    pub(crate) decisions_read: u64,
     /// Number of applied reports; orders waiting requests by their arrival.
     pub(crate) arrival_clock: u64,
     /// Number of answers with statements in this term.
@@ -169,6 +171,7 @@
             expected_routers: None,
             last_grant: 0,
             decisions: 0,
+            decisions_read: 0,
             arrival_clock: 0,
             last_statement: 0,
             received_statements: StatementStore::new(RECEIVED_STATEMENT_LIMIT),
--- a/crates/core/tests/dispatch_guarantees.rs
+++ b/crates/core/tests/dispatch_guarantees.rs
@@ -3,6 +3,7 @@
 mod dispatch_fleet;
 
 use baobabfall_core::cost_estimate::DEFAULT_ESTIMATE;
+use baobabfall_core::dispatch_load::RouterPeak;
 use baobabfall_core::dispatch_messages::*;
 use baobabfall_core::dispatch_settings::DispatchSettings;
 use baobabfall_core::fair_order::AccountValue;
@@ -388,3 +389,18 @@
     assert!(fixture.dispatcher.take_answer(START, "r").grants.is_empty());
     assert_eq!(fixture.dispatcher.dispatch(START), 0, "the request is not waiting twice");
 }
+
+/// Guards the line `dispatch_load`, which tells who holds slots and who returns them unused.
+#[test]
+fn take_load_names_routers_and_begins_new_counts() {
+    let mut fixture = DispatchFixture::new(&[row("team", 1, 99)], 2);
+    fixture.report(vec![entry("team", 3, 1_000)], vec![]);
+    let load = fixture.dispatcher.take_load(START);
+    assert_eq!((load.granted, load.running, load.slots, load.waiting), (2, 2, 2, 1));
+    assert_eq!((load.most_running.router.as_str(), load.most_running.count), ("r", 2));
+    let returned = usage(&fixture.running.remove(0), 0, Some(LeaseEnd::Unused));
+    fixture.report(vec![entry("team", 0, 0)], vec![returned]);
+    let load = fixture.dispatcher.take_load(START);
+    assert_eq!((load.granted, load.unused, load.most_unused.count), (0, 1, 1));
+    assert_eq!(fixture.dispatcher.take_load(START).most_unused, RouterPeak::default());
+}
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -45,6 +45,10 @@
         name: "dispatch_answer_stale",
         meaning: "An answer from a previous dispatcher (older term) was ignored.",
     },
+    LogEvent {
+        name: "dispatch_load",
+        meaning: "At most once a second at the leader while requests wait for a slot: `reports` of routers, slots `granted` and returned `unused` with the router that returned most, `running` of `slots` with the router that holds most, prompt tokens without a first token (`prefill` of `prefill_window`), and the longest delay of the event loop in that second.",
+    },
     LogEvent { name: "dispatcher_ended", meaning: "This controller stopped dispatching." },
     LogEvent {
         name: "dispatcher_started",
