Experiment leader: cost of a request at the leader, and grants of a slow leader

Cause: callers of routers that are not crowded get no slots while engines idle, once processor time is charged. No test or experiment shows what the leader needs, or what happens when it has less.

Change: 50 and 200 routers without callers, made of the routers' own queue and dispatch client, ask a real group of three controllers for slots at 2,800 requests a second; then at 2,000 while the leader's thread is slowed to 0.32 and 0.16 core.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -208,6 +208,11 @@
         self.controllers.iter().map(|slot| slot.address).collect()
     }
 
+    /// Path of a credential.
+    pub fn credential(&self, name: &str) -> std::path::PathBuf {
+        self.files.credential(name)
+    }
+
     /// Handles of the running routers.
     pub fn routers(&self) -> impl Iterator<Item = &RouterHandle> {
         self.routers.iter().filter_map(|slot| slot.handle.as_ref())
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod gap_measure;
 pub mod integrity;
 pub mod latency;
+pub mod leader;
 pub mod load;
 pub mod memory_slopes;
 pub mod message_slopes;
@@ -30,9 +31,11 @@
 pub mod recovery;
 pub mod restart_store;
 pub mod role_thread;
+pub mod router_model;
 pub mod scene;
 pub mod slope_fit;
 pub mod slopes;
+pub mod slow_core;
 
 use cli::BaobabfallBench;
 use error::BenchError;
@@ -73,5 +76,6 @@
         ExperimentName::Actions => actions::run(options).await,
         ExperimentName::Slopes => slopes::run(options).await,
         ExperimentName::Origins => origins::run(options).await,
+        ExperimentName::Leader => leader::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -37,6 +37,7 @@
     Actions "actions",
     Slopes "slopes",
     Origins "origins",
+    Leader "leader",
 }
 
 /// What to run and how.
--- a/crates/bench/src/role_thread.rs
+++ b/crates/bench/src/role_thread.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
 
 /// Longest name of a thread that the kernel keeps.
 const NAME_LIMIT: usize = 15;
@@ -47,6 +48,14 @@
         self.handle.spawn(task).await.map_err(std::io::Error::other)
     }
 
+    /// Starts a task on the thread.
+    pub fn spawn<F>(&self, task: F) -> JoinHandle<()>
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.handle.spawn(task)
+    }
+
     /// Processor time of the thread and of its runtime's blocking threads.
     pub fn processor_time(&self) -> std::io::Result<Duration> {
         thread_time(&self.name)
