Reports and grants are messages on one channel between router and leader

Cause: each report, and each poll that carries a grant, was an HTTP/2 exchange of its own: heads, a task and a stream for a message of some hundred bytes, four to six for a request and five polls a second of each router. The leader of 200 routers ran out of processor time, so grants came after the 120 ms that a request waits, and their slots returned unused. Each report also walked over all routers to find those to wake, and copied the membership twice.

Change: a router upgrades one connection to the leader to frames of a length and a message (FrameChannel). One report is out at a time, so that changes merge while the leader is late; the leader pushes grants without a poll. All reports that have arrived are applied before one dispatch, and routers to wake are listed when they are marked. A grant is sent once on a channel. Routers use exchanges with controllers that have no channels.

Ruled out: HTTP/2 streams with long bodies keep the cost of frames and flow control.

Tests of core, node, controller and router pass.

--- a/crates/bench/src/router_model.rs
+++ b/crates/bench/src/router_model.rs
@@ -135,10 +135,8 @@
             let identity = NodeIdentity { name, incarnation: start_incarnation() };
             let zone = zone_of(index).to_owned();
             let client = Arc::new(DispatchClient::new(Arc::clone(&queue), link, identity, zone));
-            let poller = Arc::clone(&client);
-            models.tasks.spawn(async move { poller.run_poll().await });
             let reporter = Arc::clone(&client);
-            models.tasks.spawn(async move { reporter.run_changes().await });
+            models.tasks.spawn(async move { reporter.run().await });
             models.queues.push(queue);
             models.clients.push(client);
         }
--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -1,6 +1,7 @@
 //! HTTP interface of a controller: authenticates requests and routes them to the services.
 
 use crate::action_service::ActionService;
+use crate::dispatch_channel::serve_channel;
 use crate::dispatch_service::DispatchService;
 use crate::membership::{JOIN_PATH, JoinRequest, PRESENCE_PATH, ReplicaPresence, accept_join};
 use crate::node_tracker::NodeTracker;
@@ -16,17 +17,20 @@
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::{AnnouncementRefusal, UpstreamAnnouncement};
 use baobabfall_node::credentials::CredentialFile;
+use baobabfall_node::frame_channel::{PendingChannel, upgrade_response};
 use baobabfall_node::http_client::{PeerClient, PeerError};
 use baobabfall_node::http_server::{
     FullResponse, bytes_response, error_response, json_response, message_response, presented_token,
     read_json, read_message,
 };
 use baobabfall_node::messages::{
-    ANNOUNCE_PATH, AnnounceAnswer, AnnounceMessage, CLAIM_PATH, ClaimRequest, FORWARD_PATH,
-    OUTCOME_PATH, OutcomeRequest, REPORT_PATH, SYNC_PATH, UpstreamWithdrawal, WITHDRAW_PATH,
+    ANNOUNCE_PATH, AnnounceAnswer, AnnounceMessage, CLAIM_PATH, ClaimRequest, DISPATCH_PATH,
+    DISPATCH_PROTOCOL, FORWARD_PATH, OUTCOME_PATH, OutcomeRequest, REPORT_PATH, SYNC_PATH,
+    UpstreamWithdrawal, WITHDRAW_PATH,
 };
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::operator_messages::{NodeView, OPERATOR_PREFIX};
+use baobabfall_node::stop_signal::StopSignal;
 use http::{Method, Request};
 use hyper::body::Incoming;
 use std::net::SocketAddr;
@@ -66,6 +70,8 @@
     /// Client for the leader, used to forward announcements that arrive at a follower. Replaced
     /// when the leader's address changes.
     pub leader: Arc<Mutex<Option<Arc<PeerClient>>>>,
+    /// Ends the dispatch channels.
+    pub stop: StopSignal,
 }
 
 /// Reason why an announcement or withdrawal was rejected.
@@ -132,6 +138,7 @@
     async fn route(&self, path: &str, request: Request<Incoming>) -> FullResponse {
         match path {
             REPORT_PATH => self.report(request).await,
+            DISPATCH_PATH => self.open_channel(request),
             SYNC_PATH => match read_message(request).await {
                 Ok(message) => self.sync.sync_response(&message).await,
                 Err(refusal) => refusal.response(),
@@ -179,6 +186,20 @@
         }
     }
 
+    /// Accepts a dispatch channel, which is then served by a task of its own.
+    fn open_channel(&self, request: Request<Incoming>) -> FullResponse {
+        if !self.replica.leads() {
+            let message = self.reject_message(ErrorKind::NotLeader);
+            return error_response(ErrorKind::NotLeader, message);
+        }
+        let Some(pending) = PendingChannel::take(request, DISPATCH_PROTOCOL) else {
+            let message = "Ask for an upgrade to baobabfall-dispatch over HTTP/1.1.";
+            return error_response(ErrorKind::MalformedRequest, message);
+        };
+        tokio::spawn(serve_channel(self.dispatch.clone(), pending, self.stop.clone()));
+        upgrade_response(DISPATCH_PROTOCOL)
+    }
+
     fn reject_message(&self, kind: ErrorKind) -> &'static str {
         match kind {
             ErrorKind::NotLeader => "This controller is not the leader.",
@@ -248,7 +269,7 @@
 
     async fn handle_forwarded(&self, request: Request<Incoming>) -> FullResponse {
         match read_message::<AnnounceMessage>(request).await {
-            Ok(_) if !self.replica.view().leads => {
+            Ok(_) if !self.replica.leads() => {
                 error_response(ErrorKind::NotLeader, self.reject_message(ErrorKind::NotLeader))
             }
             Ok(message) => match self.register_locally(message).await {
@@ -301,7 +322,7 @@
     /// Deregistrations are committed to the log before they are acknowledged. After success, a
     /// deregistered upstream therefore gets no further grants, even from a later leader.
     pub async fn register(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
-        if self.replica.view().leads {
+        if self.replica.leads() {
             return self.register_locally(message).await;
         }
         let Some(address) = self.leader_address() else {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -22,7 +22,7 @@
 use baobabfall_core::replica_core::{ReplicaCore, ReplicaOptions};
 use baobabfall_core::replica_members::{ReplicaIdentity, ReplicaMembers};
 use baobabfall_node::http_client::PeerClient;
-use baobabfall_node::http_server::{FullResponse, ServerLimits, serve};
+use baobabfall_node::http_server::{FullResponse, ServerLimits, serve_upgradeable};
 use baobabfall_node::loop_watch::watch_event_loop;
 use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest};
 use baobabfall_node::node_metrics::{NodeMetrics, start_incarnation};
@@ -157,6 +157,7 @@
         registry: registry.clone(),
         tracker: tracker.clone(),
     };
+    let (stop, signal) = stop_channel();
     let api = ControlApi {
         sync: SyncService::new(replica.clone(), registry.clone(), tracker.clone()),
         actions: ActionService::new(replica.clone()),
@@ -169,8 +170,8 @@
         metrics,
         leader: Arc::default(),
         peer_addresses,
+        stop: signal.clone(),
     };
-    let (stop, signal) = stop_channel();
     let mut tasks = JoinSet::new();
     tasks.spawn(until_draining(driver.run(), signal.clone()));
     if api.options.settings.group.is_some() {
@@ -188,6 +189,8 @@
     tasks.spawn(until_draining(record_metrics(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_dispatcher(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_expiry(api.clone()), signal.clone()));
+    let turns = api.dispatch.clone();
+    tasks.spawn(until_draining(async move { turns.run_turns().await }, signal.clone()));
     tasks.spawn(until_draining(run_periodic_commits(api.clone()), signal.clone()));
     tasks.spawn(until_draining(copy_leader_registry(api.clone()), signal.clone()));
     tasks.spawn(until_draining(report_nodes(api.clone()), signal.clone()));
@@ -201,7 +204,7 @@
         let api = api.clone();
         async move { Ok::<FullResponse, Infallible>(api.handle(request).await) }
     });
-    tasks.spawn(serve(listener, service, ServerLimits::default(), signal));
+    tasks.spawn(serve_upgradeable(listener, service, ServerLimits::default(), signal));
     log::info!(event = "controller_started", address = address.to_string(); "controller started");
     Ok(ControllerHandle { address, replica, stop, tasks, api: handle_api, storage_stopped })
 }
@@ -339,7 +342,7 @@
     loop {
         ticks.tick().await;
         // Renewals reach only the leader, so only the leader may expire entries.
-        if api.replica.view().leads {
+        if api.replica.leads() {
             api.registry.expire();
         }
         api.dispatch.tick();
--- /dev/null
+++ b/crates/controller/src/dispatch_channel.rs
@@ -0,0 +1,127 @@
+//! The leader's end of the dispatch channels: reads reports of routers and sends them grants.
+
+use crate::dispatch_service::{ChannelSeat, DispatchService};
+use baobabfall_core::dispatch_messages::{DispatchAnswer, DispatchReport, SlotGrant};
+use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_node::frame_channel::{ChannelError, FrameChannel, PendingChannel};
+use baobabfall_node::messages::ChannelAnswer;
+use baobabfall_node::stop_signal::{StopPhase, StopSignal};
+use std::time::Duration;
+
+/// Time without a report after which a channel is closed. Routers report at least five times
+/// a second.
+const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Serves one channel until it breaks, this controller stops dispatching, or the router opens
+/// another one.
+pub async fn serve_channel(
+    service: DispatchService,
+    pending: PendingChannel,
+    mut signal: StopSignal,
+) {
+    let serving = async {
+        let mut channel = pending.open().await?;
+        let mut served = ServedChannel { service, received: 0, sent: SentGrants::default() };
+        served.run(&mut channel).await
+    };
+    let result = tokio::select! {
+        result = serving => result,
+        () = signal.reached(StopPhase::Draining) => return,
+    };
+    if let Err(error) = result {
+        log::debug!("dispatch channel ended: {error}");
+    }
+}
+
+/// Grants that were sent on a channel. The connection delivers them or breaks, so that none is
+/// sent twice on the same channel.
+#[derive(Debug, Default)]
+struct SentGrants {
+    term: u64,
+    number: u64,
+}
+
+impl SentGrants {
+    fn keep_new(&mut self, term: u64, grants: &mut Vec<SlotGrant>) {
+        if term != self.term {
+            *self = Self { term, number: 0 };
+        }
+        grants.retain(|grant| grant.lease.number > self.number);
+        self.number = grants.last().map_or(self.number, |grant| grant.lease.number);
+    }
+}
+
+struct ServedChannel {
+    service: DispatchService,
+    /// Sequence number of the latest report.
+    received: u64,
+    sent: SentGrants,
+}
+
+impl ServedChannel {
+    async fn run(&mut self, channel: &mut FrameChannel) -> Result<(), ChannelError> {
+        let first = self.read_report(channel).await?;
+        let seat = match self.service.take_seat(&first) {
+            Ok(seat) => seat,
+            Err(kind) => return self.refuse(channel, kind).await,
+        };
+        let result = self.serve_seat(channel, &seat, &first).await;
+        self.service.leave_seat(&seat);
+        result
+    }
+
+    async fn serve_seat(
+        &mut self,
+        channel: &mut FrameChannel,
+        seat: &ChannelSeat,
+        first: &DispatchReport,
+    ) -> Result<(), ChannelError> {
+        let mut submitted = self.service.submit(seat, first);
+        loop {
+            if let Err(kind) = submitted {
+                return self.refuse(channel, kind).await;
+            }
+            tokio::select! {
+                () = seat.woken() => match self.service.take_answer(seat) {
+                    Ok(answer) => self.send(channel, answer).await?,
+                    Err(kind) => return self.refuse(channel, kind).await,
+                },
+                report = self.read_report(channel) => {
+                    submitted = self.service.submit(seat, &report?);
+                }
+            }
+        }
+    }
+
+    async fn send(
+        &mut self,
+        channel: &mut FrameChannel,
+        mut answer: DispatchAnswer,
+    ) -> Result<(), ChannelError> {
+        self.sent.keep_new(answer.term, &mut answer.grants);
+        let received = self.received;
+        channel.write(&ChannelAnswer { received, answer: Some(answer), refusal: None }).await?;
+        Ok(())
+    }
+
+    async fn read_report(
+        &mut self,
+        channel: &mut FrameChannel,
+    ) -> Result<DispatchReport, ChannelError> {
+        let reading = tokio::time::timeout(SILENCE_LIMIT, channel.read::<DispatchReport>()).await;
+        let (report, _) = reading.map_err(std::io::Error::from)??;
+        self.received = report.sequence;
+        Ok(report)
+    }
+
+    /// Tells the router why the channel is closed.
+    async fn refuse(
+        &self,
+        channel: &mut FrameChannel,
+        kind: ErrorKind,
+    ) -> Result<(), ChannelError> {
+        let refusal = Some(kind.answer().code.to_owned());
+        channel.write(&ChannelAnswer { received: self.received, answer: None, refusal }).await?;
+        Ok(())
+    }
+}
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -28,12 +28,20 @@
     start: Instant,
     replica: ReplicaHandle,
     inner: Arc<Mutex<DispatchInner>>,
+    /// Notified when a report was submitted that the next turn dispatches.
+    submitted: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
 struct DispatchInner {
     dispatcher: Option<SlotDispatcher>,
+    /// Held exchanges by router.
     wakers: SortedMap<String, Arc<Notify>>,
+    /// Open channels by router.
+    seats: SortedMap<String, ChannelSeat>,
+    last_seat: u64,
+    /// Channels whose reports the next turn dispatches and answers.
+    replies: Vec<Arc<Notify>>,
     incarnations: SortedMap<String, u64>,
     new_routers: Vec<NodeIdentity>,
     /// Term of the latest dispatcher. It never decreases.
@@ -44,10 +52,25 @@
     longest_delay: Duration,
 }
 
+/// Place of one channel at the dispatcher. A later channel of the same router displaces it.
+#[derive(Clone, Debug)]
+pub struct ChannelSeat {
+    router: NodeIdentity,
+    number: u64,
+    waker: Arc<Notify>,
+}
+
+impl ChannelSeat {
+    /// Waits until there is something to send to the router.
+    pub async fn woken(&self) {
+        self.waker.notified().await;
+    }
+}
+
 impl DispatchService {
     /// Creates a service without a dispatcher. The dispatcher's clock counts from `start`.
     pub fn new(start: Instant, replica: ReplicaHandle) -> Self {
-        Self { start, replica, inner: Arc::default() }
+        Self { start, replica, inner: Arc::default(), submitted: Arc::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, DispatchInner> {
@@ -99,6 +122,84 @@
         for waker in inner.wakers.values() {
             waker.notify_waiters();
         }
+        for seat in inner.seats.values() {
+            seat.waker.notify_one();
+        }
+    }
+
+    /// Dispatches the reports of channels in turns: all reports that have arrived are applied
+    /// before slots are granted and answers are sent. Runs until the task is dropped.
+    pub async fn run_turns(&self) {
+        loop {
+            self.submitted.notified().await;
+            let now = self.now();
+            self.lock().grant_slots(now);
+        }
+    }
+
+    /// Registers the channel on which the router sent its first report, in place of an earlier
+    /// channel of the same router.
+    pub fn take_seat(&self, report: &DispatchReport) -> Result<ChannelSeat, ErrorKind> {
+        let mut inner = self.lock();
+        let name = &report.router.name;
+        if !inner.seats.contains_key(name) && inner.seats.len() >= ROUTER_LIMIT {
+            return Err(ErrorKind::LimitReached);
+        }
+        inner.last_seat += 1;
+        let seat = ChannelSeat {
+            router: report.router.clone(),
+            number: inner.last_seat,
+            waker: Arc::default(),
+        };
+        if let Some(displaced) = inner.seats.insert(name.clone(), seat.clone()) {
+            displaced.waker.notify_one();
+        }
+        Ok(seat)
+    }
+
+    /// Frees the place of a channel that has ended.
+    pub fn leave_seat(&self, seat: &ChannelSeat) {
+        let mut inner = self.lock();
+        if inner.is_seated(seat) {
+            inner.seats.remove(&seat.router.name);
+        }
+    }
+
+    /// Applies a report that arrived on a channel. The next turn makes its grants and wakes the
+    /// channel.
+    pub fn submit(&self, seat: &ChannelSeat, report: &DispatchReport) -> Result<(), ErrorKind> {
+        self.check_sender(&report.router)?;
+        let mut inner = self.lock();
+        if !inner.is_seated(seat) || report.router != seat.router {
+            return Err(ErrorKind::StaleIncarnation);
+        }
+        inner.apply(self.now(), report)?;
+        inner.replies.push(Arc::clone(&seat.waker));
+        drop(inner);
+        self.submitted.notify_one();
+        Ok(())
+    }
+
+    /// Returns the answer for the router of a channel.
+    pub fn take_answer(&self, seat: &ChannelSeat) -> Result<DispatchAnswer, ErrorKind> {
+        if !self.replica.leads() {
+            return Err(ErrorKind::NotLeader);
+        }
+        let now = self.now();
+        let mut inner = self.lock();
+        if !inner.is_seated(seat) {
+            return Err(ErrorKind::StaleIncarnation);
+        }
+        let dispatcher = inner.dispatcher.as_mut().ok_or(ErrorKind::NotLeader)?;
+        if !dispatcher.is_current(&seat.router) {
+            return Err(ErrorKind::StaleIncarnation);
+        }
+        let answer = dispatcher.take_answer(now, &seat.router.name);
+        // An answer holds a bounded number of grants.
+        if dispatcher.needs_answer(&seat.router.name) {
+            seat.waker.notify_one();
+        }
+        Ok(answer)
     }
 
     /// Applies `change` to the dispatcher, if there is one, and makes all grants that are possible
@@ -176,7 +277,7 @@
             let woken = waker.notified();
             tokio::pin!(woken);
             woken.as_mut().enable();
-            if !self.replica.view().leads {
+            if !self.replica.leads() {
                 return Err(ErrorKind::NotLeader);
             }
             let answer = {
@@ -205,36 +306,30 @@
     }
 
     fn apply(&self, report: &DispatchReport) -> Result<Arc<Notify>, ErrorKind> {
-        if !self.replica.view().leads {
-            return Err(ErrorKind::NotLeader);
-        }
-        if self.replica.state().is_removed(&report.router) {
-            return Err(ErrorKind::StaleIncarnation);
-        }
+        self.check_sender(&report.router)?;
         let now = self.now();
         let mut inner = self.lock();
-        if inner.dispatcher.is_none() {
-            return Err(ErrorKind::NotLeader);
-        }
         let is_known = inner.wakers.contains_key(&report.router.name);
         if !is_known && inner.wakers.len() >= ROUTER_LIMIT {
             return Err(ErrorKind::LimitReached);
         }
-        inner.reports += 1;
-        inner.record_incarnation(&report.router);
-        if let Some(dispatcher) = &mut inner.dispatcher {
-            let version = dispatcher.limits().version();
-            dispatcher.apply_report(now, report);
-            if dispatcher.limits().version() != version {
-                let list = dispatcher.limits().list();
-                log::info!(event = "upstream_limits_changed", router = report.router.name.as_str(), version = dispatcher.limits().version(), limited = list.len(); "the request rates that upstreams name have changed");
-            }
-        }
+        inner.apply(now, report)?;
         let waker = inner.wakers.get_or_insert_with(report.router.name.clone(), Arc::default);
         let waker = Arc::clone(waker);
         inner.grant_slots(now);
         Ok(waker)
     }
+
+    /// Checks that this controller leads and that the router was not removed.
+    fn check_sender(&self, router: &NodeIdentity) -> Result<(), ErrorKind> {
+        if !self.replica.leads() {
+            return Err(ErrorKind::NotLeader);
+        }
+        match self.replica.state().is_removed(router) {
+            true => Err(ErrorKind::StaleIncarnation),
+            false => Ok(()),
+        }
+    }
 }
 
 impl DispatchInner {
@@ -251,10 +346,37 @@
         }
     }
 
+    fn is_seated(&self, seat: &ChannelSeat) -> bool {
+        self.seats.get(&seat.router.name).is_some_and(|held| held.number == seat.number)
+    }
+
+    fn apply(&mut self, now: Duration, report: &DispatchReport) -> Result<(), ErrorKind> {
+        if self.dispatcher.is_none() {
+            return Err(ErrorKind::NotLeader);
+        }
+        self.reports += 1;
+        self.record_incarnation(&report.router);
+        if let Some(dispatcher) = &mut self.dispatcher {
+            let version = dispatcher.limits().version();
+            dispatcher.apply_report(now, report);
+            if dispatcher.limits().version() != version {
+                let list = dispatcher.limits().list();
+                log::info!(event = "upstream_limits_changed", router = report.router.name.as_str(), version = dispatcher.limits().version(), limited = list.len(); "the request rates that upstreams name have changed");
+            }
+        }
+        Ok(())
+    }
+
     fn grant_slots(&mut self, now: Duration) {
+        for reply in self.replies.drain(..) {
+            reply.notify_one();
+        }
         let Some(dispatcher) = &mut self.dispatcher else { return };
         dispatcher.dispatch(now);
         for router in dispatcher.routers_to_wake() {
+            if let Some(seat) = self.seats.get(router) {
+                seat.waker.notify_one();
+            }
             if let Some(waker) = self.wakers.get(router) {
                 waker.notify_waiters();
             }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control_api;
 pub mod controller;
 pub mod disk_folder;
+pub mod dispatch_channel;
 pub mod dispatch_service;
 pub mod error;
 pub mod log_store;
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -123,6 +123,11 @@
         self.view.borrow().clone()
     }
 
+    /// True while this replica is the leader and its leader lease is valid.
+    pub fn leads(&self) -> bool {
+        self.view.borrow().leads
+    }
+
     /// A receiver that is notified of each change of the view.
     pub fn watch_view(&self) -> watch::Receiver<ReplicaView> {
         self.view.clone()
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -252,7 +252,9 @@
         for key in &report.lookups {
             router.lookups.insert(*key, ());
         }
-        router.needs_answer |= !report.lookups.is_empty();
+        if !report.lookups.is_empty() {
+            self.request_answer(id);
+        }
     }
 
     /// Upstreams that want no requests from the router now.
@@ -446,13 +448,17 @@
         if policy.limit.queue_excess(state.waiting()) == 0 {
             return;
         }
-        let router = &mut self.routers[id];
+        let pending_refusals = &mut self.routers[id].pending_refusals;
+        let mut has_refusals = false;
         for (target, queue) in state.queues.iter() {
             if queue.waiting_at(id) > 0 {
-                router.pending_refusals.insert((workspace, *target), ());
-                router.needs_answer = true;
+                pending_refusals.insert((workspace, *target), ());
+                has_refusals = true;
             }
         }
+        if has_refusals {
+            self.request_answer(id);
+        }
     }
 
     /// Reclaims the leases of routers that have not reported for the configured
@@ -461,24 +467,24 @@
     pub fn expire(&mut self, now: Duration) -> Vec<String> {
         let mut silent_routers = Vec::new();
         let mut expired_routers = Vec::new();
-        let names: Vec<(String, usize)> =
-            self.router_names.iter().map(|(name, id)| (name.clone(), *id)).collect();
-        for (name, id) in names {
-            let router = &self.routers[id];
+        for (name, id) in self.router_names.iter() {
+            let router = &self.routers[*id];
             let silence = now.saturating_sub(router.last_report_at);
             if silence >= self.settings.router_retention {
-                expired_routers.push((name, id));
+                expired_routers.push((name.clone(), *id));
             } else if router.synced && silence >= self.settings.router_silence {
-                self.reclaim_leases(now, id);
-                silent_routers.push(name);
+                silent_routers.push((name.clone(), *id));
             }
         }
+        for (_, id) in &silent_routers {
+            self.reclaim_leases(now, *id);
+        }
         for (name, id) in expired_routers {
             self.clear_router(now, id);
             self.router_names.remove(&name);
             self.free_routers.push(id);
         }
-        silent_routers
+        silent_routers.into_iter().map(|(name, _)| name).collect()
     }
 
     /// Frees the leases of a silent router and records their charged costs, so
--- a/crates/core/src/dispatch_ledger.rs
+++ b/crates/core/src/dispatch_ledger.rs
@@ -74,13 +74,16 @@
     }
 
     fn refuse_queues(&mut self, id: usize) {
+        let mut refused = Vec::new();
         let Self { workspaces, routers, .. } = self;
         for (target, queue) in workspaces[id].queues.iter() {
             for router in queue.routers() {
-                let router = &mut routers[router];
-                router.needs_answer |= router.pending_refusals.insert((id, *target), ()).is_none();
+                if routers[router].pending_refusals.insert((id, *target), ()).is_none() {
+                    refused.push(router);
+                }
             }
         }
+        refused.into_iter().for_each(|router| self.request_answer(router));
     }
 
     fn update_backlogged(&mut self, now: Duration, id: usize, unblocked: bool) {
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -181,6 +181,8 @@
     pub pending_refusals: SortedMap<(usize, usize), ()>,
     /// True if there are grants or refusals that no answer has carried yet.
     pub needs_answer: bool,
+    /// True while the router is listed as one to wake.
+    pub is_unwoken: bool,
     /// Upstreams that want no requests from the router: incarnation and end of that time.
     pub quiet: SortedMap<usize, (u64, Duration)>,
     /// Version of the list of parts that the router holds.
@@ -211,6 +213,7 @@
             entries: SortedMap::new(),
             pending_refusals: SortedMap::new(),
             needs_answer: false,
+            is_unwoken: false,
             quiet: SortedMap::new(),
             parts_version: 0,
             limits_version: 0,
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -135,6 +135,8 @@
     pub(crate) router_names: SortedMap<String, usize>,
     pub(crate) routers: Vec<RouterState>,
     pub(crate) free_routers: Vec<usize>,
+    /// Routers that need an answer since the last call of [`SlotDispatcher::routers_to_wake`].
+    pub(crate) unwoken_routers: Vec<usize>,
     pub(crate) costs: CostEstimate,
     pub(crate) prefix_hints: PrefixHints,
     /// Parts of prompts that crash upstreams.
@@ -190,6 +192,7 @@
             router_names: SortedMap::new(),
             routers: Vec::new(),
             free_routers: Vec::new(),
+            unwoken_routers: Vec::new(),
             costs: CostEstimate::new(settings.estimate_limit),
             prefix_hints: PrefixHints::new(settings.placement.prefix_hint_limit),
             crashes: CrashTracker::default(),
@@ -282,8 +285,10 @@
         if self.recovering && self.is_recovered(now) {
             self.recovering = false;
             self.restore_accounts(now);
-            for router in self.routers.iter_mut().filter(|router| !router.lookups.is_empty()) {
-                router.needs_answer = true;
+            for id in 0..self.routers.len() {
+                if !self.routers[id].lookups.is_empty() {
+                    self.request_answer(id);
+                }
             }
         }
         !self.recovering
@@ -511,9 +516,17 @@
             workspace: self.workspaces[record.workspace].name.clone(),
             upstream: self.upstreams[record.upstream].route(),
         };
-        let router = &mut self.routers[router];
-        router.pending_grants.push_back(grant);
-        router.needs_answer = true;
+        self.routers[router].pending_grants.push_back(grant);
+        self.request_answer(router);
+    }
+
+    /// Records that the router must get an answer.
+    pub(crate) fn request_answer(&mut self, router: usize) {
+        let state = &mut self.routers[router];
+        state.needs_answer = true;
+        if !std::mem::replace(&mut state.is_unwoken, true) {
+            self.unwoken_routers.push(router);
+        }
     }
 
     /// Returns the answer for a router: the grants that it has not acknowledged,
@@ -545,7 +558,8 @@
         });
         let router = &mut self.routers[id];
         router.pending_refusals = pending_refusals;
-        router.needs_answer = router.pending_grants.len() > GRANTS_PER_ANSWER;
+        router.needs_answer = false;
+        let has_more_grants = router.pending_grants.len() > GRANTS_PER_ANSWER;
         answer.resync = !router.synced;
         // A router drops an ended lease once its end is acknowledged. A statement must include the
         // cost of the lease by then, and statements need complete accounts.
@@ -559,6 +573,9 @@
         answer.limits = (!holds_limits && !answer.resync)
             .then(|| LimitList { version: self.limits.version(), limits: self.limits.list() });
         answer.origins = self.answer_lookups(now, id);
+        if has_more_grants {
+            self.request_answer(id);
+        }
         answer
     }
 
@@ -594,9 +611,8 @@
     }
 
     pub(crate) fn wake_routers(&mut self) {
-        for id in self.router_names.values() {
-            self.routers[*id].needs_answer = true;
-        }
+        let ids: Vec<usize> = self.router_names.values().copied().collect();
+        ids.into_iter().for_each(|id| self.request_answer(id));
     }
 
     fn refusal_for(
@@ -621,11 +637,22 @@
             .then(|| refusal(target, &state.name, keep, wait.max(settings.queue_full_retry)))
     }
 
-    /// Returns the names of routers for which there are grants or refusals that
-    /// no answer has carried yet.
-    pub fn routers_to_wake(&self) -> Vec<&str> {
-        let unsent = self.router_names.iter().filter(|(_, id)| self.routers[**id].needs_answer);
-        unsent.map(|(name, _)| name.as_str()).collect()
+    /// Returns the names of routers for which there have been grants or refusals
+    /// since the last call that no answer has carried yet.
+    pub fn routers_to_wake(&mut self) -> Vec<&str> {
+        let unwoken = std::mem::take(&mut self.unwoken_routers);
+        for id in &unwoken {
+            self.routers[*id].is_unwoken = false;
+        }
+        let unsent = unwoken.into_iter().map(|id| &self.routers[id]);
+        let unsent = unsent.filter(|router| router.needs_answer);
+        unsent.map(|router| router.identity.name.as_str()).collect()
+    }
+
+    /// True if there is something for the router that no answer has carried yet.
+    pub fn needs_answer(&self, router_name: &str) -> bool {
+        let id = self.router_names.get(router_name);
+        id.is_some_and(|id| self.routers[*id].needs_answer)
     }
 
     /// Returns the time at which to call [`SlotDispatcher::expire`] and
--- a/crates/node/src/codec.rs
+++ b/crates/node/src/codec.rs
@@ -48,11 +48,18 @@
 /// assert_eq!(decode::<(u8, String)>(&bytes).unwrap(), (1, "a".to_owned()));
 /// ```
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>, CodecError> {
-    let mut bytes = vec![MESSAGE_VERSION];
+    encode_after(Vec::new(), message)
+}
+
+/// Encodes a message like [`encode`] and appends it to `bytes`.
+pub fn encode_after<T: Serialize>(mut bytes: Vec<u8>, message: &T) -> Result<Vec<u8>, CodecError> {
+    let start = bytes.len();
+    bytes.push(MESSAGE_VERSION);
     rmp_serde::encode::write_named(&mut bytes, message)
         .map_err(|error| CodecError::Malformed(error.to_string()))?;
-    if bytes.len() > MESSAGE_LIMIT {
-        return Err(CodecError::Oversized(bytes.len()));
+    let length = bytes.len() - start;
+    if length > MESSAGE_LIMIT {
+        return Err(CodecError::Oversized(length));
     }
     Ok(bytes)
 }
--- a/crates/node/src/http_client.rs
+++ b/crates/node/src/http_client.rs
@@ -214,7 +214,8 @@
     }
 }
 
-fn refused_error(status: u16, body: Bytes) -> PeerError {
+/// Error for a response with an error status.
+pub(crate) fn refused_error(status: u16, body: Bytes) -> PeerError {
     match serde_json::from_slice::<ErrorBody>(&body) {
         Ok(parsed) => PeerError::Refused {
             kind: ErrorKind::from_code(&parsed.error.code).unwrap_or(ErrorKind::Internal),
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -81,6 +81,46 @@
     S::Future: Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: std::error::Error + Send + Sync,
+{
+    serve_listener(listener, service, limits, signal, ConnectionUpgrades::Refused).await;
+}
+
+/// Like [`serve`], for a service that may upgrade connections to another protocol. An
+/// upgraded connection belongs to the service, which ends it on the stop signal.
+pub async fn serve_upgradeable<S, B>(
+    listener: TcpListener,
+    service: S,
+    limits: ServerLimits,
+    signal: StopSignal,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
+    S: Clone + Send + 'static,
+    S::Future: Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
+{
+    serve_listener(listener, service, limits, signal, ConnectionUpgrades::Accepted).await;
+}
+
+/// What a listener does with requests to upgrade their connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionUpgrades {
+    Accepted,
+    Refused,
+}
+
+async fn serve_listener<S, B>(
+    listener: TcpListener,
+    service: S,
+    limits: ServerLimits,
+    signal: StopSignal,
+    upgrades: ConnectionUpgrades,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>,
+    S: Clone + Send + 'static,
+    S::Future: Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
 {
     let permits = Arc::new(Semaphore::new(limits.connections));
     let accept = async move || {
@@ -89,7 +129,7 @@
         Ok((stream, permit))
     };
     let begin = |(stream, permit)| (stream, permit);
-    serve_accepted(accept, begin, service, limits, signal, || {}).await;
+    serve_accepted(accept, begin, service, limits, signal, upgrades, || {}).await;
 }
 
 /// Like [`serve`], with the connections that `gate` admits; the others are closed
@@ -112,7 +152,8 @@
 {
     let accept = async move || gate.accept(&listener).await;
     let begin = AdmittedConnection::begin;
-    serve_accepted(accept, begin, service, limits, signal, on_parse_error).await;
+    let upgrades = ConnectionUpgrades::Refused;
+    serve_accepted(accept, begin, service, limits, signal, upgrades, on_parse_error).await;
 }
 
 /// Serves the connections that `accept` returns. `begin` is called on the task that
@@ -123,6 +164,7 @@
     service: S,
     limits: ServerLimits,
     mut signal: StopSignal,
+    upgrades: ConnectionUpgrades,
     on_parse_error: O,
 ) where
     A: AsyncFnMut() -> io::Result<C>,
@@ -159,8 +201,19 @@
             let (stream, permit) = begin(accepted);
             // Nagle's algorithm would delay small stream events.
             let _ = stream.set_nodelay(true);
-            let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-            let connection = watcher.watch(connection);
+            let stream = TokioIo::new(stream);
+            let connection = async {
+                match upgrades {
+                    ConnectionUpgrades::Refused => {
+                        let connection = builder.serve_connection(stream, service).into_owned();
+                        watcher.watch(connection).await
+                    }
+                    ConnectionUpgrades::Accepted => {
+                        let connection = builder.serve_connection_with_upgrades(stream, service);
+                        watcher.watch(connection.into_owned()).await
+                    }
+                }
+            };
             tokio::select! {
                 result = connection => {
                     if let Err(error) = result {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod codec;
 pub mod counted_stream;
 pub mod credentials;
+pub mod frame_channel;
 pub mod http_client;
 pub mod http_server;
 pub mod json_log;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -3,7 +3,7 @@
 
 pub use baobabfall_core::action_ledger::FencingToken;
 pub use baobabfall_core::control_command::StopKind;
-use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity};
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
@@ -12,6 +12,11 @@
 
 /// `POST` sends a [`baobabfall_core::dispatch_messages::DispatchReport`].
 pub const REPORT_PATH: &str = "/control/v1/report";
+/// `POST` opens a dispatch channel: an upgrade to [`DISPATCH_PROTOCOL`].
+pub const DISPATCH_PATH: &str = "/control/v1/dispatch";
+/// Protocol of a dispatch channel. The router sends
+/// [`baobabfall_core::dispatch_messages::DispatchReport`], the controller [`ChannelAnswer`].
+pub const DISPATCH_PROTOCOL: &str = "baobabfall-dispatch";
 /// `POST` sends a [`SyncRequest`].
 pub const SYNC_PATH: &str = "/control/v1/sync";
 /// `POST` forwards an [`AnnounceMessage`] to the leader.
@@ -25,6 +30,20 @@
 /// `POST` sends an [`OutcomeRequest`].
 pub const OUTCOME_PATH: &str = "/control/v1/actions/outcome";
 
+/// Message of the dispatcher on a dispatch channel.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChannelAnswer {
+    /// Sequence number of the latest report that the controller has read from the channel.
+    #[serde(rename = "n")]
+    pub received: u64,
+    /// Grants and acknowledgements, unless the report was refused.
+    #[serde(default, rename = "a", skip_serializing_if = "Option::is_none")]
+    pub answer: Option<DispatchAnswer>,
+    /// Code of the error for which the controller closes the channel.
+    #[serde(default, rename = "e", skip_serializing_if = "Option::is_none")]
+    pub refusal: Option<String>,
+}
+
 /// Role of the process that sends a [`SyncRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -1,13 +1,17 @@
 //! Client that sends reports to the dispatcher and applies its grants.
 //!
-//! One report is always outstanding as a long poll. Changes are sent in separate
-//! reports, which the dispatcher answers at once.
+//! Reports and grants are messages on one long-lived channel to the leader. With a
+//! controller that has no channels, one report is always outstanding as a long poll, and
+//! changes are sent in separate reports, which the dispatcher answers at once.
 
 use crate::leader_link::LeaderLink;
 use crate::request_queue::SharedQueue;
 use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity, PartList};
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_node::messages::REPORT_PATH;
+use baobabfall_node::frame_channel::FrameChannel;
+use baobabfall_node::http_client::PeerError;
+use baobabfall_node::messages::{ChannelAnswer, DISPATCH_PATH, DISPATCH_PROTOCOL, REPORT_PATH};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -23,6 +27,8 @@
 const REFUSAL_THRESHOLD: Duration = Duration::from_millis(400);
 /// Interval at which the charges of running requests are reported.
 const CHARGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time without a report on a channel, well below [`LOST_SILENCE`].
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(200);
 /// How long the dispatcher may hold a long poll, in milliseconds.
 const POLL_WAIT_MS: u32 = 200;
 /// Time in which a report must be answered, in addition to the long-poll wait.
@@ -32,6 +38,15 @@
 /// Pause after a failed report.
 const FAILURE_PAUSE: Duration = Duration::from_millis(25);
 
+/// The latest report on a channel.
+#[derive(Debug)]
+struct SentReport {
+    sequence: u64,
+    at: Instant,
+    full: bool,
+    answered: bool,
+}
+
 /// Exchanges reports and grants with the dispatcher, which runs at the leader.
 #[derive(Debug)]
 pub struct DispatchClient {
@@ -97,29 +112,136 @@
         u64::try_from(self.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// Keeps one long poll outstanding. Runs until the task is dropped.
-    pub async fn run_poll(&self) {
+    /// Exchanges reports and grants with the leader, whichever controller that is. Runs until
+    /// the task is dropped.
+    pub async fn run(&self) {
         loop {
-            if !self.report(POLL_WAIT_MS).await {
-                tokio::time::sleep(FAILURE_PAUSE).await;
+            let leader = self.link.leader();
+            let begun = Instant::now();
+            match self.link.open_channel(leader, DISPATCH_PATH, DISPATCH_PROTOCOL).await {
+                Ok(channel) => self.run_channel(leader, channel).await,
+                Err(error) if error.kind() == ErrorKind::NotFound => self.run_exchanges().await,
+                Err(error) => self.record_failure(leader, &error, begun).await,
             }
+            tokio::time::sleep(FAILURE_PAUSE).await;
         }
     }
 
-    /// Reports changes at once. Changes that occur before the answer arrives are
-    /// combined in the next report. Runs until the task is dropped.
-    pub async fn run_changes(&self) {
+    /// Reports changes at once, one report at a time, so that changes that occur before the
+    /// answer arrives are combined in the next report. Grants arrive at any time. Returns when
+    /// the channel has ended.
+    async fn run_channel(&self, leader: SocketAddr, mut channel: FrameChannel) {
+        let mut sent = SentReport { sequence: 0, at: Instant::now(), full: false, answered: true };
+        let mut is_due = true;
+        let mut next_check = Instant::now();
         loop {
-            let _ = tokio::time::timeout(CHARGE_INTERVAL, self.queue.changed()).await;
-            let report_needed = {
-                let book = self.queue.book();
-                book.is_changed() || book.has_new_charges()
-            };
-            if !report_needed {
-                continue;
+            if is_due && sent.answered {
+                let report = self.queue.book().build_report(&self.identity, &self.zone, 0);
+                sent = SentReport {
+                    sequence: report.sequence,
+                    at: Instant::now(),
+                    full: report.full,
+                    answered: false,
+                };
+                next_check = sent.at + CHARGE_INTERVAL;
+                match channel.write(&report).await {
+                    Ok(length) => self.link.count_bytes("out", length),
+                    Err(error) => {
+                        log::debug!("dispatch report failed: {error}");
+                        return self.leave_channel(leader, &sent, ErrorKind::PeerUnreachable).await;
+                    }
+                }
+                is_due = false;
             }
-            if !self.report(0).await {
-                tokio::time::sleep(FAILURE_PAUSE).await;
+            let wake_at = if sent.answered { next_check } else { sent.at + ANSWER_TIMEOUT };
+            tokio::select! {
+                answer = channel.read::<ChannelAnswer>() => match answer {
+                    Ok((answer, length)) => {
+                        self.link.count_bytes("in", length);
+                        if let Err(kind) = self.apply_channel_answer(answer, &mut sent) {
+                            return self.leave_channel(leader, &sent, kind).await;
+                        }
+                    }
+                    Err(error) => {
+                        log::debug!("dispatch channel ended: {error}");
+                        return self.leave_channel(leader, &sent, ErrorKind::PeerUnreachable).await;
+                    }
+                },
+                () = self.queue.changed(), if sent.answered => {
+                    is_due = self.has_changes();
+                }
+                () = tokio::time::sleep_until(wake_at) => {
+                    if !sent.answered {
+                        log::debug!("the dispatcher did not answer in time");
+                        self.link.leader_failed(leader);
+                        return self.queue.book().report_lost(sent.full);
+                    }
+                    is_due = self.has_changes() || sent.at.elapsed() >= KEEPALIVE_INTERVAL;
+                    next_check = Instant::now() + CHARGE_INTERVAL;
+                }
+            }
+        }
+    }
+
+    /// True if there is anything that the dispatcher does not know yet.
+    fn has_changes(&self) -> bool {
+        let book = self.queue.book();
+        book.is_changed() || book.has_new_charges()
+    }
+
+    fn apply_channel_answer(
+        &self,
+        message: ChannelAnswer,
+        sent: &mut SentReport,
+    ) -> Result<(), ErrorKind> {
+        if let Some(code) = message.refusal {
+            return Err(ErrorKind::from_code(&code).unwrap_or(ErrorKind::Internal));
+        }
+        let applied = message.answer.is_none_or(|answer| self.apply(answer));
+        if !applied {
+            return Err(ErrorKind::NotLeader);
+        }
+        if !sent.answered && message.received >= sent.sequence {
+            sent.answered = true;
+            self.queue.tally().count_report(sent.at.elapsed());
+        }
+        Ok(())
+    }
+
+    /// Prepares for the next channel after this one has ended because of an error.
+    async fn leave_channel(&self, leader: SocketAddr, sent: &SentReport, kind: ErrorKind) {
+        self.queue.book().report_lost(sent.full && !sent.answered);
+        if !matches!(kind, ErrorKind::NotLeader | ErrorKind::PeerUnreachable) {
+            tokio::time::sleep(REFUSAL_PAUSE).await;
+            return;
+        }
+        self.refused_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
+        self.link.leader_failed(leader);
+    }
+
+    /// Exchanges reports one by one with a controller of a release without channels. Returns
+    /// after a failure.
+    async fn run_exchanges(&self) {
+        tokio::select! {
+            () = self.run_poll() => {}
+            () = self.run_changes() => {}
+        }
+        // The report of the other task may have been lost.
+        self.queue.book().report_lost(true);
+    }
+
+    /// Keeps one long poll outstanding until one fails.
+    async fn run_poll(&self) {
+        while self.report(POLL_WAIT_MS).await {}
+    }
+
+    /// Reports changes at once until a report fails. Changes that occur before the answer
+    /// arrives are combined in the next report.
+    async fn run_changes(&self) {
+        loop {
+            let _ = tokio::time::timeout(CHARGE_INTERVAL, self.queue.changed()).await;
+            if self.has_changes() && !self.report(0).await {
+                return;
             }
         }
     }
@@ -130,7 +252,7 @@
         let timeout = ANSWER_TIMEOUT + Duration::from_millis(wait_ms.into());
         let leader = self.link.leader();
         let sent = Instant::now();
-        match self.link.call_leader(REPORT_PATH, &report, timeout).await {
+        match self.link.call(leader, REPORT_PATH, &report, timeout).await {
             Ok(answer) => {
                 let applied = self.apply(answer);
                 if !applied {
@@ -142,19 +264,27 @@
                 applied
             }
             Err(error) => {
-                log::debug!("dispatch report failed: {error}");
                 self.queue.book().report_lost(full);
-                let kind = error.kind();
-                if !matches!(kind, ErrorKind::NotLeader | ErrorKind::PeerUnreachable) {
-                    tokio::time::sleep(REFUSAL_PAUSE).await;
-                } else if sent.elapsed() < REFUSAL_THRESHOLD {
-                    self.refused_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
-                }
+                self.record_failure(leader, &error, sent).await;
                 false
             }
         }
     }
 
+    /// Records the failure of a call that began at `begun`. Another leader is tried next,
+    /// unless it would return the same error.
+    async fn record_failure(&self, leader: SocketAddr, error: &PeerError, begun: Instant) {
+        log::debug!("dispatcher not reached: {error}");
+        if !matches!(error.kind(), ErrorKind::NotLeader | ErrorKind::PeerUnreachable) {
+            tokio::time::sleep(REFUSAL_PAUSE).await;
+            return;
+        }
+        self.link.leader_failed(leader);
+        if begun.elapsed() < REFUSAL_THRESHOLD {
+            self.refused_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
+        }
+    }
+
     fn apply(&self, answer: DispatchAnswer) -> bool {
         let (term, resync, parts) = (answer.term, answer.resync, answer.parts.clone());
         let Some(decisions) = self.queue.book().apply_answer(answer) else {
--- a/crates/router/src/leader_link.rs
+++ b/crates/router/src/leader_link.rs
@@ -4,6 +4,7 @@
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_node::codec::{decode, encode};
 use baobabfall_node::credentials::CredentialFile;
+use baobabfall_node::frame_channel::FrameChannel;
 use baobabfall_node::http_client::{PeerClient, PeerError};
 use baobabfall_node::node_metrics::NodeMetrics;
 use http::Method;
@@ -153,7 +154,18 @@
         result
     }
 
-    fn count_bytes(&self, direction: &'static str, bytes: usize) {
+    /// Opens a channel to one controller.
+    pub async fn open_channel(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        protocol: &'static str,
+    ) -> Result<FrameChannel, PeerError> {
+        FrameChannel::connect(address, path, protocol, &self.token.token()).await
+    }
+
+    /// Counts the bytes of a message to or from a controller.
+    pub fn count_bytes(&self, direction: &'static str, bytes: usize) {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
         self.metrics.control_bytes.add(bytes, &[KeyValue::new("direction", direction)]);
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -268,9 +268,7 @@
     let control = state.options.control.clone().unwrap_or_else(Handle::current);
     tasks.spawn_on(async move { sync.run().await }, &control);
     let dispatch = Arc::clone(&state.dispatch);
-    tasks.spawn_on(async move { dispatch.run_poll().await }, &control);
-    let dispatch = Arc::clone(&state.dispatch);
-    tasks.spawn_on(async move { dispatch.run_changes().await }, &control);
+    tasks.spawn_on(async move { dispatch.run().await }, &control);
     let actions = Arc::clone(&state.actions);
     tasks.spawn_on(async move { actions.run_claims().await }, &control);
     let actions = Arc::clone(&state.actions);
