The leader acknowledges reports without waiting requests together

Cause: with one report out at a time, the leader answered each report of an ended request with a message of its own, two answers for each request.

Change: up to eight reports of a router may be without an answer. The leader answers at once those that wait for slots or an origin, and acknowledges the others with the next grant, after 100 ms, or four at a time. A change is sent once on a channel and repeated only after it broke. Empty parts of a report are left out. Tests of channels: grants without a poll, a grant sent again after a break, displaced channels, followers, the end of a controller, cut frames.

Tests of core, node, controller and router pass.

--- a/crates/controller/src/dispatch_channel.rs
+++ b/crates/controller/src/dispatch_channel.rs
@@ -7,11 +7,18 @@
 use baobabfall_node::messages::ChannelAnswer;
 use baobabfall_node::stop_signal::{StopPhase, StopSignal};
 use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
 
 /// Time without a report after which a channel is closed. Routers report at least five times
 /// a second.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Time after which a report is acknowledged that needs no other answer.
+const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(100);
+/// Reports that are acknowledged together without a delay: half of those that a router may have
+/// sent without an answer.
+const UNACKNOWLEDGED_LIMIT: u32 = 4;
+
 /// Serves one channel until it breaks, this controller stops dispatching, or the router opens
 /// another one.
 pub async fn serve_channel(
@@ -21,7 +28,13 @@
 ) {
     let serving = async {
         let mut channel = pending.open().await?;
-        let mut served = ServedChannel { service, received: 0, sent: SentGrants::default() };
+        let mut served = ServedChannel {
+            service,
+            received: 0,
+            unanswered: 0,
+            acknowledge_at: Instant::now(),
+            sent: SentGrants::default(),
+        };
         served.run(&mut channel).await
     };
     let result = tokio::select! {
@@ -55,6 +68,10 @@
     service: DispatchService,
     /// Sequence number of the latest report.
     received: u64,
+    /// Reports since the last answer.
+    unanswered: u32,
+    /// Time at which they are acknowledged, if no grant is sent before.
+    acknowledge_at: Instant,
     sent: SentGrants,
 }
 
@@ -82,14 +99,17 @@
                 return self.refuse(channel, kind).await;
             }
             tokio::select! {
-                () = seat.woken() => match self.service.take_answer(seat) {
-                    Ok(answer) => self.send(channel, answer).await?,
-                    Err(kind) => return self.refuse(channel, kind).await,
-                },
+                () = seat.woken() => {}
+                () = sleep_until(self.acknowledge_at), if self.unanswered > 0 => {}
                 report = self.read_report(channel) => {
                     submitted = self.service.submit(seat, &report?);
+                    continue;
                 }
             }
+            match self.service.take_answer(seat) {
+                Ok(answer) => self.send(channel, answer).await?,
+                Err(kind) => return self.refuse(channel, kind).await,
+            }
         }
     }
 
@@ -99,6 +119,7 @@
         mut answer: DispatchAnswer,
     ) -> Result<(), ChannelError> {
         self.sent.keep_new(answer.term, &mut answer.grants);
+        self.unanswered = 0;
         let received = self.received;
         channel.write(&ChannelAnswer { received, answer: Some(answer), refusal: None }).await?;
         Ok(())
@@ -111,6 +132,13 @@
         let reading = tokio::time::timeout(SILENCE_LIMIT, channel.read::<DispatchReport>()).await;
         let (report, _) = reading.map_err(std::io::Error::from)??;
         self.received = report.sequence;
+        if self.unanswered == 0 {
+            self.acknowledge_at = Instant::now() + ACKNOWLEDGE_DELAY;
+        }
+        self.unanswered += 1;
+        if self.unanswered >= UNACKNOWLEDGED_LIMIT {
+            self.acknowledge_at = Instant::now();
+        }
         Ok(report)
     }
 
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -165,8 +165,8 @@
         }
     }
 
-    /// Applies a report that arrived on a channel. The next turn makes its grants and wakes the
-    /// channel.
+    /// Applies a report that arrived on a channel. The next turn makes its grants, and wakes the
+    /// channel if the router awaits an answer.
     pub fn submit(&self, seat: &ChannelSeat, report: &DispatchReport) -> Result<(), ErrorKind> {
         self.check_sender(&report.router)?;
         let mut inner = self.lock();
@@ -174,7 +174,9 @@
             return Err(ErrorKind::StaleIncarnation);
         }
         inner.apply(self.now(), report)?;
-        inner.replies.push(Arc::clone(&seat.waker));
+        if report.awaits_answer() {
+            inner.replies.push(Arc::clone(&seat.waker));
+        }
         drop(inner);
         self.submitted.notify_one();
         Ok(())
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -341,7 +341,7 @@
     /// Lease number and cost so far of running leases that were granted in this term. Most
     /// reports carry nothing else, which makes them a tenth of the size that they would have
     /// with the same costs in `usage`.
-    #[serde(default, rename = "c")]
+    #[serde(default, skip_serializing_if = "Vec::is_empty", rename = "c")]
     pub charges: Vec<(u64, CostUnits)>,
     /// Highest grant number that the router has received in this term.
     #[serde(rename = "g")]
@@ -360,16 +360,30 @@
     pub restrictions: Vec<UpstreamRestriction>,
     /// Parts of prompts that crash upstreams, or do not. Routers of releases without this field
     /// leave it out.
-    #[serde(default, rename = "p")]
+    #[serde(default, skip_serializing_if = "is_default", rename = "p")]
     pub parts: PartReport,
     /// Request rates that upstreams name. Routers of releases without this field leave it out.
-    #[serde(default, rename = "l")]
+    #[serde(default, skip_serializing_if = "is_default", rename = "l")]
     pub limits: LimitReport,
     /// Origins of streams. Routers of releases without this field leave it out.
-    #[serde(default, rename = "o")]
+    #[serde(default, skip_serializing_if = "is_default", rename = "o")]
     pub origins: OriginReport,
 }
 
+impl DispatchReport {
+    /// True if the router waits for the answer, and not only for an acknowledgement.
+    pub fn awaits_answer(&self) -> bool {
+        self.full
+            || !self.origins.lookups.is_empty()
+            || self.backlog.iter().any(|entry| entry.queued > 0)
+    }
+}
+
+/// True for a part of a message that may be left out.
+fn is_default<T: Default + PartialEq>(part: &T) -> bool {
+    *part == T::default()
+}
+
 /// Address and protocol features with which a router calls an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRoute {
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -8,9 +8,10 @@
 use crate::request_queue::SharedQueue;
 use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity, PartList};
 use baobabfall_core::error_kind::ErrorKind;
-use baobabfall_node::frame_channel::FrameChannel;
+use baobabfall_node::frame_channel::{ChannelError, FrameChannel};
 use baobabfall_node::http_client::PeerError;
 use baobabfall_node::messages::{ChannelAnswer, DISPATCH_PATH, DISPATCH_PROTOCOL, REPORT_PATH};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -27,6 +28,8 @@
 const REFUSAL_THRESHOLD: Duration = Duration::from_millis(400);
 /// Interval at which the charges of running requests are reported.
 const CHARGE_INTERVAL: Duration = Duration::from_millis(100);
+/// Most reports on a channel that are not answered. The dispatcher acknowledges sooner.
+const UNANSWERED_LIMIT: usize = 8;
 /// Longest time without a report on a channel, well below [`LOST_SILENCE`].
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(200);
 /// How long the dispatcher may hold a long poll, in milliseconds.
@@ -38,13 +41,46 @@
 /// Pause after a failed report.
 const FAILURE_PAUSE: Duration = Duration::from_millis(25);
 
-/// The latest report on a channel.
+/// A report on a channel that is not answered yet.
 #[derive(Debug)]
 struct SentReport {
     sequence: u64,
     at: Instant,
     full: bool,
-    answered: bool,
+    awaits_answer: bool,
+}
+
+/// The reports on a channel that are not answered yet, oldest first.
+#[derive(Debug, Default)]
+struct SentReports {
+    unanswered: VecDeque<SentReport>,
+    /// Time of the last report.
+    last: Option<Instant>,
+}
+
+impl SentReports {
+    fn push(&mut self, report: SentReport) {
+        self.last = Some(report.at);
+        self.unanswered.push_back(report);
+    }
+
+    fn has_room(&self) -> bool {
+        self.unanswered.len() < UNANSWERED_LIMIT
+    }
+
+    fn has_full(&self) -> bool {
+        self.unanswered.iter().any(|report| report.full)
+    }
+
+    fn oldest(&self) -> Option<Instant> {
+        self.unanswered.front().map(|report| report.at)
+    }
+
+    /// Removes the reports up to the sequence number `received`.
+    fn take_answered(&mut self, received: u64) -> impl Iterator<Item = SentReport> {
+        let count = self.unanswered.partition_point(|report| report.sequence <= received);
+        self.unanswered.drain(..count)
+    }
 }
 
 /// Exchanges reports and grants with the dispatcher, which runs at the leader.
@@ -127,62 +163,90 @@
         }
     }
 
-    /// Reports changes at once, one report at a time, so that changes that occur before the
-    /// answer arrives are combined in the next report. Grants arrive at any time. Returns when
-    /// the channel has ended.
+    /// Reports changes at once, with a bounded number of reports that are not answered, so that
+    /// changes are combined while the leader is late. Grants arrive at any time. Returns when the
+    /// channel has ended.
     async fn run_channel(&self, leader: SocketAddr, mut channel: FrameChannel) {
-        let mut sent = SentReport { sequence: 0, at: Instant::now(), full: false, answered: true };
+        let mut sent = SentReports::default();
         let mut is_due = true;
         let mut next_check = Instant::now();
-        loop {
-            if is_due && sent.answered {
-                let report = self.queue.book().build_report(&self.identity, &self.zone, 0);
-                sent = SentReport {
-                    sequence: report.sequence,
-                    at: Instant::now(),
-                    full: report.full,
-                    answered: false,
-                };
-                next_check = sent.at + CHARGE_INTERVAL;
-                match channel.write(&report).await {
-                    Ok(length) => self.link.count_bytes("out", length),
-                    Err(error) => {
-                        log::debug!("dispatch report failed: {error}");
-                        return self.leave_channel(leader, &sent, ErrorKind::PeerUnreachable).await;
-                    }
-                }
+        let ended = loop {
+            if is_due && sent.has_room() {
                 is_due = false;
+                next_check = Instant::now() + CHARGE_INTERVAL;
+                if let Err(error) = self.send_report(&mut channel, &mut sent).await {
+                    log::debug!("dispatch report failed: {error}");
+                    break ErrorKind::PeerUnreachable;
+                }
             }
-            let wake_at = if sent.answered { next_check } else { sent.at + ANSWER_TIMEOUT };
+            let timeout = sent.oldest().map(|oldest| oldest + ANSWER_TIMEOUT);
+            let wake_at = match timeout {
+                Some(timeout) if !sent.has_room() => timeout,
+                Some(timeout) => timeout.min(next_check),
+                None => next_check,
+            };
             tokio::select! {
                 answer = channel.read::<ChannelAnswer>() => match answer {
                     Ok((answer, length)) => {
                         self.link.count_bytes("in", length);
                         if let Err(kind) = self.apply_channel_answer(answer, &mut sent) {
-                            return self.leave_channel(leader, &sent, kind).await;
+                            break kind;
                         }
                     }
                     Err(error) => {
                         log::debug!("dispatch channel ended: {error}");
-                        return self.leave_channel(leader, &sent, ErrorKind::PeerUnreachable).await;
+                        break ErrorKind::PeerUnreachable;
                     }
                 },
-                () = self.queue.changed(), if sent.answered => {
-                    is_due = self.has_changes();
+                () = self.queue.changed(), if sent.has_room() => {
+                    is_due = self.queue.book().has_unsent_changes();
                 }
                 () = tokio::time::sleep_until(wake_at) => {
-                    if !sent.answered {
+                    let now = Instant::now();
+                    if timeout.is_some_and(|timeout| timeout <= now) {
                         log::debug!("the dispatcher did not answer in time");
-                        self.link.leader_failed(leader);
-                        return self.queue.book().report_lost(sent.full);
+                        break ErrorKind::DeadlineAfterDispatch;
                     }
-                    is_due = self.has_changes() || sent.at.elapsed() >= KEEPALIVE_INTERVAL;
-                    next_check = Instant::now() + CHARGE_INTERVAL;
+                    let is_silent = sent.last.is_none_or(|last| now >= last + KEEPALIVE_INTERVAL);
+                    is_due = is_silent || self.queue.book().has_unsent_changes();
+                    next_check = now + CHARGE_INTERVAL;
                 }
             }
+        };
+        self.queue.book().record_channel_end(sent.has_full());
+        match ended {
+            // The leader may only be slow, so that its absence is not taken for known.
+            ErrorKind::DeadlineAfterDispatch => self.link.leader_failed(leader),
+            ErrorKind::NotLeader | ErrorKind::PeerUnreachable => {
+                self.refused_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
+                self.link.leader_failed(leader);
+            }
+            _ => tokio::time::sleep(REFUSAL_PAUSE).await,
         }
     }
 
+    async fn send_report(
+        &self,
+        channel: &mut FrameChannel,
+        sent: &mut SentReports,
+    ) -> Result<(), ChannelError> {
+        let report = {
+            let mut book = self.queue.book();
+            let report = book.build_report(&self.identity, &self.zone, 0);
+            book.record_delivery();
+            report
+        };
+        sent.push(SentReport {
+            sequence: report.sequence,
+            at: Instant::now(),
+            full: report.full,
+            awaits_answer: report.awaits_answer(),
+        });
+        let length = channel.write(&report).await?;
+        self.link.count_bytes("out", length);
+        Ok(())
+    }
+
     /// True if there is anything that the dispatcher does not know yet.
     fn has_changes(&self) -> bool {
         let book = self.queue.book();
@@ -192,7 +256,7 @@
     fn apply_channel_answer(
         &self,
         message: ChannelAnswer,
-        sent: &mut SentReport,
+        sent: &mut SentReports,
     ) -> Result<(), ErrorKind> {
         if let Some(code) = message.refusal {
             return Err(ErrorKind::from_code(&code).unwrap_or(ErrorKind::Internal));
@@ -201,24 +265,14 @@
         if !applied {
             return Err(ErrorKind::NotLeader);
         }
-        if !sent.answered && message.received >= sent.sequence {
-            sent.answered = true;
-            self.queue.tally().count_report(sent.at.elapsed());
+        for report in sent.take_answered(message.received) {
+            if report.awaits_answer {
+                self.queue.tally().count_report(report.at.elapsed());
+            }
         }
         Ok(())
     }
 
-    /// Prepares for the next channel after this one has ended because of an error.
-    async fn leave_channel(&self, leader: SocketAddr, sent: &SentReport, kind: ErrorKind) {
-        self.queue.book().report_lost(sent.full && !sent.answered);
-        if !matches!(kind, ErrorKind::NotLeader | ErrorKind::PeerUnreachable) {
-            tokio::time::sleep(REFUSAL_PAUSE).await;
-            return;
-        }
-        self.refused_ms.fetch_max(self.elapsed_ms(), Ordering::Relaxed);
-        self.link.leader_failed(leader);
-    }
-
     /// Exchanges reports one by one with a controller of a release without channels. Returns
     /// after a failure.
     async fn run_exchanges(&self) {
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -217,6 +217,9 @@
     sequence: u64,
     /// Highest report sequence number that the dispatcher has acknowledged.
     acknowledged: u64,
+    /// Sequence number of the last report on the current channel, which delivers it or breaks;
+    /// 0 without a channel.
+    delivered: u64,
     full_needed: bool,
     /// Arrival number of the last request.
     last_number: u64,
@@ -422,7 +425,10 @@
 
     /// True if there are changes that the dispatcher has not acknowledged.
     pub fn is_changed(&self) -> bool {
-        let since = self.acknowledged;
+        self.is_changed_since(self.acknowledged)
+    }
+
+    fn is_changed_since(&self, since: u64) -> bool {
         self.full_needed
             || self.queues.values().any(|queue| queue.change_sequence > since)
             || self.leases.values().any(|lease| lease.change_sequence > since)
@@ -433,6 +439,26 @@
             || self.lookups.is_changed(since)
     }
 
+    /// True if there are changes that no report on the current channel carries.
+    pub fn has_unsent_changes(&self) -> bool {
+        self.is_changed_since(self.unsent_since()) || self.has_new_charges()
+    }
+
+    /// Records that the last report was sent on a channel.
+    pub fn record_delivery(&mut self) {
+        self.delivered = self.sequence;
+    }
+
+    /// Records that the channel has ended. The next report repeats what is not acknowledged.
+    pub fn record_channel_end(&mut self, lost_full_report: bool) {
+        self.delivered = 0;
+        self.report_lost(lost_full_report);
+    }
+
+    fn unsent_since(&self) -> u64 {
+        self.acknowledged.max(self.delivered)
+    }
+
     /// True if the charge of any lease has changed since it was last reported.
     pub fn has_new_charges(&self) -> bool {
         self.leases.values().any(|lease| lease.meter.charged() != lease.reported_charge)
@@ -448,7 +474,7 @@
     ) -> DispatchReport {
         self.sequence += 1;
         let full = std::mem::take(&mut self.full_needed);
-        let (sequence, since) = (self.sequence, self.acknowledged);
+        let (sequence, since) = (self.sequence, self.unsent_since());
         let mut charges = Vec::new();
         let term = self.term;
         for (id, lease) in self.leases.iter_mut() {
