A refusal without an id is not trusted on a connection that carried other requests

What other operators saw: a worker wrote an earlier refusal once more on a kept connection. Callers were told that a request had not run which ran, or it ran at a second worker.

Cause here: a refusal (421, or one that states that the request did not run) with the id of another request was recognised, one without an id was not. On a kept connection it may be the copy of an earlier one that arrives just after the next request was written.

Change: on a reused connection such a refusal must name the request; otherwise the request may have run. A first answer on a new connection is trusted without an id.

Ruled out: copies behind an answer or while the connection is idle close it, and a connection whose answer was a refusal is not kept, so that no copy has the id of a later attempt.

--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -102,7 +102,10 @@
     if !head.misdirected {
         state.router.queue.record_notice(&route, sent_at, head.notice);
     }
-    if let Some((kind, may_have_run, end, reason)) = check_head(state, call, &parts, &head) {
+    let is_reused = connection.is_reused();
+    if let Some((kind, may_have_run, end, reason)) =
+        check_head(state, call, &parts, &head, is_reused)
+    {
         lease.finish(end);
         return fail(kind, true, may_have_run, reason);
     }
@@ -118,6 +121,7 @@
     call: &ExchangeCall,
     parts: &response::Parts,
     head: &AnswerHead,
+    is_reused: bool,
 ) -> Option<(ErrorKind, bool, LeaseEnd, String)> {
     let status = parts.status;
     let failed = |reason: &str| {
@@ -127,6 +131,10 @@
     if has_other_id {
         return failed("the response belongs to another request");
     }
+    // Without an id, a refusal may be a second copy of one that was for an earlier request.
+    if (head.misdirected || head.not_run) && head.request_id.is_none() && is_reused {
+        return failed("the refusal names no request and the connection has carried others");
+    }
     if head.misdirected {
         let reason = "the address now belongs to another upstream".to_owned();
         return Some((ErrorKind::NoUpstream, false, LeaseEnd::Failed, reason));
