A broken stream is continued only by a stream of the same type

What other operators saw: a stream broke off and the next worker answered with an error, whose text appeared in the middle of the stream, or the stream ended as if it were complete.

Cause here: an error status closed the stream as broken. But any answer with a success status was taken for the continuation: a JSON body with blank lines was relayed as events, and an empty body ended the stream as complete.

Change: the continuation has status 200 and the content type of the stream, and begins with an event; an empty one is broken, so that the caller resumes the stream.

--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -8,10 +8,12 @@
 use crate::exchange_run::ExchangeRun;
 use crate::exchange_send::OpenExchange;
 use baobabfall_core::dispatch_messages::{LeaseEnd, UpstreamRoute};
+use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::units::millis;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderValue, StatusCode};
 use http_body_util::BodyExt;
 use tokio::sync::mpsc::Sender;
 use tokio::time::Instant;
@@ -75,8 +77,10 @@
         Some(last) => EventSplitter::resume_after(Some(last)),
         None => EventSplitter::default(),
     };
+    let mut is_continuation = false;
     loop {
-        let end = relay_events(&mut run, &mut opened, &mut splitter, &sender).await;
+        let end =
+            relay_events(&mut run, &mut opened, &mut splitter, &sender, is_continuation).await;
         let RelayEnd::Broken(reason) = &end else {
             return finish_relay(&mut run, opened, &sender, end, splitter.events()).await;
         };
@@ -101,13 +105,24 @@
         // Closing the connection stops the previous upstream before the next one
         // continues the stream.
         let previous = software_text(opened.lease.route()).to_owned();
+        let content_type = opened.parts.headers.get(CONTENT_TYPE).cloned();
         opened.lease.finish(LeaseEnd::Failed);
         drop((opened.body, opened.connection));
         let last = splitter.last_id();
         splitter = EventSplitter::resume_after(last);
         opened = match run.open_next(last).await {
-            Ok(next) if next.parts.status.is_success() => next,
-            Ok(next) => return next.lease.finish(LeaseEnd::Finished),
+            Ok(next) if continues_stream(&next, content_type.as_ref()) => next,
+            Ok(next) => {
+                run.meter.end(ExchangeOutcome::Unknown);
+                run.meter.count_answer(AnswerCompleteness::BrokenWithError);
+                log::info!(
+                    event = "stream_not_resumed", reason = ErrorKind::UpstreamFailed.answer().code,
+                    request_id = run.call.head.request_id.as_str(),
+                    upstream = next.lease.route().name.as_str();
+                    "the next upstream answered with {} and no event stream", next.parts.status
+                );
+                return next.lease.finish(LeaseEnd::Finished);
+            }
             Err((kind, _)) => {
                 log::info!(
                     event = "stream_not_resumed", reason = kind.answer().code,
@@ -117,10 +132,16 @@
                 return;
             }
         };
+        is_continuation = true;
         log_resumption(&run, &opened, run.call.head.request_id.as_str(), &previous);
     }
 }
 
+/// True if an answer is a stream of the same type as the one that it continues.
+fn continues_stream(next: &OpenExchange, content_type: Option<&HeaderValue>) -> bool {
+    next.parts.status == StatusCode::OK && next.parts.headers.get(CONTENT_TYPE) == content_type
+}
+
 /// Software version of an upstream for the log.
 fn software_text(route: &UpstreamRoute) -> &str {
     route.software.as_ref().map_or("", SoftwareVersion::as_str)
@@ -148,6 +169,7 @@
     opened: &mut OpenExchange,
     splitter: &mut EventSplitter,
     sender: &Sender<FrameEvent>,
+    is_continuation: bool,
 ) -> RelayEnd {
     let event_cost = run.call.event_cost();
     let meter = opened.lease.slot().meter.clone();
@@ -163,8 +185,10 @@
             () = tokio::time::sleep_until(run.call.deadline) => return RelayEnd::Deadline,
         };
         let bytes = match frame {
-            None if ends_unframed && splitter.events() == 0 => {
-                return RelayEnd::Broken("the connection ended before the first event".to_owned());
+            // An empty continuation is complete only if nothing but the end was missing, which a
+            // caller finds out when it resumes the stream.
+            None if (ends_unframed || is_continuation) && splitter.events() == 0 => {
+                return RelayEnd::Broken("the stream ended before the first event".to_owned());
             }
             None if splitter.is_between_events() => return RelayEnd::Complete,
             None => return RelayEnd::Broken("the stream ended within an event".to_owned()),
--- a/crates/router/tests/exchange_streams.rs
+++ b/crates/router/tests/exchange_streams.rs
@@ -64,3 +64,44 @@
         wait_for("the request to end", || site.handle.state().in_progress() == 0).await;
     }
 }
+
+/// Guards against an error of the next upstream in the middle of a stream, and against a broken
+/// stream that looks complete.
+#[tokio::test]
+async fn exchange_error_of_next_upstream_is_not_part_of_the_stream() {
+    let broken =
+        || vec![Step::Write(format!("{}{}", stream_head(), event_chunks(1, 3))), Step::Close];
+    let with_marks = "x-request: r1\r\nx-mark: m\r\n";
+    let chunked = |status: u16, headers: &str, body: &str| {
+        let end = if body.is_empty() { "0\r\n\r\n" } else { "\r\n0\r\n\r\n" };
+        let length = if body.is_empty() { String::new() } else { format!("{:x}\r\n", body.len()) };
+        format!(
+            "HTTP/1.1 {status} X\r\ntransfer-encoding: chunked\r\n{headers}\r\n{length}{body}{end}"
+        )
+    };
+    let error_events = "data: error\n\nid: 3\ndata: oops\n\n";
+    let json = format!("{with_marks}content-type: application/json\r\n");
+    let unframed =
+        format!("HTTP/1.1 200 X\r\n{with_marks}content-type: text/plain\r\n\r\noops\n\n");
+    for next in [
+        chunked(500, with_marks, error_events),
+        chunked(503, "x-request: r1\r\nx-not-run: 1\r\n", error_events),
+        chunked(200, &json, "{\"error\":\"oops\"}"),
+        chunked(200, &json, "{\"error\":\n\n\"oops\"}\n\n"),
+        chunked(200, &json, ""),
+        chunked(200, with_marks, ""),
+        format!("HTTP/1.1 200 X\r\ncontent-length: 0\r\n{with_marks}\r\n"),
+        format!("HTTP/1.1 103 Early Hints\r\n\r\n{}", chunked(500, with_marks, error_events)),
+        unframed,
+        "HTTP/1.1 500 ".to_owned(),
+    ] {
+        let site = ExchangeSite::start(vec![
+            vec![broken(), vec![Step::Write(next.clone()), Step::Close]],
+            vec![vec![Step::Write(next.clone()), Step::Close], broken()],
+        ])
+        .await;
+        let answer = site.call(Method::POST, "/resume/x", &[]).await;
+        assert!(!answer.complete, "{next}");
+        assert_eq!(answer.body, format!("{}{}", event(1), event(2)), "{next}");
+    }
+}
