A refusal of an action without an id is not trusted on a used connection

Cause: the same fault as on routes, in the router's own interface: a refusal with the header that says the request did not run was believed without an id, also when the connection had carried other requests. A second copy of an earlier refusal released the claim of an action that ran.

Change: on a reused connection it must echo the request id; otherwise the outcome is unknown.

Result: action_refusal_without_id_on_kept_connection_is_not_trusted failed before and passes.

--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -375,6 +375,12 @@
             self.state.pool.exchange(route, request, repeatable).await?;
         self.state.queue.record_notice(route, sent_at, self.stated_notice(&response));
         self.call.check_answer(&response).map_err(ExchangeError::Sent)?;
+        // Without an id, a refusal may be a second copy of one that was for an earlier request.
+        let names_request = response.headers().contains_key(REQUEST_ID_HEADER);
+        if self.is_not_run(&response) && !names_request && connection.is_reused() {
+            let reason = "the refusal names no request and the connection has carried others";
+            return Err(ExchangeError::Sent(reason.to_owned()));
+        }
         let is_head_request = self.call.method == Method::HEAD;
         if !is_head_request && !is_framed(&response) {
             let reason =
--- a/crates/router/tests/protected_actions.rs
+++ b/crates/router/tests/protected_actions.rs
@@ -180,3 +180,18 @@
     assert_eq!(claims, 20);
     assert!(script.claims.len() < 20, "{} calls for 20 claims", script.claims.len());
 }
+
+/// Guards against an action that is said not to have run because an earlier refusal arrives once
+/// more, without an id, on a connection that was kept.
+#[tokio::test]
+async fn action_refusal_without_id_on_kept_connection_is_not_trusted() {
+    let own = complete_answer(201, "{}");
+    let stale = "HTTP/1.1 503 X\r\ncontent-length: 2\r\nbaobabfall-not-run: true\r\n\r\n{}";
+    let scripts = vec![vec![Step::Write(own.clone())], vec![Step::Write(format!("{stale}{own}"))]];
+    let fleet = start_fleet(scripts, "").await;
+    assert_eq!(fleet.post_decision().await.status.as_u16(), 201);
+    let next_key = ("idempotency-key", "20261203-order-8");
+    let answer = fleet.router.post(PATH, &[next_key], r#"{"sum":7}"#).await;
+    assert_eq!(fleet.upstream.log().connections, 1, "the connection is kept");
+    assert_ne!(answer.header("baobabfall-not-run"), "true", "{}", answer.body);
+}
