Registry changes are gathered for 50 ms; channels need one timer and one write

Cause: each change of the registry woke the polls of all routers, and each answer carries the whole registry: 22 upstreams that start within 0.3 s cost the leader 22 x 200 answers of 84 announcements. A channel also registered a timer for each read, each write and each pause.

Change: a poll waits 50 ms after a change of the registry, so that changes that come together share an answer; tables are sent at once as before. A channel has one timer; a frame is written without one unless the socket is full, and encoded without growing its buffer.

--- a/crates/controller/src/dispatch_channel.rs
+++ b/crates/controller/src/dispatch_channel.rs
@@ -33,6 +33,7 @@
             received: 0,
             unanswered: 0,
             acknowledge_at: Instant::now(),
+            silent_at: Instant::now() + SILENCE_LIMIT,
             sent: SentGrants::default(),
         };
         served.run(&mut channel).await
@@ -72,12 +73,15 @@
     unanswered: u32,
     /// Time at which they are acknowledged, if no grant is sent before.
     acknowledge_at: Instant,
+    /// Time at which the router counts as gone.
+    silent_at: Instant,
     sent: SentGrants,
 }
 
 impl ServedChannel {
     async fn run(&mut self, channel: &mut FrameChannel) -> Result<(), ChannelError> {
-        let first = self.read_report(channel).await?;
+        let reading = tokio::time::timeout(SILENCE_LIMIT, self.read_report(channel)).await;
+        let first = reading.map_err(std::io::Error::from)??;
         let seat = match self.service.take_seat(&first) {
             Ok(seat) => seat,
             Err(kind) => return self.refuse(channel, kind).await,
@@ -100,7 +104,11 @@
             }
             tokio::select! {
                 () = seat.woken() => {}
-                () = sleep_until(self.acknowledge_at), if self.unanswered > 0 => {}
+                () = sleep_until(self.wake_at()) => {
+                    if self.unanswered == 0 {
+                        return Err(ChannelError::Closed);
+                    }
+                }
                 report = self.read_report(channel) => {
                     submitted = self.service.submit(seat, &report?);
                     continue;
@@ -125,19 +133,26 @@
         Ok(())
     }
 
+    /// Time at which the reports are acknowledged, or at which the channel is closed if there are
+    /// none.
+    fn wake_at(&self) -> Instant {
+        if self.unanswered > 0 { self.acknowledge_at } else { self.silent_at }
+    }
+
     async fn read_report(
         &mut self,
         channel: &mut FrameChannel,
     ) -> Result<DispatchReport, ChannelError> {
-        let reading = tokio::time::timeout(SILENCE_LIMIT, channel.read::<DispatchReport>()).await;
-        let (report, _) = reading.map_err(std::io::Error::from)??;
+        let (report, _) = channel.read::<DispatchReport>().await?;
         self.received = report.sequence;
+        let now = Instant::now();
+        self.silent_at = now + SILENCE_LIMIT;
         if self.unanswered == 0 {
-            self.acknowledge_at = Instant::now() + ACKNOWLEDGE_DELAY;
+            self.acknowledge_at = now + ACKNOWLEDGE_DELAY;
         }
         self.unanswered += 1;
         if self.unanswered >= UNACKNOWLEDGED_LIMIT {
-            self.acknowledge_at = Instant::now();
+            self.acknowledge_at = now;
         }
         Ok(report)
     }
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -21,6 +21,10 @@
 /// Longest time for which the answer to a sync request is held back until something changes.
 pub const SYNC_WAIT_LIMIT: Duration = Duration::from_secs(1);
 
+/// Time for which changes of the registry are gathered for one answer. Each answer carries the
+/// whole registry to every node, and upstreams often come and go together.
+const REGISTRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Answers sync requests of routers and controllers.
 #[derive(Clone, Debug)]
 pub struct SyncService {
@@ -101,7 +105,12 @@
             }
             tokio::select! {
                 changed = replica.changed() => if changed.is_err() { return answer },
-                changed = registry.changed() => if changed.is_err() { return answer },
+                changed = registry.changed() => {
+                    if changed.is_err() {
+                        return answer;
+                    }
+                    tokio::time::sleep(REGISTRY_DELAY).await;
+                }
                 () = tokio::time::sleep_until(end) => {}
             }
         }
--- a/crates/node/src/frame_channel.rs
+++ b/crates/node/src/frame_channel.rs
@@ -31,6 +31,8 @@
 const HEADER_BYTES: usize = 4;
 /// Initial capacity of the receive buffer; a usual message fits.
 const BUFFER_BYTES: usize = 2048;
+/// Initial capacity of an encoded frame; a usual one fits.
+const FRAME_BYTES: usize = 512;
 /// Time in which the peer must accept a frame.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -174,14 +176,21 @@
     /// Sends a message and returns its length in bytes. The channel cannot be used any more
     /// if the future is dropped before it is ready.
     pub async fn write<T: Serialize>(&mut self, message: &T) -> Result<usize, ChannelError> {
-        let frame = codec::encode_after(vec![0; HEADER_BYTES], message)?;
+        let mut frame = Vec::with_capacity(FRAME_BYTES);
+        frame.extend_from_slice(&[0; HEADER_BYTES]);
+        let mut frame = codec::encode_after(frame, message)?;
         let length = frame.len() - HEADER_BYTES;
-        let mut frame = frame;
         let header = u32::try_from(length).unwrap_or(u32::MAX).to_be_bytes();
         frame[..HEADER_BYTES].copy_from_slice(&header);
-        tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(&frame))
-            .await
-            .map_err(io::Error::from)??;
+        let written = match self.stream.try_write(&frame) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            written => written?,
+        };
+        if written < frame.len() {
+            tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(&frame[written..]))
+                .await
+                .map_err(io::Error::from)??;
+        }
         Ok(length)
     }
 }
