A new leader serves once the first entry of its term is committed

Cause: a replica counted as leading from the moment of its election. It learns which entries of earlier terms were committed, departures among them, with the first entry of its own term. Until then it accepted late announcements of upstreams that had left, and could dispatch to them.

Change: leading means a lease and the first entry of the term committed. An announcement is also checked against the replica's departures, which the registry copies a moment later.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -232,9 +232,7 @@
             Ok(announcement) => announcement,
             Err(refusal) => return refusal.response(),
         };
-        let left = self.replica.state().deregistered().get(&announcement.name).copied();
-        let withdrawn = left.is_some_and(|left| left.incarnation >= announcement.incarnation);
-        if withdrawn && !announcement.leaving {
+        if !announcement.leaving && self.has_left(&announcement) {
             let message = "This incarnation was withdrawn; restart the upstream with a higher one.";
             return error_response(ErrorKind::StaleIncarnation, message);
         }
@@ -334,14 +332,22 @@
             .map_err(|error| RegisterRefusal { kind: error.kind(), message: error.to_string() })
     }
 
+    /// True if the departure of the announced incarnation, or of a later one, was committed.
+    fn has_left(&self, announcement: &UpstreamAnnouncement) -> bool {
+        let left = self.replica.state().deregistered().get(&announcement.name).copied();
+        left.is_some_and(|left| left.incarnation >= announcement.incarnation)
+    }
+
     async fn register_locally(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
         let mut deregistrations = Vec::new();
         match message {
             AnnounceMessage::Announce(announcements) => {
-                for announcement in announcements {
+                for mut announcement in announcements {
                     if announcement.leaving {
                         deregistrations.push((announcement.name.clone(), announcement.incarnation));
                     }
+                    // The registry learns of departures a moment after the replica.
+                    announcement.leaving |= self.has_left(&announcement);
                     self.registry.announce(announcement)?;
                 }
             }
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -37,7 +37,8 @@
     pub term: u64,
     /// Leader of `term`; `None` while it is unknown.
     pub leader: Option<ReplicaIdentity>,
-    /// True while this replica is the leader and its leader lease is valid.
+    /// True while this replica is the leader, its leader lease is valid, and it has applied what
+    /// was committed in earlier terms.
     pub leads: bool,
     /// Index of the last committed log entry.
     pub committed: u64,
@@ -123,7 +124,7 @@
         self.view.borrow().clone()
     }
 
-    /// True while this replica is the leader and its leader lease is valid.
+    /// Value of [`ReplicaView::leads`].
     pub fn leads(&self) -> bool {
         self.view.borrow().leads
     }
@@ -422,7 +423,7 @@
         role: core.role(),
         term: core.term(),
         leader: core.leader().cloned(),
-        leads: failed.is_none() && core.has_lease(now),
+        leads: failed.is_none() && core.leads_with_current_state(now),
         committed: core.commit_index(),
         members: core.members().clone(),
         failed,
--- a/crates/core/src/replica_election.rs
+++ b/crates/core/src/replica_election.rs
@@ -19,6 +19,12 @@
             && self.quorum_contact_time(now).is_some_and(|contact| contact + LEADER_LEASE > now)
     }
 
+    /// True while this replica leads and has applied everything that was committed in earlier
+    /// terms. A leader learns what was committed with the first entry of its own term.
+    pub fn leads_with_current_state(&self, now: Duration) -> bool {
+        self.has_lease(now) && self.commit_index() >= self.term_start_index
+    }
+
     /// Latest time such that a quorum answered messages sent at that time or later.
     /// The replica itself counts with the present time.
     fn quorum_contact_time(&self, now: Duration) -> Option<Duration> {
--- a/crates/core/tests/replica_core.rs
+++ b/crates/core/tests/replica_core.rs
@@ -563,3 +563,17 @@
     };
     assert_eq!((answer.success, answer.sent_at), (false, Duration::ZERO));
 }
+
+/// Guards against a new leader that serves an upstream that had left, because it does not know yet
+/// what was committed before its term.
+#[test]
+fn leads_with_current_state_waits_for_first_entry_of_the_term() {
+    let mut core = elected_leader(ms(2000));
+    core.handle(ms(2001), [ack(2, 0, ms(2000))]);
+    assert_eq!((core.has_lease(ms(2001)), core.commit_index()), (true, 0));
+    assert!(!core.leads_with_current_state(ms(2001)));
+    core.handle(ms(2002), [ReplicaEvent::Synced { sequence: 2 }]);
+    core.handle(ms(2003), [ReplicaEvent::Synced { sequence: 3 }, ack(2, 1, ms(2002))]);
+    assert_eq!(core.commit_index(), 1);
+    assert!(core.leads_with_current_state(ms(2003)));
+}
