--- a/crates/bench/src/message_slopes.rs
+++ b/crates/bench/src/message_slopes.rs
@@ -180,7 +180,8 @@
     fleet.end().await
 }
 
-async fn announce(
+/// Sends an announcement to a controller as a router does.
+pub(crate) async fn announce(
     client: &PeerClient,
     token: &str,
     announcement: UpstreamAnnouncement,
--- a/crates/bench/src/router_model.rs
+++ b/crates/bench/src/router_model.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Fleet;
 use crate::fleet_files::{token_of, zone_of};
 use crate::load::to_float;
+use crate::message_slopes::announce;
 use baobabfall_core::dispatch_messages::{
     LeaseEnd, NodeIdentity, PromptSummary, StreamOrigin, UNITS_PER_TOKEN,
 };
@@ -13,7 +14,6 @@
 use baobabfall_core::upstream_registry::{UpstreamAnnouncement, UpstreamKind, WorkTarget};
 use baobabfall_node::credentials::CredentialFile;
 use baobabfall_node::http_client::PeerClient;
-use baobabfall_node::messages::{AnnounceMessage, FORWARD_PATH};
 use baobabfall_node::node_metrics::{NodeMetrics, start_incarnation};
 use baobabfall_router::dispatch_client::DispatchClient;
 use baobabfall_router::leader_link::LeaderLink;
@@ -21,7 +21,6 @@
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use serde::de::IgnoredAny;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -36,7 +35,6 @@
 const QUEUE_TIME: Duration = Duration::from_millis(120);
 /// Time for which a caller may resume its stream.
 const PATIENCE: Duration = Duration::from_secs(5);
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time to the first event of a stream and between its events, and their number: the mean of the
 /// large site's kinds of request.
 const FIRST_EVENT: Duration = Duration::from_millis(80);
@@ -148,16 +146,14 @@
         let client = Arc::new(PeerClient::new(leader));
         let token = token_of("process");
         for index in 0..engines {
-            announce_engine(&client, &token, engine(index, 1)).await?;
+            announce(&client, &token, engine(index, 1)).await?;
         }
         self.tasks.spawn(async move {
             for sequence in 2_u64.. {
                 for index in 0..engines {
                     tokio::time::sleep(ANNOUNCE_INTERVAL / u32::try_from(engines).unwrap_or(1))
                         .await;
-                    if let Err(error) =
-                        announce_engine(&client, &token, engine(index, sequence)).await
-                    {
+                    if let Err(error) = announce(&client, &token, engine(index, sequence)).await {
                         log::warn!("engine not announced: {error}");
                     }
                 }
@@ -206,17 +202,6 @@
     }
 }
 
-async fn announce_engine(
-    client: &PeerClient,
-    token: &str,
-    announcement: UpstreamAnnouncement,
-) -> Result<(), BenchError> {
-    let message = AnnounceMessage::Announce(vec![announcement]);
-    let _: IgnoredAny =
-        client.call(FORWARD_PATH, token, &message, CALL_TIMEOUT).await.map_err(setup)?;
-    Ok(())
-}
-
 /// Plays one request: waits for a slot and holds it for the time of a stream.
 async fn run_request(queue: Arc<SharedQueue>, times: Arc<Mutex<GrantTimes>>, draw: u64) {
     let workspace = usize::try_from(draw % 1_000_003).unwrap_or(0) % WORKSPACES;
--- a/crates/node/src/frame_channel.rs
+++ b/crates/node/src/frame_channel.rs
@@ -31,6 +31,9 @@
 const HEADER_BYTES: usize = 4;
 /// Initial capacity of the receive buffer; a usual message fits.
 const BUFFER_BYTES: usize = 2048;
+/// Length of a message from which its buffer is not kept for the next one. After a change of the
+/// leader every router sends a large one.
+const KEPT_BYTES: usize = 8 << 10;
 /// Initial capacity of an encoded frame; a usual one fits.
 const FRAME_BYTES: usize = 512;
 /// Time in which the peer must accept a frame.
@@ -156,6 +159,9 @@
                     self.received.advance(HEADER_BYTES);
                     let message = codec::decode(&self.received[..length]);
                     self.received.advance(length);
+                    if length > KEPT_BYTES && self.received.is_empty() {
+                        self.received = BytesMut::with_capacity(BUFFER_BYTES);
+                    }
                     return Ok((message?, length));
                 }
                 self.received.reserve(HEADER_BYTES + length - self.received.len());
