Tests of channels with malformed messages and wrong credentials

Cause: the path of channels was missing in the tests of hostile input.

Change: it is in the list of paths; a malformed frame must end its own channel only.

--- a/crates/controller/tests/dispatch_channel.rs
+++ b/crates/controller/tests/dispatch_channel.rs
@@ -209,3 +209,18 @@
     });
     assert!(ended.await.is_ok());
 }
+
+/// Guards against a message that ends the leader or the channels of other routers.
+#[tokio::test]
+async fn channel_with_malformed_messages_ends_alone() {
+    let (_group, address) = leader_with_engine(2).await;
+    let mut router = TestRouter::connect(address, 0).await.unwrap();
+    let grant = router.first_grant(1).await;
+    let mut other = TestRouter::connect(address, 0).await.unwrap();
+    other.channel.write(&("x", 1)).await.unwrap();
+    let ended = tokio::time::timeout(WAIT_LIMIT, other.channel.read::<ChannelAnswer>()).await;
+    assert!(ended.unwrap().is_err());
+    router.received_grant = grant.lease.number;
+    router.report(false, Some(1), vec![finished(&grant)]).await;
+    while router.message().await.answer.unwrap().grants.is_empty() {}
+}
--- a/crates/controller/tests/hostile_input.rs
+++ b/crates/controller/tests/hostile_input.rs
@@ -7,7 +7,8 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_node::http_client::{PeerClient, PeerError};
 use baobabfall_node::messages::{
-    ANNOUNCE_PATH, CLAIM_PATH, FORWARD_PATH, OUTCOME_PATH, REPORT_PATH, SYNC_PATH, WITHDRAW_PATH,
+    ANNOUNCE_PATH, CLAIM_PATH, DISPATCH_PATH, FORWARD_PATH, OUTCOME_PATH, REPORT_PATH, SYNC_PATH,
+    WITHDRAW_PATH,
 };
 use baobabfall_node::operator_messages::{
     ACTIONS_PATH, HISTORY_PATH, MEMBERS_PATH, NODES_PATH, ROLLBACK_PATH, STATUS_PATH, STOPS_PATH,
@@ -22,8 +23,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const PROCESS_PATHS: [&str; 9] = [
+const PROCESS_PATHS: [&str; 10] = [
     REPORT_PATH,
+    DISPATCH_PATH,
     SYNC_PATH,
     FORWARD_PATH,
     CLAIM_PATH,
