Soak: a new process without a table is no reversal of a table

A router that was just started reports revision 0 until it has a table, and refuses requests. The check excused a restart only if the order to stop lies between the two samples; a router that stops gracefully goes on answering after the order, so a sample in the moments before the first table looked like a loss. By reading: the logs were not kept.

Change: samples name the process. Revision 0 is left out for a process that had no table yet; a process that had one must keep it, and a later process must not serve an older one.

--- a/crates/soak/src/in_force_check.rs
+++ b/crates/soak/src/in_force_check.rs
@@ -18,7 +18,9 @@
     pub router: usize,
     /// When the request was sent, measured from the start of the load.
     pub requested_at: Duration,
-    /// Reported table revision.
+    /// Incarnation of the process that answered.
+    pub incarnation: u64,
+    /// Reported table revision; 0 while the process has no table and refuses requests.
     pub revision: u64,
 }
 
@@ -115,6 +117,15 @@
 pub fn reverted_tables(samples: &[RouterSample], events: &[FaultEvent]) -> Vec<String> {
     let mut samples: Vec<&RouterSample> = samples.iter().collect();
     samples.sort_by_key(|sample| (sample.router, sample.requested_at));
+    // A new process has no table at first.
+    let mut with_table = None;
+    samples.retain(|sample| {
+        let process = (sample.router, sample.incarnation);
+        if sample.revision > 0 {
+            with_table = Some(process);
+        }
+        sample.revision > 0 || with_table == Some(process)
+    });
     let restarted = |router: usize, from: Duration, to: Duration| {
         events.iter().any(|event| {
             let kind = event.kind;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -80,6 +80,7 @@
 
 #[derive(Deserialize)]
 struct RouterStatus {
+    incarnation: u64,
     revision: u64,
 }
 
@@ -168,19 +169,17 @@
     let client = PeerClient::new(address);
     while !*stop.borrow() {
         let requested_at = records.started.elapsed();
-        if let Some(revision) = router_revision(&client).await {
-            let sample = RouterSample { router, requested_at, revision };
+        if let Some(RouterStatus { incarnation, revision }) = router_status(&client).await {
+            let sample = RouterSample { router, requested_at, incarnation, revision };
             records.with(|records| records.router_samples.push(sample));
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-async fn router_revision(client: &PeerClient) -> Option<u64> {
+async fn router_status(client: &PeerClient) -> Option<RouterStatus> {
     let token = credential("process");
-    let view: Result<RouterStatus, _> =
-        client.call_json::<(), _>("/status", &token, None, PROBE_TIMEOUT).await;
-    view.ok().map(|view| view.revision)
+    client.call_json::<(), _>("/status", &token, None, PROBE_TIMEOUT).await.ok()
 }
 
 /// Waits until the first table is accepted and every router serves a call.
@@ -337,7 +336,8 @@
 async fn router_revisions(site: &SoakSite) -> Vec<(String, Option<u64>)> {
     let mut revisions = Vec::new();
     for (router, address) in site.fleet_addresses.iter().enumerate() {
-        let revision = router_revision(&PeerClient::new(*address)).await;
+        let status = router_status(&PeerClient::new(*address)).await;
+        let revision = status.map(|status| status.revision);
         revisions.push((format!("router-{}", router + 1), revision));
     }
     revisions
--- a/crates/soak/tests/in_force_check.rs
+++ b/crates/soak/tests/in_force_check.rs
@@ -15,7 +15,7 @@
 }
 
 fn sample(router: usize, millis: u64, revision: u64) -> RouterSample {
-    RouterSample { router, requested_at: at(millis), revision }
+    RouterSample { router, requested_at: at(millis), incarnation: 1, revision }
 }
 
 fn event(millis: u64, begins: bool, kind: FaultKind) -> FaultEvent {
@@ -67,3 +67,16 @@
     let restart = [event(150, true, FaultKind::KillRouter(0))];
     assert_eq!(reverted_tables(&samples, &restart).len(), 0);
 }
+
+/// A process that was started during a stop has no table at first; one that had a table must keep
+/// it, and a later process must not serve an older one.
+#[test]
+fn reverted_tables_new_process_without_table_is_no_reversal() {
+    let of =
+        |incarnation, millis, revision| RouterSample { incarnation, ..sample(0, millis, revision) };
+    let reverted = |samples: &[RouterSample]| reverted_tables(samples, &[]).len();
+    assert_eq!(reverted(&[of(1, 10, 59), of(2, 20, 0), of(2, 30, 59)]), 0);
+    assert_eq!(reverted(&[of(1, 10, 59), of(1, 20, 0)]), 1);
+    assert_eq!(reverted(&[of(1, 10, 59), of(2, 20, 0), of(2, 30, 58)]), 1);
+    assert_eq!(reverted(&[of(2, 10, 59), of(2, 20, 0), of(2, 30, 59)]), 1);
+}
