Soak: a restart excuses an older table only for another process

Change: between samples of one process every decrease is reported; a restart excuses only a decrease between two processes. The older test of restarts used one process for both samples and now names a second one; with one process it expects the report.

--- a/crates/soak/src/in_force_check.rs
+++ b/crates/soak/src/in_force_check.rs
@@ -136,7 +136,10 @@
     samples
         .windows(2)
         .filter(|pair| pair[0].router == pair[1].router && pair[0].revision > pair[1].revision)
-        .filter(|pair| !restarted(pair[0].router, pair[0].requested_at, pair[1].requested_at))
+        .filter(|pair| {
+            pair[0].incarnation == pair[1].incarnation
+                || !restarted(pair[0].router, pair[0].requested_at, pair[1].requested_at)
+        })
         .map(|pair| {
             let (router, from, to) = (pair[0].router + 1, pair[0].revision, pair[1].revision);
             format!("router-{router} went back from {from} to {to}")
--- a/crates/soak/tests/in_force_check.rs
+++ b/crates/soak/tests/in_force_check.rs
@@ -65,6 +65,9 @@
     let samples = [sample(0, 100, 4), sample(0, 200, 3), sample(1, 100, 5), sample(1, 200, 5)];
     assert_eq!(reverted_tables(&samples, &[]).len(), 1);
     let restart = [event(150, true, FaultKind::KillRouter(0))];
+    assert_eq!(reverted_tables(&samples, &restart).len(), 1, "the process is the same");
+    let mut samples = samples;
+    samples[1].incarnation = 2;
     assert_eq!(reverted_tables(&samples, &restart).len(), 0);
 }
 
@@ -79,4 +82,7 @@
     assert_eq!(reverted(&[of(1, 10, 59), of(1, 20, 0)]), 1);
     assert_eq!(reverted(&[of(1, 10, 59), of(2, 20, 0), of(2, 30, 58)]), 1);
     assert_eq!(reverted(&[of(2, 10, 59), of(2, 20, 0), of(2, 30, 59)]), 1);
+    let stop = [event(15, true, FaultKind::StopRouter(0))];
+    assert_eq!(reverted_tables(&[of(2, 10, 59), of(2, 20, 0)], &stop).len(), 1);
+    assert_eq!(reverted_tables(&[of(1, 10, 59), of(2, 20, 58)], &stop).len(), 0);
 }
