Logs: time at which each router stops using an upstream, and wait of commits

Cause: logs do not tell when a departure is in force at a router, nor whether a late acknowledgement waited for its commit or was never taken. No logic changes. Conclusion: the age of a departure at a router is the difference of two lines.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -31,11 +31,13 @@
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::operator_messages::{NodeView, OPERATOR_PREFIX};
 use baobabfall_node::stop_signal::StopSignal;
+use baobabfall_node::units::millis;
 use http::{Method, Request};
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Path to which a follower posts the nodes that sync with it, as a list of [`NodeView`].
 pub const OBSERVED_PATH: &str = "/control/v1/observed";
@@ -380,8 +382,12 @@
             return self.replica.confirm_read().await;
         }
         log::info!(event = "upstream_left", upstream = name.as_str(), incarnation = incarnation; "deregistering an upstream");
-        let command = ControlCommand::UpstreamLeft { name, incarnation };
-        self.replica.propose(command).await.map(|_| ())
+        let begun = Instant::now();
+        let command = ControlCommand::UpstreamLeft { name: name.clone(), incarnation };
+        let committed = self.replica.propose(command).await;
+        let reason = committed.as_ref().err().map_or("", |refusal| refusal.kind.answer().code);
+        log::info!(event = "departure_committed", upstream = name, incarnation = incarnation, waited_ms = millis(begun.elapsed()), reason = reason; "the commit of a departure has ended");
+        committed.map(|_| ())
     }
 
     /// Commits a route table and returns the version that is current afterwards. That version is
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -7,7 +7,9 @@
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::workspace_table::WorkspaceTable;
-use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest, TableUpdate};
+use baobabfall_node::messages::{
+    NodeKind, RegistryView, SYNC_PATH, SyncAnswer, SyncRequest, TableUpdate,
+};
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::units::millis;
 use futures_util::StreamExt;
@@ -199,11 +201,27 @@
             updated |= self.fleet.set_stops(stops);
         }
         if let Some(registry) = answer.registry {
-            updated |= self.fleet.set_registry(registry);
+            updated |= self.apply_registry(address, registry);
         }
         updated
     }
 
+    /// Puts a registry in force. Logs the upstreams that it no longer lists, so that the time at
+    /// which each router stopped using an upstream can be compared with its departure.
+    fn apply_registry(&self, address: SocketAddr, registry: RegistryView) -> bool {
+        let held = self.fleet.registry();
+        let (term, version) = registry.version;
+        let is_listed =
+            |name: &str| registry.upstreams.iter().any(|upstream| upstream.name == name);
+        let names = held.upstreams.iter().map(|upstream| upstream.name.as_str());
+        let removed = names.filter(|name| !is_listed(name)).collect::<Vec<_>>().join(" ");
+        let newer = self.fleet.set_registry(registry);
+        if newer && !removed.is_empty() {
+            log::info!(event = "upstreams_removed", upstreams = removed, controller = address.to_string(), term = term, registry_version = version, previous_term = held.version.0; "the registry no longer lists upstreams");
+        }
+        newer
+    }
+
     fn apply_routes(&self, address: SocketAddr, routes: &Arc<RouteTable>, age_ms: u64) -> bool {
         let newer = self.fleet.set_routes(routes);
         if newer {
