A follower's registry does not take a departed upstream back

Seen: on a change of the leader a departed upstream could be granted again (DRAIN). Class: a soft copy that overrides a fact of the log. Cause: copy_live took the leader's view as it was, also when that view was built before a departure that this follower had applied; announce heeded departures, copy_live did not. If the follower led next, extend_expiry kept the entry alive. Change: copy_live marks departed incarnations as leaving, like announce. Departures get a type of their own (departure_set).

--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -6,6 +6,7 @@
     ControlAnswer, ControlCommand, EditAccepted, EditIdentity, EditRefusal, PlannedStop,
     StopTarget, TEXT_LIMIT_BYTES,
 };
+use crate::departure_set::{DepartureList, trim_departures};
 use crate::dispatch_messages::NodeIdentity;
 use crate::error_kind::ErrorKind;
 use crate::replica_members::ReplicaMembers;
@@ -263,10 +264,16 @@
         self.left_version += 1;
         let number = self.left_version;
         self.left.insert(name.to_owned(), DeregisteredUpstream { incarnation, number });
-        if self.left.len() > DEREGISTERED_LIMIT {
-            let cutoff = number.saturating_sub(u64::try_from(DEREGISTERED_LIMIT / 2).unwrap_or(0));
-            self.left.retain(|_, upstream| upstream.number > cutoff);
-        }
+        trim_departures(&mut self.left, number);
+    }
+
+    /// Departures that a holder of `version` lacks; `None` if there are none.
+    pub fn departures_since(&self, version: u64) -> Option<DepartureList> {
+        let newer = self.left.iter().filter(|(_, upstream)| upstream.number > version);
+        (self.left_version > version).then(|| DepartureList {
+            version: self.left_version,
+            departures: newer.map(|(name, upstream)| (name.clone(), *upstream)).collect(),
+        })
     }
 
     /// The route table in force; `None` before the first.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cost_estimate;
 pub mod crash_tracker;
 pub mod decision_workload;
+pub mod departure_set;
 pub mod direct_placement;
 pub mod dispatch_fairness;
 mod dispatch_intake;
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -220,9 +220,7 @@
         mut announcement: UpstreamAnnouncement,
     ) -> Result<(), AnnouncementRefusal> {
         announcement.check()?;
-        let deregistered = self.deregistered.get(&announcement.name);
-        announcement.leaving |=
-            deregistered.is_some_and(|latest| *latest >= announcement.incarnation);
+        announcement.leaving |= self.has_left(&announcement.name, announcement.incarnation);
         if let Some(entry) = self.entries.get(&announcement.name) {
             entry.check_successor(&announcement)?;
         } else if self.entries.len() >= UPSTREAM_LIMIT {
@@ -286,6 +284,10 @@
         self.deregistered = deregistered;
     }
 
+    fn has_left(&self, name: &str, incarnation: u64) -> bool {
+        self.deregistered.get(name).is_some_and(|latest| *latest >= incarnation)
+    }
+
     /// Postpones the expiry of live entries to `expires_at` at the earliest, for a
     /// controller that became leader and has not yet received renewals.
     pub fn extend_expiry(&mut self, expires_at: Duration) {
@@ -303,7 +305,8 @@
             changed |= entry.live && !listed;
             entry.live &= listed;
         }
-        for announcement in upstreams {
+        for mut announcement in upstreams {
+            announcement.leaving |= self.has_left(&announcement.name, announcement.incarnation);
             let newer = self.entries.get(&announcement.name).is_none_or(|entry| {
                 let current = &entry.announcement;
                 (current.incarnation, current.sequence)
--- a/crates/core/tests/upstream_registry.rs
+++ b/crates/core/tests/upstream_registry.rs
@@ -66,3 +66,16 @@
     registry.announce(ms(1), LIFETIME, upstream("a", 11, 1)).unwrap();
     assert_eq!(live(&registry), [("a", 11)]);
 }
+
+/// Guards against a departed upstream that is used again after a change of the leader, because a
+/// follower copied a view that the leader had built before the departure.
+#[test]
+fn copy_live_departed_incarnation_stays_out() {
+    let mut registry = UpstreamRegistry::default();
+    registry.set_deregistered(ms(0), [("a".to_owned(), 10)].into_iter().collect());
+    registry.copy_live(LIFETIME, vec![upstream("a", 10, 5), upstream("b", 7, 1)]);
+    registry.extend_expiry(ms(2_000));
+    assert_eq!(live(&registry), [("b", 7)]);
+    registry.copy_live(LIFETIME, vec![upstream("a", 11, 1)]);
+    assert_eq!(live(&registry), [("a", 11)]);
+}
