Departures are facts of the log that any controller sends and every router keeps

Cause: a router learned of a departure only as the absence of a name from the registry of a controller that led at that moment, and kept the names of the registry before a change of the lead for 2.5 s, which is the whole time that the users' sites allow. Change: every controller sends the departures that it has applied, by version; routers merge them into a set that only grows (departure_set). UpstreamDirectory holds registries, announcements and departures in one place, and alone says whether an upstream may get a request; a departure outweighs any registry. It is asked last, right before a request is written (UpstreamPool::exchange), after the time that connecting takes: granted slots, direct placement, local mode, retries and resumed streams pass there.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -316,7 +316,7 @@
         let end = Instant::now() + READY_LIMIT;
         let ready = |router: &RouterHandle| {
             let state = router.state();
-            state.is_healthy() && state.fleet.upstreams().len() >= upstreams
+            state.is_healthy() && state.fleet.directory().upstreams().len() >= upstreams
         };
         while !self.routers().all(ready) {
             if Instant::now() > end {
@@ -330,7 +330,7 @@
     /// True when every router knows an upstream that serves the model.
     pub fn serves(&self, model: &str) -> bool {
         let target = WorkTarget::new(UpstreamKind::Model, model.to_owned());
-        self.routers().all(|router| router.state().fleet.is_served(&target))
+        self.routers().all(|router| router.state().fleet.directory().is_served(&target))
     }
 
     /// Ends all roles at once.
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -406,8 +406,9 @@
             (state.history().revision(), state.stops_version())
         };
         let request = SyncRequest {
-            // Controllers receive the route table through the log, not through a sync.
+            // Controllers receive the route table and departures through the log, not through a sync.
             routes_version: u64::MAX,
+            departures_version: u64::MAX,
             node: node.clone(),
             kind: NodeKind::Controller,
             zone: api.options.settings.node.zone.clone(),
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -99,6 +99,7 @@
             let has_changes = answer.table.is_some()
                 || answer.stops.is_some()
                 || answer.registry.is_some()
+                || answer.departures.is_some()
                 || answer.routes.is_some();
             if has_changes || !answer.leads || Instant::now() >= end {
                 return answer;
@@ -145,6 +146,7 @@
             .routes()
             .filter(|record| record.table.version > request.routes_version)
             .map(|record| std::sync::Arc::clone(&record.table));
+        let departures = state.departures_since(request.departures_version);
         drop(state);
         let current_version = self.registry.version(view.term);
         let registry = (view.leads && request.registry_version != current_version)
@@ -162,6 +164,7 @@
             table,
             stops,
             registry,
+            departures,
             routes,
             routes_age_ms: routes_age.map_or(0, millis),
             controllers,
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -179,6 +179,7 @@
         registry_version: (0, 0),
         in_progress: 0,
         wait_ms: 0,
+        departures_version: 0,
     }
 }
 
--- a/crates/controller/tests/open_group.rs
+++ b/crates/controller/tests/open_group.rs
@@ -168,6 +168,7 @@
         in_progress: 0,
         wait_ms: 0,
         routes_version: 0,
+        departures_version: 0,
     }
 }
 
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -3,6 +3,7 @@
 
 pub use baobabfall_core::action_ledger::FencingToken;
 pub use baobabfall_core::control_command::StopKind;
+use baobabfall_core::departure_set::DepartureList;
 use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity};
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
@@ -77,10 +78,13 @@
     /// Version of the route table that the node holds; zero when it has none.
     #[serde(default)]
     pub routes_version: u64,
+    /// Version of the set of departed upstreams that the node holds.
+    #[serde(default)]
+    pub departures_version: u64,
 }
 
 /// Answer to a [`SyncRequest`]. Revisions and versions only increase.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncAnswer {
     /// True when the leader confirmed that nothing newer was committed before the
     /// request. Only requests of nodes without a table are confirmed.
@@ -100,6 +104,9 @@
     pub stops: Option<StopList>,
     /// Live upstreams, from a leader and when the node's version differs.
     pub registry: Option<RegistryView>,
+    /// Departures that the controller has applied and the node lacks, from any controller.
+    #[serde(default)]
+    pub departures: Option<DepartureList>,
     /// Time since the controller applied its route table, in milliseconds.
     #[serde(default)]
     pub routes_age_ms: u64,
--- a/crates/router/src/caller_api.rs
+++ b/crates/router/src/caller_api.rs
@@ -207,11 +207,11 @@
 
     fn find_target(&mut self, kind: UpstreamKind, name: String) -> Result<WorkTarget, Rejection> {
         let target = WorkTarget::new(kind, name);
-        if self.state.fleet.is_served(&target) {
+        if self.state.fleet.directory().is_served(&target) {
             self.record.set_model(&target.name);
             return Ok(target);
         }
-        if !self.state.fleet.has_registry() {
+        if !self.state.fleet.directory().has_registry() {
             let message = "The router has not received the list of upstreams yet.";
             return Err(Rejection::after(ErrorKind::NoUpstream, message, RETRY_AFTER));
         }
@@ -336,7 +336,7 @@
     }
 
     fn models(mut self) -> Response<RelayBody> {
-        let models = self.state.fleet.models();
+        let models = self.state.fleet.directory().models();
         let data: Vec<_> = models
             .iter()
             .map(|model| json!({ "id": model, "object": "model", "owned_by": "baobabfall" }))
--- a/crates/router/src/direct_slots.rs
+++ b/crates/router/src/direct_slots.rs
@@ -38,7 +38,7 @@
         avoid: Option<&str>,
         permits: impl Fn(&str, u64) -> bool,
     ) -> Option<GrantedSlot> {
-        let mut upstreams = fleet.upstreams();
+        let mut upstreams = fleet.directory().upstreams();
         let mut placement = self.placement();
         placement.retain(|name| upstreams.iter().any(|upstream| upstream.name == name));
         upstreams.retain(|upstream| {
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -240,7 +240,7 @@
         loop {
             let lease = self.wait_for_slot().await?;
             let name = lease.route().name.clone();
-            if !self.state.router.queue.book().permits(&name, lease.route().incarnation) {
+            if !self.state.router.may_send(lease.route()) {
                 // The upstream made its statement after the slot was granted.
                 lease.finish(LeaseEnd::Unused);
                 continue;
@@ -330,7 +330,7 @@
             && match self.binding {
                 StreamBinding::Unbound => true,
                 StreamBinding::Version(_) => {
-                    self.state.router.fleet.serving_count(&self.target()) > 0
+                    self.state.router.fleet.directory().serving_count(&self.target()) > 0
                 }
                 StreamBinding::Unresumable => false,
             }
@@ -414,7 +414,7 @@
         if router.queue.book().limits().is_empty() {
             return false;
         }
-        let upstreams = router.fleet.upstreams();
+        let upstreams = router.fleet.directory().upstreams();
         let book = router.queue.book();
         let mut serving = upstreams.iter().filter(|upstream| upstream.can_serve(target));
         serving.any(|upstream| book.limits().rate(&upstream.name, upstream.incarnation).is_some())
@@ -433,7 +433,7 @@
         if router.queue.book().has_no_notices() {
             return None;
         }
-        let upstreams = router.fleet.upstreams();
+        let upstreams = router.fleet.directory().upstreams();
         let book = router.queue.book();
         let serving = upstreams.iter().filter(|upstream| upstream.can_serve(target));
         let wait = serving
@@ -449,7 +449,7 @@
         let target = self.target();
         let is_bound = target.software.is_some();
         if self.avoid.is_some() || is_bound {
-            let serving = self.state.router.fleet.serving_count(&target);
+            let serving = self.state.router.fleet.directory().serving_count(&target);
             if serving == 0 && is_bound {
                 return Err((ErrorKind::StreamVersionGone, None));
             }
--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -78,7 +78,8 @@
     lease.mark_used(call.prompt_cost());
     let repeatable = call.route.kind.is_repeatable();
     let sent_at = Instant::now();
-    let exchange = state.router.pool.exchange(&route, request, repeatable);
+    let permits = || state.router.may_send(&route);
+    let exchange = state.router.pool.exchange(&route, request, repeatable, permits);
     let answer = tokio::time::timeout_at(call.deadline, exchange).await;
     let (response, connection) = match answer {
         Ok(Ok(answer)) => answer,
@@ -86,6 +87,11 @@
             lease.finish(LeaseEnd::Failed);
             return fail(ErrorKind::NoUpstream, false, false, reason);
         }
+        Ok(Err(ExchangeError::Withheld)) => {
+            lease.finish(LeaseEnd::Unused);
+            let reason = ExchangeError::Withheld.to_string();
+            return fail(ErrorKind::NoUpstream, false, false, reason);
+        }
         Ok(Err(ExchangeError::Sent(reason))) => {
             state.router.queue.record_casualty(&route, call.suspects());
             lease.finish(LeaseEnd::Failed);
--- a/crates/router/src/fleet_api.rs
+++ b/crates/router/src/fleet_api.rs
@@ -102,7 +102,7 @@
             Ok(announcement) => announcement,
             Err(refusal) => return refuse_body(state, &refusal),
         };
-    if let Err(refusal) = state.fleet.announce(announcement.clone()) {
+    if let Err(refusal) = state.fleet.directory().announce(announcement.clone()) {
         return refuse(state, refusal.kind, &refusal.message);
     }
     forward(state, AnnounceMessage::Announce(vec![announcement]));
@@ -115,7 +115,7 @@
         Ok(withdrawal) => withdrawal,
         Err(refusal) => return refuse_body(state, &refusal),
     };
-    let withdrawn = state.fleet.withdraw(&withdrawal);
+    let withdrawn = state.fleet.directory().withdraw(&withdrawal);
     forward(state, AnnounceMessage::Withdraw(withdrawal));
     json_response(200, &json!({ "withdrawn": withdrawn }))
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod stream_lookup;
 pub mod table_sync;
 pub mod table_view;
+pub mod upstream_directory;
 pub mod upstream_pool;
 
 pub use error::RouterError;
--- a/crates/router/src/local_mode.rs
+++ b/crates/router/src/local_mode.rs
@@ -111,7 +111,7 @@
         usable: &mut Vec<UpstreamAnnouncement>,
     ) {
         let (queued_targets, used) = self.demand();
-        let mut candidates = self.state.fleet.upstreams();
+        let mut candidates = self.state.fleet.directory().upstreams();
         candidates.retain(|upstream| {
             let needed = queued_targets.iter().any(|target| upstream.can_serve(target));
             (needed || used.contains(&upstream.name))
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -141,7 +141,7 @@
                 Err(rejection) => return rejection.respond(&mut self.record),
             };
             let route = lease.route().clone();
-            if self.state.fleet.has_deregistered(&route.name, route.incarnation) {
+            if self.state.fleet.directory().has_left(&route.name, route.incarnation) {
                 returned_slots += 1;
                 if returned_slots > RETURNED_SLOT_LIMIT {
                     let message = "Every upstream offered for the request is shutting down.";
@@ -180,7 +180,7 @@
         avoid: &mut Option<String>,
         number: &mut Option<u64>,
     ) -> Result<SlotLease, Rejection> {
-        if avoid.is_some() && self.state.fleet.serving_count(&self.order.key.0) < 2 {
+        if avoid.is_some() && self.state.fleet.directory().serving_count(&self.order.key.0) < 2 {
             *avoid = None;
         }
         let request = QueueRequest {
@@ -335,11 +335,14 @@
                 self.handle_refusal(answer, route)
             }
             Ok(Ok(answer)) => AttemptResult::Relay(Box::new(answer), Box::new(lease), cancel),
-            Ok(Err(ExchangeError::NotSent(reason))) => {
+            Ok(Err(error @ (ExchangeError::NotSent(_) | ExchangeError::Withheld))) => {
                 cancel.disarm();
-                lease.finish(LeaseEnd::Failed);
+                lease.finish(match error {
+                    ExchangeError::Withheld => LeaseEnd::Unused,
+                    _ => LeaseEnd::Failed,
+                });
                 self.record_not_run();
-                self.log_failure(route, &reason);
+                self.log_failure(route, &error.to_string());
                 let message = format!("Upstream {} could not be reached.", route.name);
                 let rejection = Rejection::after(ErrorKind::NoUpstream, message, RETRY_AFTER);
                 if self.is_protected() {
@@ -370,9 +373,10 @@
         request: http::Request<http_body_util::Full<Bytes>>,
     ) -> Result<OpenResponse, ExchangeError> {
         let repeatable = self.order.class.is_repeatable();
+        let permits = || self.state.may_send(route);
         let sent_at = Instant::now();
         let (mut response, connection) =
-            self.state.pool.exchange(route, request, repeatable).await?;
+            self.state.pool.exchange(route, request, repeatable, permits).await?;
         self.state.queue.record_notice(route, sent_at, self.stated_notice(&response));
         self.call.check_answer(&response).map_err(ExchangeError::Sent)?;
         // Without an id, a refusal may be a second copy of one that was for an earlier request.
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -79,7 +79,7 @@
     /// True unless the upstream came back with another or an unknown software version, whose
     /// events do not fit those that were relayed.
     fn has_same_software(&self) -> bool {
-        let upstreams = self.fleet.upstreams();
+        let upstreams = self.fleet.directory().upstreams();
         let known = upstreams.iter().find(|upstream| upstream.name == self.route.name);
         known.is_none_or(|upstream| {
             upstream.incarnation == self.route.incarnation
@@ -87,6 +87,13 @@
         })
     }
 
+    /// True unless the upstream has left. One that came back under its name may resume the stream.
+    fn may_resume(&self) -> bool {
+        let directory = self.fleet.directory();
+        !directory.has_left(&self.route.name, self.route.incarnation)
+            || directory.upstreams().iter().any(|upstream| upstream.name == self.route.name)
+    }
+
     async fn run(self, position: u64) -> Result<ResumedStream, String> {
         if !self.has_same_software() {
             return Err("the upstream came back with other software".to_owned());
@@ -97,7 +104,7 @@
         if let Some(value) = software.and_then(|text| HeaderValue::from_str(text).ok()) {
             request.headers_mut().insert(SOFTWARE_HEADER, value);
         }
-        let answer = self.pool.exchange(&self.route, request, true).await;
+        let answer = self.pool.exchange(&self.route, request, true, || self.may_resume()).await;
         let (response, connection) = answer.map_err(|error| error.to_string())?;
         self.call.check_answer(&response)?;
         if !response.status().is_success() {
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -13,6 +13,7 @@
 use crate::retry::RetryBudgets;
 use crate::table_view::FleetView;
 use crate::upstream_pool::UpstreamPool;
+use baobabfall_core::dispatch_messages::UpstreamRoute;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::request_life::RequestLifecycle;
 use baobabfall_node::accept_gate::AcceptGate;
@@ -78,6 +79,13 @@
         self.fleet.table().is_none().then_some(ErrorKind::NotReady)
     }
 
+    /// True if this incarnation of an upstream may get a request now: it has not left, and has not
+    /// said that it wants none for a time. Asked last, right before a request is written.
+    pub fn may_send(&self, route: &UpstreamRoute) -> bool {
+        !self.fleet.directory().has_left(&route.name, route.incarnation)
+            && self.queue.book().permits(&route.name, route.incarnation)
+    }
+
     /// True if a load balancer should send requests to this router.
     pub fn is_healthy(&self) -> bool {
         self.drain.phase() == DrainPhase::Serving && self.fleet.table().is_some()
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -3,6 +3,7 @@
 
 use crate::leader_link::LeaderLink;
 use crate::table_view::{FleetView, TableView};
+use baobabfall_core::departure_set::DepartureList;
 use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::sorted_map::SortedMap;
@@ -151,9 +152,10 @@
             zone: self.zone.clone(),
             revision: self.fleet.table().map_or(0, |held| held.revision),
             stops_version: self.fleet.stops().version,
-            registry_version: self.fleet.registry().version,
+            registry_version: self.fleet.directory().registry().version,
             in_progress: self.in_progress.load(Ordering::Relaxed),
             routes_version: self.fleet.routes_version(),
+            departures_version: self.fleet.directory().departures_version(),
             wait_ms,
         };
         let timeout = answer_timeout + Duration::from_millis(wait_ms.into());
@@ -200,22 +202,34 @@
         if let Some(stops) = answer.stops {
             updated |= self.fleet.set_stops(stops);
         }
+        // Before the registry, which may be older and still list the departed upstreams.
+        if let Some(departures) = answer.departures {
+            updated |= self.apply_departures(address, &departures);
+        }
         if let Some(registry) = answer.registry {
             updated |= self.apply_registry(address, registry);
         }
         updated
     }
 
+    fn apply_departures(&self, address: SocketAddr, list: &DepartureList) -> bool {
+        let added = self.fleet.directory().add_departures(list);
+        if !added.is_empty() {
+            log::info!(event = "departures_in_force", upstreams = added.join(" "), version = list.version, controller = address.to_string(); "upstreams have left and get no more requests");
+        }
+        !added.is_empty()
+    }
+
     /// Puts a registry in force. Logs the upstreams that it no longer lists, so that the time at
     /// which each router stopped using an upstream can be compared with its departure.
     fn apply_registry(&self, address: SocketAddr, registry: RegistryView) -> bool {
-        let held = self.fleet.registry();
+        let held = self.fleet.directory().registry();
         let (term, version) = registry.version;
         let is_listed =
             |name: &str| registry.upstreams.iter().any(|upstream| upstream.name == name);
         let names = held.upstreams.iter().map(|upstream| upstream.name.as_str());
         let removed = names.filter(|name| !is_listed(name)).collect::<Vec<_>>().join(" ");
-        let newer = self.fleet.set_registry(registry);
+        let newer = self.fleet.directory().set_registry(registry);
         if newer && !removed.is_empty() {
             log::info!(event = "upstreams_removed", upstreams = removed, controller = address.to_string(), term = term, registry_version = version, previous_term = held.version.0; "the registry no longer lists upstreams");
         }
--- a/crates/router/src/table_view.rs
+++ b/crates/router/src/table_view.rs
@@ -1,19 +1,14 @@
 //! The router's copy of the fleet state: workspace table, route table, upstreams
 //! and planned stops.
 
+use crate::upstream_directory::UpstreamDirectory;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use baobabfall_core::route_table::{RouteIndex, RouteTable};
 use baobabfall_core::sorted_map::SortedMap;
-use baobabfall_core::upstream_registry::{
-    AnnouncementRefusal, UpstreamAnnouncement, UpstreamKind, UpstreamRegistry, WorkTarget,
-};
 use baobabfall_core::workspace_table::{WorkspaceRow, WorkspaceTable};
-use baobabfall_node::messages::{
-    PlannedStop, RegistryView, StopKind, StopList, UpstreamWithdrawal,
-};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use baobabfall_node::messages::{PlannedStop, StopKind, StopList};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Lifetime of an announcement that this router received directly: three renewal
 /// intervals of one second, less a margin for delays.
@@ -57,15 +52,9 @@
 #[derive(Debug)]
 pub struct FleetView {
     table: ArcSwapOption<TableView>,
-    registry_view: ArcSwap<RegistryView>,
-    /// Upstreams of the previous leader's registry, with the time until which they
-    /// are used.
-    previous: ArcSwap<(Vec<UpstreamAnnouncement>, Instant)>,
+    directory: UpstreamDirectory,
     stops: ArcSwap<StopList>,
-    /// Upstreams that announced themselves to this router.
-    local: Mutex<UpstreamRegistry>,
     routes: ArcSwapOption<RouteIndex>,
-    started: Instant,
 }
 
 impl Default for FleetView {
@@ -79,15 +68,9 @@
     pub fn new() -> Self {
         Self {
             table: ArcSwapOption::empty(),
-            registry_view: ArcSwap::from_pointee(RegistryView {
-                version: (0, 0),
-                upstreams: Vec::new(),
-            }),
-            previous: ArcSwap::from_pointee((Vec::new(), Instant::now())),
+            directory: UpstreamDirectory::new(),
             stops: ArcSwap::from_pointee(StopList { version: 0, stops: Vec::new() }),
-            local: Mutex::new(UpstreamRegistry::default()),
             routes: ArcSwapOption::empty(),
-            started: Instant::now(),
         }
     }
 
@@ -127,31 +110,9 @@
         newer
     }
 
-    /// The upstream registry received from the controllers.
-    pub fn registry(&self) -> Arc<RegistryView> {
-        self.registry_view.load_full()
-    }
-
-    /// True once a registry has been received from the controllers.
-    pub fn has_registry(&self) -> bool {
-        self.registry_view.load().version != (0, 0)
-    }
-
-    /// Replaces the registry if `view` has a higher version; returns whether it did.
-    ///
-    /// A new leader may not have received an announcement of every upstream yet, so
-    /// the upstreams of the previous leader's registry are kept for one lifetime.
-    pub fn set_registry(&self, view: RegistryView) -> bool {
-        let held = self.registry_view.load();
-        let newer = view.version > held.version;
-        if newer {
-            if view.version.0 > held.version.0 {
-                let until = Instant::now() + ANNOUNCEMENT_LIFETIME;
-                self.previous.store(Arc::new((held.upstreams.clone(), until)));
-            }
-            self.registry_view.store(Arc::new(view));
-        }
-        newer
+    /// Upstreams, and which of them may get a request.
+    pub fn directory(&self) -> &UpstreamDirectory {
+        &self.directory
     }
 
     /// Planned stops in force.
@@ -174,76 +135,4 @@
         let planned = |stop: &PlannedStop| stop.kind == kind && stop.name == name;
         self.stops.load().stops.iter().any(planned)
     }
-
-    fn local(&self) -> MutexGuard<'_, UpstreamRegistry> {
-        let mut local = self.local.lock().unwrap_or_else(PoisonError::into_inner);
-        local.expire(self.started.elapsed());
-        local
-    }
-
-    /// Applies an announcement that an upstream sent to this router. Fails if the
-    /// announcement is not valid or is out of date.
-    pub fn announce(&self, announcement: UpstreamAnnouncement) -> Result<(), AnnouncementRefusal> {
-        self.local().announce(self.started.elapsed(), ANNOUNCEMENT_LIFETIME, announcement)
-    }
-
-    /// Applies a withdrawal that an upstream sent to this router; returns whether an
-    /// announcement was withdrawn.
-    pub fn withdraw(&self, withdrawal: &UpstreamWithdrawal) -> bool {
-        self.local().withdraw(self.started.elapsed(), &withdrawal.name, withdrawal.incarnation)
-    }
-
-    /// True if this incarnation of the upstream told this router that it is leaving,
-    /// or if a later incarnation announced itself.
-    pub fn has_deregistered(&self, name: &str, incarnation: u64) -> bool {
-        let local = self.local();
-        let entry = local.entries().get(name);
-        entry.is_some_and(|entry| {
-            let held = &entry.announcement;
-            held.incarnation > incarnation || (held.incarnation == incarnation && held.leaving)
-        })
-    }
-
-    /// Upstreams from the previous leader's registry, or none after their lifetime.
-    fn previous_upstreams(&self) -> Vec<UpstreamAnnouncement> {
-        let previous = self.previous.load();
-        if Instant::now() < previous.1 { previous.0.clone() } else { Vec::new() }
-    }
-
-    /// True if at least one known upstream can serve the target.
-    pub fn is_served(&self, target: &WorkTarget) -> bool {
-        self.registry_view.load().upstreams.iter().any(|upstream| upstream.can_serve(target))
-            || self.previous_upstreams().iter().any(|upstream| upstream.can_serve(target))
-            || self.local().live().any(|entry| entry.announcement.can_serve(target))
-    }
-
-    /// Number of live upstreams that can serve the target.
-    pub fn serving_count(&self, target: &WorkTarget) -> usize {
-        self.upstreams().iter().filter(|upstream| upstream.can_serve(target)).count()
-    }
-
-    /// All live upstreams. An announcement that this router received directly takes
-    /// precedence over the controllers' registry.
-    pub fn upstreams(&self) -> Vec<UpstreamAnnouncement> {
-        let mut all: Vec<UpstreamAnnouncement> =
-            self.local().live().map(|entry| entry.announcement.clone()).collect();
-        for upstream in self.registry_view.load().upstreams.iter().chain(&self.previous_upstreams())
-        {
-            let known = all.iter().any(|held| held.name == upstream.name);
-            if !known && !self.has_deregistered(&upstream.name, upstream.incarnation) {
-                all.push(upstream.clone());
-            }
-        }
-        all
-    }
-
-    /// Names of all models served by live upstreams, sorted and without duplicates.
-    pub fn models(&self) -> Vec<String> {
-        let model_upstreams =
-            self.upstreams().into_iter().filter(|held| held.kind == UpstreamKind::Model);
-        let mut models: Vec<String> = model_upstreams.flat_map(|held| held.serves).collect();
-        models.sort();
-        models.dedup();
-        models
-    }
 }
--- /dev/null
+++ b/crates/router/src/upstream_directory.rs
@@ -0,0 +1,169 @@
+//! The router's knowledge of upstreams: which there are, and which of them may get a request.
+
+use crate::table_view::ANNOUNCEMENT_LIFETIME;
+use arc_swap::ArcSwap;
+use baobabfall_core::departure_set::{DepartureList, DepartureSet};
+use baobabfall_core::upstream_registry::{
+    AnnouncementRefusal, UpstreamAnnouncement, UpstreamKind, UpstreamRegistry, WorkTarget,
+};
+use baobabfall_node::messages::{RegistryView, UpstreamWithdrawal};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::time::Instant;
+
+/// Upstreams from the controllers' registry, from announcements to this router, and those that
+/// have left. A departure outweighs every registry, whatever its age or term.
+#[derive(Debug)]
+pub struct UpstreamDirectory {
+    registry_view: ArcSwap<RegistryView>,
+    /// Upstreams of the previous leader's registry, with the time until which they
+    /// are used.
+    previous: ArcSwap<(Vec<UpstreamAnnouncement>, Instant)>,
+    departures: ArcSwap<DepartureSet>,
+    /// Upstreams that announced themselves to this router.
+    local: Mutex<UpstreamRegistry>,
+    started: Instant,
+}
+
+impl Default for UpstreamDirectory {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl UpstreamDirectory {
+    /// Creates a directory without any upstream.
+    pub fn new() -> Self {
+        Self {
+            registry_view: ArcSwap::from_pointee(RegistryView {
+                version: (0, 0),
+                upstreams: Vec::new(),
+            }),
+            previous: ArcSwap::from_pointee((Vec::new(), Instant::now())),
+            departures: ArcSwap::default(),
+            local: Mutex::new(UpstreamRegistry::default()),
+            started: Instant::now(),
+        }
+    }
+
+    /// The upstream registry received from the controllers.
+    pub fn registry(&self) -> Arc<RegistryView> {
+        self.registry_view.load_full()
+    }
+
+    /// True once a registry has been received from the controllers.
+    pub fn has_registry(&self) -> bool {
+        self.registry_view.load().version != (0, 0)
+    }
+
+    /// Replaces the registry if `view` has a higher version; returns whether it did.
+    ///
+    /// A new leader may not have received an announcement of every upstream yet, so
+    /// the upstreams of the previous leader's registry are kept for one lifetime.
+    pub fn set_registry(&self, view: RegistryView) -> bool {
+        let held = self.registry_view.load();
+        let newer = view.version > held.version;
+        if newer {
+            if view.version.0 > held.version.0 {
+                let until = Instant::now() + ANNOUNCEMENT_LIFETIME;
+                self.previous.store(Arc::new((held.upstreams.clone(), until)));
+            }
+            self.registry_view.store(Arc::new(view));
+        }
+        newer
+    }
+
+    /// Version of the log's set of departures up to which this router knows all.
+    pub fn departures_version(&self) -> u64 {
+        self.departures.load().version()
+    }
+
+    /// Adds departures from the log and returns the names of those that are new.
+    pub fn add_departures(&self, list: &DepartureList) -> Vec<String> {
+        let mut next = DepartureSet::clone(&self.departures.load());
+        let added = next.merge(list);
+        self.departures.store(Arc::new(next));
+        added
+    }
+
+    fn local(&self) -> MutexGuard<'_, UpstreamRegistry> {
+        let mut local = self.local.lock().unwrap_or_else(PoisonError::into_inner);
+        local.expire(self.started.elapsed());
+        local
+    }
+
+    /// Applies an announcement that an upstream sent to this router. Fails if the
+    /// announcement is not valid or is out of date.
+    pub fn announce(&self, announcement: UpstreamAnnouncement) -> Result<(), AnnouncementRefusal> {
+        self.local().announce(self.started.elapsed(), ANNOUNCEMENT_LIFETIME, announcement)
+    }
+
+    /// Applies a withdrawal that an upstream sent to this router; returns whether an
+    /// announcement was withdrawn.
+    pub fn withdraw(&self, withdrawal: &UpstreamWithdrawal) -> bool {
+        self.local().withdraw(self.started.elapsed(), &withdrawal.name, withdrawal.incarnation)
+    }
+
+    /// True if this incarnation of the upstream has left: its departure is in the log, it told this
+    /// router that it is leaving, or a later incarnation announced itself. Such an incarnation must
+    /// get no request.
+    pub fn has_left(&self, name: &str, incarnation: u64) -> bool {
+        if self.departures.load().has_left(name, incarnation) {
+            return true;
+        }
+        let local = self.local();
+        let entry = local.entries().get(name);
+        entry.is_some_and(|entry| {
+            let held = &entry.announcement;
+            held.incarnation > incarnation || (held.incarnation == incarnation && held.leaving)
+        })
+    }
+
+    /// Upstreams from the previous leader's registry, or none after their lifetime.
+    fn previous_upstreams(&self) -> Vec<UpstreamAnnouncement> {
+        let previous = self.previous.load();
+        if Instant::now() < previous.1 { previous.0.clone() } else { Vec::new() }
+    }
+
+    /// True if at least one known upstream can serve the target.
+    pub fn is_served(&self, target: &WorkTarget) -> bool {
+        let previous = self.previous_upstreams();
+        let registry = self.registry_view.load();
+        let mut known = registry.upstreams.iter().chain(&previous);
+        known.any(|held| held.can_serve(target) && !self.has_left(&held.name, held.incarnation))
+            || self.local().live().any(|entry| entry.announcement.can_serve(target))
+    }
+
+    /// Number of live upstreams that can serve the target.
+    pub fn serving_count(&self, target: &WorkTarget) -> usize {
+        self.upstreams().iter().filter(|upstream| upstream.can_serve(target)).count()
+    }
+
+    /// All live upstreams. An announcement that this router received directly takes
+    /// precedence over the controllers' registry.
+    pub fn upstreams(&self) -> Vec<UpstreamAnnouncement> {
+        let mut all: Vec<UpstreamAnnouncement> =
+            self.local().live().map(|entry| entry.announcement.clone()).collect();
+        {
+            let departures = self.departures.load();
+            all.retain(|held| !departures.has_left(&held.name, held.incarnation));
+        }
+        for upstream in self.registry_view.load().upstreams.iter().chain(&self.previous_upstreams())
+        {
+            let known = all.iter().any(|held| held.name == upstream.name);
+            if !known && !self.has_left(&upstream.name, upstream.incarnation) {
+                all.push(upstream.clone());
+            }
+        }
+        all
+    }
+
+    /// Names of all models served by live upstreams, sorted and without duplicates.
+    pub fn models(&self) -> Vec<String> {
+        let model_upstreams =
+            self.upstreams().into_iter().filter(|held| held.kind == UpstreamKind::Model);
+        let mut models: Vec<String> = model_upstreams.flat_map(|held| held.serves).collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+}
--- a/crates/router/src/upstream_pool.rs
+++ b/crates/router/src/upstream_pool.rs
@@ -49,6 +49,9 @@
     /// No byte of the request was written, so it cannot have run.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The upstream may get no more requests, so none was written.
+    #[error("the upstream has left")]
+    Withheld,
     /// The request may have been sent, so it may have run.
     #[error("{0}")]
     Sent(String),
@@ -153,7 +156,8 @@
         None
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer. `permits` is asked right before the
+    /// request is written: connecting may take longer than a departure needs to arrive.
     ///
     /// If a pooled connection turns out to be closed before the request was sent,
     /// the request is sent on a new connection.
@@ -162,12 +166,16 @@
         route: &UpstreamRoute,
         mut request: Request<Full<Bytes>>,
         repeatable: bool,
+        permits: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, UpstreamConnection), ExchangeError> {
         let key = (route.name.clone(), route.incarnation);
         let limit = if repeatable { Duration::MAX } else { NON_REPEATABLE_IDLE_TIME };
         if let Some(sender) = self.take_ready(&key, limit).await {
             let pool = Arc::clone(self);
             let connection = UpstreamConnection { sender, key: key.clone(), pool, reused: true };
+            if !permits() {
+                return Err(ExchangeError::Withheld);
+            }
             request = match connection.send(request).await {
                 Ok(answer) => return Ok(answer),
                 Err((_, Some(unsent))) => *unsent,
@@ -175,6 +183,9 @@
             };
         }
         let connection = self.connect(route, key).await.map_err(ExchangeError::NotSent)?;
+        if !permits() {
+            return Err(ExchangeError::Withheld);
+        }
         connection.send(request).await.map_err(|(reason, unsent)| match unsent {
             Some(_) => ExchangeError::NotSent(reason),
             None => ExchangeError::Sent(reason),
--- a/crates/router/tests/drain_and_sync.rs
+++ b/crates/router/tests/drain_and_sync.rs
@@ -176,7 +176,7 @@
     let path = "/upstreams/v1/withdraw";
     let answer = fleet_call(&router, Method::POST, path, UPSTREAM_TOKEN, withdrawal).await;
     assert_eq!(answer.status, 200);
-    assert!(router.handle.state().fleet.has_deregistered("engine-9", 1));
+    assert!(router.handle.state().fleet.directory().has_left("engine-9", 1));
     wait_for("both messages to be forwarded", || controller.script().forwarded.len() == 2).await;
     assert!(matches!(&controller.script().forwarded[0], AnnounceMessage::Announce(_)));
     let metrics = fleet_call(&router, Method::GET, "/metrics", METRICS_TOKEN, String::new()).await;
--- a/crates/router/tests/exchange_load.rs
+++ b/crates/router/tests/exchange_load.rs
@@ -81,7 +81,14 @@
         script.registry_version += 1;
     }
     wait_for("the registry update", || {
-        site.handle.state().fleet.registry().upstreams.iter().all(|upstream| upstream.leaving)
+        site.handle
+            .state()
+            .fleet
+            .directory()
+            .registry()
+            .upstreams
+            .iter()
+            .all(|upstream| upstream.leaving)
     })
     .await;
     let answer = site.call(Method::POST, "/plain-once/x", &[]).await;
--- a/crates/router/tests/stream_relay.rs
+++ b/crates/router/tests/stream_relay.rs
@@ -93,7 +93,7 @@
             script.registry_version += 1;
         }
         wait_for("the new incarnation", || {
-            router.handle.state().fleet.registry().upstreams[0].incarnation == 2
+            router.handle.state().fleet.directory().registry().upstreams[0].incarnation == 2
         })
         .await;
         upstream.open_gate();
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -229,7 +229,8 @@
         let upstream_count = site.controller.upstream_count();
         wait_for("the router to become ready", || {
             site.state.is_ready()
-                && site.handle.state().fleet.registry().upstreams.len() == upstream_count
+                && site.handle.state().fleet.directory().registry().upstreams.len()
+                    == upstream_count
         })
         .await;
         site
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -1,5 +1,6 @@
 //! A fake controller that grants waiting requests slots of the upstreams in turn.
 
+use baobabfall_core::departure_set::DepartureList;
 use baobabfall_core::dispatch_messages::{
     BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, LimitList, OriginAnswer,
     PartList, SlotGrant, StreamKey, StreamOrigin,
@@ -32,6 +33,8 @@
     pub upstreams: Vec<UpstreamAnnouncement>,
     pub stops: Vec<PlannedStop>,
     pub stops_version: u64,
+    /// Departures in sync answers.
+    pub departures: Option<DepartureList>,
     /// Route table in sync answers.
     pub routes: Option<Arc<RouteTable>>,
     pub registry_version: u64,
@@ -91,6 +94,7 @@
             upstreams,
             stops: Vec::new(),
             stops_version: 0,
+            departures: None,
             routes: None,
             registry_version: 1,
             confirmed: true,
@@ -198,6 +202,10 @@
         let view = RegistryView { version, upstreams: script.upstreams.clone() };
         let stops = StopList { version: script.stops_version, stops: script.stops.clone() };
         SyncAnswer {
+            departures: script
+                .departures
+                .clone()
+                .filter(|list| list.version > request.departures_version),
             routes: script.routes.clone().filter(|routes| routes.version > request.routes_version),
             routes_age_ms: 0,
             controllers: Vec::new(),
@@ -220,6 +228,7 @@
         let answer = build(&script.lock().unwrap());
         let has_update = answer.table.is_some()
             || answer.stops.is_some()
+            || answer.departures.is_some()
             || answer.registry.is_some()
             || answer.routes.is_some();
         if has_update || !answer.leads || remaining_wait_ms == 0 {
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -109,7 +109,8 @@
         let router = Self::start(&[controller.address], limits).await;
         wait_for("the router to become ready", || {
             let state = router.handle.state();
-            let known = state.fleet.registry().upstreams.len() == controller.upstream_count();
+            let known =
+                state.fleet.directory().registry().upstreams.len() == controller.upstream_count();
             state.is_healthy() && known
         })
         .await;
