The dispatcher lives for its log term; nodes sync with any controller in contact

Cause: a lapse of the lease ended the dispatcher although nobody else was elected, so that each router sent a full report, which made the loop late again. Every router polled the leader for tables and registry, and all controllers four times a second without one. The published view, not the clock, told whether the lease was valid. Change: a dispatcher ends with its log term; while the lease has lapsed it applies reports, and neither grants nor acknowledges. The lease is compared with the clock at each grant. Followers that hear from their group answer polls like the leader, with the leader's registry; each router polls the follower that its name selects, and returns to it after 5 s elsewhere. Rounds of requests to all controllers, and attempts to open a channel, slow down while nobody answers. Conclusion: polls, and the rebuilding after a lapse, are off the loop that holds the lead.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -293,9 +293,9 @@
             let deregistered = api.replica.state().deregistered().clone();
             api.registry.update_deregistered(&deregistered);
         }
-        match versions.leading_term {
+        match versions.led_term {
             Some(term) => {
-                if !api.dispatch.has_dispatcher_for(term) {
+                if versions.leads && !api.dispatch.has_dispatcher_for(term) {
                     api.registry.extend_live_entries();
                     api.dispatch.lead(term, &api.tracker.live_routers(MAX_ROUTER_SILENCE));
                 }
@@ -409,6 +409,7 @@
             // Controllers receive the route table and departures through the log, not through a sync.
             routes_version: u64::MAX,
             departures_version: u64::MAX,
+            leader_term: u64::MAX,
             node: node.clone(),
             kind: NodeKind::Controller,
             zone: api.options.settings.node.zone.clone(),
--- a/crates/controller/src/dispatch_channel.rs
+++ b/crates/controller/src/dispatch_channel.rs
@@ -115,7 +115,8 @@
                 }
             }
             match self.service.take_answer(seat) {
-                Ok(answer) => self.send(channel, answer).await?,
+                Ok(Some(answer)) => self.send(channel, answer).await?,
+                Ok(None) => self.acknowledge_at = Instant::now() + ACKNOWLEDGE_DELAY,
                 Err(kind) => return self.refuse(channel, kind).await,
             }
         }
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -90,9 +90,8 @@
     /// Starts a dispatcher for a log term in which this controller leads. Does nothing if one is
     /// already running for that term.
     ///
-    /// A leader that loses its quorum and regains it starts a second dispatcher in the same log
-    /// term, which must ignore reports and grants of the first. Each dispatcher therefore has its
-    /// own dispatch term, made of the log term and a counter.
+    /// Each dispatcher has its own dispatch term, made of the log term and a counter, so that it
+    /// ignores reports to an earlier one and routers refuse grants of that.
     ///
     /// `expected` names the routers whose full reports end the recovery of the dispatcher.
     pub fn lead(&self, term: u64, expected: &[String]) {
@@ -132,8 +131,15 @@
     pub async fn run_turns(&self) {
         loop {
             self.submitted.notified().await;
-            let now = self.now();
-            self.lock().grant_slots(now);
+            self.grant_slots(&mut self.lock());
+        }
+    }
+
+    /// Makes the grants that are possible, and wakes the channels that have something to send. Does
+    /// nothing while the lease has lapsed.
+    fn grant_slots(&self, inner: &mut DispatchInner) {
+        if self.replica.leads() {
+            inner.grant_slots(self.now());
         }
     }
 
@@ -182,11 +188,15 @@
         Ok(())
     }
 
-    /// Returns the answer for the router of a channel.
-    pub fn take_answer(&self, seat: &ChannelSeat) -> Result<DispatchAnswer, ErrorKind> {
-        if !self.replica.leads() {
+    /// Returns the answer for the router of a channel; `None` while the lease has lapsed, when
+    /// neither a grant nor an acknowledgement may be sent.
+    pub fn take_answer(&self, seat: &ChannelSeat) -> Result<Option<DispatchAnswer>, ErrorKind> {
+        if !self.replica.leads_term() {
             return Err(ErrorKind::NotLeader);
         }
+        if !self.replica.leads() {
+            return Ok(None);
+        }
         let now = self.now();
         let mut inner = self.lock();
         if !inner.is_seated(seat) {
@@ -201,7 +211,7 @@
         if dispatcher.needs_answer(&seat.router.name) {
             seat.waker.notify_one();
         }
-        Ok(answer)
+        Ok(Some(answer))
     }
 
     /// Applies `change` to the dispatcher, if there is one, and makes all grants that are possible
@@ -212,7 +222,7 @@
         if let Some(dispatcher) = &mut inner.dispatcher {
             change(dispatcher, now);
         }
-        inner.grant_slots(now);
+        self.grant_slots(&mut inner);
     }
 
     /// Evaluates `view` on the dispatcher; `None` if no dispatcher is running.
@@ -321,13 +331,13 @@
         inner.apply(now, report)?;
         let waker = inner.wakers.get_or_insert_with(report.router.name.clone(), Arc::default);
         let waker = Arc::clone(waker);
-        inner.grant_slots(now);
+        self.grant_slots(&mut inner);
         Ok(waker)
     }
 
-    /// Checks that this controller leads and that the router was not removed.
+    /// Checks that this controller leads its term and that the router was not removed.
     fn check_sender(&self, router: &NodeIdentity) -> Result<(), ErrorKind> {
-        if !self.replica.leads() {
+        if !self.replica.leads_term() {
             return Err(ErrorKind::NotLeader);
         }
         match self.replica.state().is_removed(router) {
--- a/crates/controller/src/registry_service.rs
+++ b/crates/controller/src/registry_service.rs
@@ -23,6 +23,8 @@
     start: Instant,
     announcement_lapse: Duration,
     registry: Arc<Mutex<UpstreamRegistry>>,
+    /// The latest view of a leader, which a follower passes on unchanged.
+    copied: Arc<Mutex<Option<RegistryView>>>,
     version: watch::Sender<u64>,
 }
 
@@ -30,7 +32,13 @@
     /// Creates an empty registry whose announcements expire after `announcement_lapse` unless
     /// renewed. The registry's clock counts from `start`.
     pub fn new(start: Instant, announcement_lapse: Duration) -> Self {
-        Self { start, announcement_lapse, registry: Arc::default(), version: watch::Sender::new(0) }
+        Self {
+            start,
+            announcement_lapse,
+            registry: Arc::default(),
+            copied: Arc::default(),
+            version: watch::Sender::new(0),
+        }
     }
 
     /// Time after which an announcement expires unless the upstream renews it.
@@ -96,24 +104,31 @@
         self.publish(version);
     }
 
-    /// Version of the [`RegistryView`] that a leader of `term` sends: the term and the version of
-    /// the registry.
-    pub fn version(&self, term: u64) -> (u64, u64) {
-        (term, self.lock().version())
-    }
-
-    /// Live upstreams in the form in which a leader of `term` sends them to other nodes.
-    pub fn view(&self, term: u64) -> RegistryView {
+    /// Live upstreams in the form in which a leader of `term` sends them to other nodes; `None`
+    /// unless that is newer than the version `held`.
+    pub fn newer_view(&self, term: u64, held: (u64, u64)) -> Option<RegistryView> {
         let registry = self.lock();
-        RegistryView {
-            version: (term, registry.version()),
+        let version = (term, registry.version());
+        (version > held).then(|| RegistryView {
+            version,
             upstreams: registry.live().map(|entry| entry.announcement.clone()).collect(),
-        }
+        })
+    }
+
+    /// The latest view of a leader that this follower has copied; `None` unless it is newer than
+    /// the version `held`.
+    pub fn newer_copy(&self, held: (u64, u64)) -> Option<RegistryView> {
+        self.lock_copied().as_ref().filter(|view| view.version > held).cloned()
+    }
+
+    fn lock_copied(&self) -> MutexGuard<'_, Option<RegistryView>> {
+        self.copied.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Replaces a follower's copy by the leader's view.
     pub fn copy_from(&self, view: RegistryView) {
         let expires_at = self.now() + COPIED_ENTRY_TTL;
+        *self.lock_copied() = Some(view.clone());
         let mut registry = self.lock();
         registry.copy_live(expires_at, view.upstreams);
         let version = registry.version();
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -13,6 +13,7 @@
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_node::units::wall_clock_ms;
 use rand::Rng;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -40,6 +41,10 @@
     /// True while this replica is the leader, its leader lease is valid, and it has applied what
     /// was committed in earlier terms.
     pub leads: bool,
+    /// Term that this replica leads, also while its lease has lapsed and nobody else was elected.
+    pub led_term: Option<u64>,
+    /// True while this replica hears from its group, so that its applied state is recent.
+    pub in_contact: bool,
     /// Index of the last committed log entry.
     pub committed: u64,
     /// Current membership of the group.
@@ -62,8 +67,14 @@
     pub routes_applied: Option<Instant>,
     /// Version of the set of deregistered upstreams.
     pub deregistered_version: u64,
-    /// Current term while this replica leads, otherwise `None`.
-    pub leading_term: Option<u64>,
+    /// Term that this replica leads, also while its lease has lapsed.
+    pub led_term: Option<u64>,
+    /// True while this replica leads and its lease is valid.
+    pub leads: bool,
+    /// Term of the leader that this replica knows; `None` while it knows none.
+    pub leader_term: Option<u64>,
+    /// Value of [`ReplicaView::in_contact`].
+    pub in_contact: bool,
 }
 
 /// Error returned for a proposal, membership change or read that failed.
@@ -116,6 +127,31 @@
     view: watch::Receiver<ReplicaView>,
     versions: watch::Receiver<SyncVersions>,
     state: Arc<Mutex<ControlState>>,
+    lease: LeaseClock,
+}
+
+/// End of the leader lease, which other threads compare with the clock: the published view may be
+/// old when the task of the replica is late.
+#[derive(Clone, Debug)]
+struct LeaseClock {
+    start: Instant,
+    /// Microseconds since the start; 0 without a lease.
+    end_us: Arc<AtomicU64>,
+}
+
+impl LeaseClock {
+    fn new(start: Instant) -> Self {
+        Self { start, end_us: Arc::default() }
+    }
+
+    fn set(&self, end: Option<Duration>) {
+        let end = end.map_or(0, |end| u64::try_from(end.as_micros()).unwrap_or(u64::MAX));
+        self.end_us.store(end, Ordering::Release);
+    }
+
+    fn is_valid(&self) -> bool {
+        self.start.elapsed() < Duration::from_micros(self.end_us.load(Ordering::Acquire))
+    }
 }
 
 impl ReplicaHandle {
@@ -124,9 +160,14 @@
         self.view.borrow().clone()
     }
 
-    /// Value of [`ReplicaView::leads`].
+    /// Value of [`ReplicaView::leads`], unless the lease has ended since it was published.
     pub fn leads(&self) -> bool {
-        self.view.borrow().leads
+        self.view.borrow().leads && self.lease.is_valid()
+    }
+
+    /// True while this replica leads its term, also while its lease has lapsed.
+    pub fn leads_term(&self) -> bool {
+        self.view.borrow().led_term.is_some()
     }
 
     /// A receiver that is notified of each change of the view.
@@ -210,6 +251,7 @@
     reads: SortedMap<u64, oneshot::Sender<Result<(), ReplicaRefusal>>>,
     last_request_number: u64,
     routes_applied: Option<Instant>,
+    lease: LeaseClock,
 }
 
 impl<R: Rng + Send + 'static> ReplicaDriver<R> {
@@ -232,6 +274,7 @@
             view: view_receiver,
             versions,
             state: Arc::clone(&state),
+            lease: LeaseClock::new(start),
         };
         let driver = Self {
             core,
@@ -247,6 +290,7 @@
             reads: SortedMap::new(),
             last_request_number: 0,
             routes_applied: None,
+            lease: handle.lease.clone(),
         };
         (driver, handle)
     }
@@ -377,7 +421,9 @@
     }
 
     fn publish(&self, failed: Option<String>) {
-        let next = view_of(&self.core, self.start.elapsed(), failed);
+        let now = self.start.elapsed();
+        let next = view_of(&self.core, now, failed);
+        self.lease.set(self.core.lease_end(now));
         let versions = {
             let state = self.locked_state();
             SyncVersions {
@@ -386,7 +432,10 @@
                 routes_version: state.routes_version(),
                 routes_applied: self.routes_applied,
                 deregistered_version: state.deregistered_version(),
-                leading_term: next.leads.then_some(next.term),
+                led_term: next.led_term,
+                leads: next.leads,
+                leader_term: next.leader.as_ref().map(|_| next.term),
+                in_contact: next.in_contact,
             }
         };
         self.versions
@@ -424,6 +473,8 @@
         term: core.term(),
         leader: core.leader().cloned(),
         leads: failed.is_none() && core.leads_with_current_state(now),
+        led_term: core.led_term().filter(|_| failed.is_none()),
+        in_contact: failed.is_none() && core.is_in_contact(now),
         committed: core.commit_index(),
         members: core.members().clone(),
         failed,
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -81,8 +81,8 @@
     }
 
     /// Answers immediately if the node is outdated; otherwise answers when something changes or
-    /// the wait ends. Only the leader holds an answer back. Another controller may be cut off from
-    /// the changes, so a node must not wait there.
+    /// the wait ends. A controller that does not hear from its group may be cut off from the
+    /// changes, so it holds no answer back.
     pub async fn sync(&self, request: &SyncRequest) -> SyncAnswer {
         self.tracker.record_sync(request);
         if request.revision == 0 && request.wait_ms == 0 {
@@ -100,8 +100,9 @@
                 || answer.stops.is_some()
                 || answer.registry.is_some()
                 || answer.departures.is_some()
-                || answer.routes.is_some();
-            if has_changes || !answer.leads || Instant::now() >= end {
+                || answer.routes.is_some()
+                || answer.leader.is_some() && answer.term > request.leader_term;
+            if has_changes || !answer.in_contact || Instant::now() >= end {
                 return answer;
             }
             tokio::select! {
@@ -148,9 +149,10 @@
             .map(|record| std::sync::Arc::clone(&record.table));
         let departures = state.departures_since(request.departures_version);
         drop(state);
-        let current_version = self.registry.version(view.term);
-        let registry = (view.leads && request.registry_version != current_version)
-            .then(|| self.registry.view(view.term));
+        let registry = match view.leads {
+            true => self.registry.newer_view(view.term, request.registry_version),
+            false => self.registry.newer_copy(request.registry_version),
+        };
         let routes_age =
             self.replica.watch_versions().borrow().routes_applied.map(|at| at.elapsed());
         let controllers =
@@ -158,6 +160,7 @@
         SyncAnswer {
             confirmed: false,
             leads: view.leads,
+            in_contact: view.in_contact,
             term: view.term,
             leader,
             revision,
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -180,6 +180,7 @@
         in_progress: 0,
         wait_ms: 0,
         departures_version: 0,
+        leader_term: u64::MAX,
     }
 }
 
--- a/crates/controller/tests/open_group.rs
+++ b/crates/controller/tests/open_group.rs
@@ -169,6 +169,7 @@
         wait_ms: 0,
         routes_version: 0,
         departures_version: 0,
+        leader_term: u64::MAX,
     }
 }
 
--- a/crates/core/src/replica_election.rs
+++ b/crates/core/src/replica_election.rs
@@ -15,14 +15,39 @@
     /// True while no other replica can be elected: this replica leads, and a quorum
     /// answered messages that were sent less than [`LEADER_LEASE`] ago.
     pub fn has_lease(&self, now: Duration) -> bool {
-        self.role == ReplicaRole::Leader
-            && self.quorum_contact_time(now).is_some_and(|contact| contact + LEADER_LEASE > now)
+        self.lease_end(now).is_some_and(|end| end > now)
+    }
+
+    /// Time at which the lease ends unless a quorum answers until then; `None` if this replica
+    /// does not lead or no quorum has answered it.
+    pub fn lease_end(&self, now: Duration) -> Option<Duration> {
+        let contact = self.quorum_contact_time(now).filter(|_| self.role == ReplicaRole::Leader);
+        contact.map(|contact| contact + LEADER_LEASE)
     }
 
     /// True while this replica leads and has applied everything that was committed in earlier
     /// terms. A leader learns what was committed with the first entry of its own term.
     pub fn leads_with_current_state(&self, now: Duration) -> bool {
-        self.has_lease(now) && self.commit_index() >= self.term_start_index
+        self.has_lease(now) && self.led_term().is_some()
+    }
+
+    /// Term in which this replica leads and has applied everything that was committed in earlier
+    /// terms, whether or not its lease is valid at the moment.
+    pub fn led_term(&self) -> Option<u64> {
+        let is_current = self.commit_index() >= self.term_start_index;
+        (self.role == ReplicaRole::Leader && is_current).then(|| self.term())
+    }
+
+    /// True while this replica hears from its group: it leads with a valid lease, or heard the
+    /// leader so recently that it would not vote for another.
+    pub fn is_in_contact(&self, now: Duration) -> bool {
+        match self.role {
+            ReplicaRole::Leader => self.has_lease(now),
+            ReplicaRole::Follower | ReplicaRole::Learner => {
+                self.leader.is_some() && self.last_leader_contact + ELECTION_TIMEOUT_MIN > now
+            }
+            ReplicaRole::PreCandidate | ReplicaRole::Candidate => false,
+        }
     }
 
     /// Latest time such that a quorum answered messages sent at that time or later.
--- a/crates/core/tests/replica_core.rs
+++ b/crates/core/tests/replica_core.rs
@@ -370,6 +370,22 @@
     assert!(!core.has_lease(ms(2400)));
 }
 
+/// Guards against a dispatcher that is thrown away, and rebuilt by every router at once, whenever
+/// the lease lapses although nobody else was elected.
+#[test]
+fn led_term_outlives_lapse_of_the_lease() {
+    let mut core = elected_leader(ms(2000));
+    core.handle(ms(2001), [ReplicaEvent::Synced { sequence: 2 }]);
+    core.handle(ms(2002), [ReplicaEvent::Synced { sequence: 3 }, ack(2, 1, ms(2001))]);
+    assert_eq!((core.led_term(), core.has_lease(ms(2400))), (Some(1), true));
+    core.handle(ms(2500), [ReplicaEvent::Tick]);
+    assert_eq!((core.led_term(), core.has_lease(ms(2500))), (Some(1), false));
+    core.handle(ms(2510), [ack(2, 1, ms(2450))]);
+    assert_eq!((core.led_term(), core.has_lease(ms(2510))), (Some(1), true));
+    core.handle(ms(9000), [ReplicaEvent::Tick]);
+    assert_eq!(core.led_term(), None);
+}
+
 /// Guards against a commit or a lease through the answer of a replica that has the
 /// name of a voter but lost its disk.
 #[test]
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -72,7 +72,7 @@
     pub registry_version: (u64, u64),
     /// Requests in progress at the node, shown as the progress of planned stops.
     pub in_progress: u32,
-    /// Time for which the leader may delay the answer until something changes, in
+    /// Time for which the controller may delay the answer until something changes, in
     /// milliseconds (long polling).
     pub wait_ms: u32,
     /// Version of the route table that the node holds; zero when it has none.
@@ -81,6 +81,9 @@
     /// Version of the set of departed upstreams that the node holds.
     #[serde(default)]
     pub departures_version: u64,
+    /// Term of the leader that the node knows.
+    #[serde(default)]
+    pub leader_term: u64,
 }
 
 /// Answer to a [`SyncRequest`]. Revisions and versions only increase.
@@ -92,6 +95,9 @@
     /// True when the answering controller is the leader and holds its lease.
     #[serde(default)]
     pub leads: bool,
+    /// True when the answering controller hears from its group, so that it knows of recent changes.
+    #[serde(default)]
+    pub in_contact: bool,
     /// Current term of the answering controller.
     pub term: u64,
     /// Address of the leader for other processes, if known.
@@ -102,7 +108,7 @@
     pub table: Option<TableUpdate>,
     /// Planned stops, when the node's version differs.
     pub stops: Option<StopList>,
-    /// Live upstreams, from a leader and when the node's version differs.
+    /// Live upstreams, when the node's version is older. A follower sends the leader's view.
     pub registry: Option<RegistryView>,
     /// Departures that the controller has applied and the node lacks, from any controller.
     #[serde(default)]
--- a/crates/router/src/dispatch_client.rs
+++ b/crates/router/src/dispatch_client.rs
@@ -38,8 +38,11 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause after an error that another leader would return as well.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(500);
-/// Pause after a failed report.
+/// Pause after a channel that ended or was not opened.
 const FAILURE_PAUSE: Duration = Duration::from_millis(25);
+/// Upper bound to which the pause grows while no controller accepts a channel. The attempts of a
+/// whole fleet would otherwise keep the controllers from electing a leader.
+const MAX_FAILURE_PAUSE: Duration = Duration::from_millis(200);
 
 /// A report on a channel that is not answered yet.
 #[derive(Debug)]
@@ -151,15 +154,23 @@
     /// Exchanges reports and grants with the leader, whichever controller that is. Runs until
     /// the task is dropped.
     pub async fn run(&self) {
+        let mut pause = FAILURE_PAUSE;
         loop {
             let leader = self.link.leader();
-            let begun = Instant::now();
+            let (begun, answered) = (Instant::now(), self.last_answer());
             match self.link.open_channel(leader, DISPATCH_PATH, DISPATCH_PROTOCOL).await {
                 Ok(channel) => self.run_channel(leader, channel).await,
                 Err(error) if error.kind() == ErrorKind::NotFound => self.run_exchanges().await,
                 Err(error) => self.record_failure(leader, &error, begun).await,
             }
-            tokio::time::sleep(FAILURE_PAUSE).await;
+            if self.last_answer() > answered {
+                pause = FAILURE_PAUSE;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.link.leader_changed() => pause = FAILURE_PAUSE,
+            }
+            pause = (pause * 2).min(MAX_FAILURE_PAUSE);
         }
     }
 
--- a/crates/router/src/leader_link.rs
+++ b/crates/router/src/leader_link.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
 
 /// Number of connections above which those to non-members are closed.
 const CLIENT_LIMIT: usize = 16;
@@ -24,6 +25,8 @@
     /// Controller addresses from the settings.
     seeds: Mutex<Vec<SocketAddr>>,
     state: Mutex<LinkState>,
+    /// Notified when a controller names a leader of a higher term.
+    elected: Notify,
     token: CredentialFile,
     metrics: NodeMetrics,
 }
@@ -44,7 +47,7 @@
         let leader = addresses[0];
         let members = Vec::new();
         let state = Mutex::new(LinkState { members, term: 0, leader, clients: SortedMap::new() });
-        Self { seeds: Mutex::new(addresses), state, token, metrics }
+        Self { seeds: Mutex::new(addresses), state, elected: Notify::new(), token, metrics }
     }
 
     /// Addresses of all known controllers: reported members first, then addresses
@@ -60,6 +63,17 @@
         all
     }
 
+    /// Addresses of the group members as last reported; those of the settings before that.
+    pub fn members(&self) -> Vec<SocketAddr> {
+        let members = self.state().members.clone();
+        if members.is_empty() { self.addresses() } else { members }
+    }
+
+    /// Highest term in which a controller named a leader; 0 before the first.
+    pub fn leader_term(&self) -> u64 {
+        self.state().term
+    }
+
     /// Replaces the addresses from the settings after the settings have changed.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
@@ -91,11 +105,19 @@
     /// higher term is already known.
     pub fn set_leader(&self, term: u64, leader: SocketAddr) {
         let mut state = self.state();
+        if term > state.term {
+            self.elected.notify_waiters();
+        }
         if term >= state.term {
             (state.term, state.leader) = (term, leader);
         }
     }
 
+    /// Waits until a controller names a leader of a higher term.
+    pub async fn leader_changed(&self) {
+        self.elected.notified().await;
+    }
+
     /// Selects the next controller as presumed leader after a call to `address`
     /// showed that it does not lead or is unreachable.
     pub fn leader_failed(&self, address: SocketAddr) {
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -20,9 +20,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::Instant;
 
-/// How long the leader may hold a long poll until there are updates, in milliseconds.
+/// How long a controller may hold a long poll until there are updates, in milliseconds.
 const SYNC_WAIT_MS: u32 = 1000;
 /// Time in which a controller must answer, in addition to the long-poll wait. One
 /// unanswered poll and one round of requests to all controllers take 1.8 s, which
@@ -32,16 +32,24 @@
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Answer timeout for the initial table, which the leader confirms with its group.
 const INITIAL_TABLE_TIMEOUT: Duration = Duration::from_millis(1000);
-/// An answer that arrives sooner than this was not held by the leader.
+/// An answer that arrives sooner than this was not held by the controller.
 const HELD_ANSWER_MINIMUM: Duration = Duration::from_millis(50);
 /// Pause after an answer that was not held and had no updates.
 const IDLE_PAUSE: Duration = Duration::from_millis(200);
-/// Interval between rounds of requests to all controllers.
+/// First interval between rounds of requests to all controllers.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
+/// Upper bound to which that interval grows while no controller hears from its group. The rounds
+/// of a whole fleet would otherwise keep the controllers from electing a leader.
+const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(1000);
+/// How long a router polls another controller than its own before it tries its own again.
+const SUBSTITUTE_TIME: Duration = Duration::from_secs(5);
 /// Pause between attempts to fetch the initial table.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
-/// Long-polls the leader for updates, and searches for a new leader if that fails.
+/// Long-polls a controller for updates, and searches for another one if that fails.
+///
+/// Every controller that hears from its group knows of changes as soon as it applies them. Routers
+/// are spread over the followers, so that the leader has no load of their polls.
 #[derive(Debug)]
 pub struct TableSync {
     /// The router's copy of the tables, which is updated.
@@ -67,53 +75,87 @@
                 tokio::time::sleep(FAILURE_PAUSE).await;
             }
         }
-        let (mut last_led, mut answer_timeout) = (Instant::now(), ANSWER_TIMEOUT);
+        let (mut last_heard, mut answer_timeout) = (Instant::now(), ANSWER_TIMEOUT);
+        let mut source = self.own_controller();
+        let mut substituted = Instant::now();
         loop {
-            let address = self.link.leader();
-            if self.poll_leader(address, answer_timeout).await {
-                last_led = Instant::now();
+            if self.poll(source, answer_timeout).await {
+                last_heard = Instant::now();
                 answer_timeout = (answer_timeout / 2).max(ANSWER_TIMEOUT);
+                let own = self.own_controller();
+                if source != own && substituted.elapsed() >= SUBSTITUTE_TIME {
+                    substituted = Instant::now();
+                    if self.is_source(own).await {
+                        source = own;
+                    }
+                }
                 continue;
             }
             let version = self.fleet.routes_version();
-            log::warn!(event = "table_source_lost", controller = address.to_string(), silence_ms = millis(last_led.elapsed()), routes_version = version; "no leader answers the long poll for table updates; searching for a leader");
-            let (leader, needed_timeout) = self.find_leader().await;
-            answer_timeout = needed_timeout;
-            log::info!(event = "table_source_answers", controller = leader.to_string(), silence_ms = millis(last_led.elapsed()), routes_version = self.fleet.routes_version(); "found a leader that answers requests for table updates");
+            log::warn!(event = "table_source_lost", controller = source.to_string(), silence_ms = millis(last_heard.elapsed()), routes_version = version; "the controller does not answer the long poll for updates, or is cut off from its group; searching for another one");
+            (source, answer_timeout) = self.find_source().await;
+            substituted = Instant::now();
+            log::info!(event = "table_source_answers", controller = source.to_string(), silence_ms = millis(last_heard.elapsed()), routes_version = self.fleet.routes_version(); "found a controller that answers requests for updates");
         }
     }
 
-    /// Runs one long poll. Returns true if the controller is the leader, which means
+    /// The controller that this router polls when all of them work: a follower that its name
+    /// selects, or the leader of a group of one.
+    fn own_controller(&self) -> SocketAddr {
+        let leader = self.link.leader();
+        let mut others = self.link.members();
+        others.retain(|address| *address != leader);
+        others.sort();
+        let hash = blake3::hash(self.identity.name.as_bytes());
+        let number =
+            hash.as_bytes().first_chunk::<4>().map_or(0, |bytes| u32::from_le_bytes(*bytes));
+        let count = u32::try_from(others.len()).unwrap_or(u32::MAX);
+        let index = number.checked_rem(count).and_then(|index| usize::try_from(index).ok());
+        index.and_then(|index| others.get(index).copied()).unwrap_or(leader)
+    }
+
+    /// True if the controller answers at once and hears from its group.
+    async fn is_source(&self, address: SocketAddr) -> bool {
+        let Some(answer) = self.request_sync(address, 0, ANSWER_TIMEOUT).await else {
+            return false;
+        };
+        let is_source = answer.leads || answer.in_contact;
+        self.apply_newer(address, answer);
+        is_source
+    }
+
+    /// Runs one long poll. Returns true if the controller hears from its group, which means
     /// that no other controller can have newer data for long.
-    async fn poll_leader(&self, address: SocketAddr, answer_timeout: Duration) -> bool {
+    async fn poll(&self, address: SocketAddr, answer_timeout: Duration) -> bool {
         let started = Instant::now();
         let Some(answer) = self.request_sync(address, SYNC_WAIT_MS, answer_timeout).await else {
             return false;
         };
-        let leads = answer.leads;
+        let is_source = answer.leads || answer.in_contact;
         let updated = self.apply_newer(address, answer);
-        if leads && !updated && started.elapsed() < HELD_ANSWER_MINIMUM {
+        if is_source && !updated && started.elapsed() < HELD_ANSWER_MINIMUM {
             tokio::time::sleep(IDLE_PAUSE).await;
         }
-        leads
+        is_source
     }
 
-    /// Asks all controllers concurrently, in repeated rounds, until the leader
-    /// answers. Returns its address and the timeout with which it was asked.
+    /// Asks all controllers concurrently, in repeated rounds, until one answers that hears from
+    /// its group. Returns its address and the timeout with which it was asked.
     ///
     /// Each answer is applied as soon as it arrives: an unreachable controller
     /// delays no other, and a follower also has the table of its group. The timeout
     /// of a controller doubles with each failed call, because this router itself
     /// may be the slow one.
-    async fn find_leader(&self) -> (SocketAddr, Duration) {
-        let mut rounds = tokio::time::interval(ROUND_INTERVAL);
-        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    async fn find_source(&self) -> (SocketAddr, Duration) {
+        let (mut next_round, mut interval) = (Instant::now(), ROUND_INTERVAL);
         let mut timeouts: SortedMap<SocketAddr, Duration> = SortedMap::new();
         let mut pending: Vec<SocketAddr> = Vec::new();
         let mut answers = FuturesUnordered::new();
         loop {
             let (address, answer) = tokio::select! {
-                _ = rounds.tick() => {
+                () = tokio::time::sleep_until(next_round) => {
+                    next_round = Instant::now() + interval;
+                    interval = (interval * 2).min(MAX_ROUND_INTERVAL);
                     for address in self.link.addresses() {
                         if !pending.contains(&address) {
                             pending.push(address);
@@ -132,9 +174,12 @@
                 continue;
             };
             let (term, leads, timeout) = (answer.term, answer.leads, *timeout);
+            let is_source = leads || answer.in_contact;
             self.apply_newer(address, answer);
             if leads {
                 self.link.set_leader(term, address);
+            }
+            if is_source {
                 return (address, timeout);
             }
         }
@@ -156,6 +201,7 @@
             in_progress: self.in_progress.load(Ordering::Relaxed),
             routes_version: self.fleet.routes_version(),
             departures_version: self.fleet.directory().departures_version(),
+            leader_term: self.link.leader_term(),
             wait_ms,
         };
         let timeout = answer_timeout + Duration::from_millis(wait_ms.into());
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -47,6 +47,8 @@
     pub not_leader: bool,
     /// Value of `leads` in sync answers: whether this controller is the leader.
     pub leads: bool,
+    /// Value of `in_contact` in sync answers: whether a follower hears from its group.
+    pub in_contact: bool,
     pub leader: Option<SocketAddr>,
     pub term: u64,
     /// Number of grants that it may still make.
@@ -102,6 +104,7 @@
             delay: Duration::ZERO,
             not_leader: false,
             leads: true,
+            in_contact: false,
             leader: Some(address),
             term: 3,
             free_slots: usize::MAX,
@@ -211,6 +214,7 @@
             controllers: Vec::new(),
             confirmed: script.confirmed,
             leads: script.leads,
+            in_contact: script.in_contact,
             term: script.term,
             leader: script.leader,
             revision: 1,
