Any controller acknowledges what it has applied, and waits for the next leader

Cause: only the leader of the moment acknowledged a change, and refused it at once while its lease had lapsed. Change: a controller confirms a route table, or a departure, that it has applied from the log without asking the leader. Otherwise it waits for a leader within the call, for 850 ms, since callers move on after a second. A departure that is known needs no read through the quorum. Conclusion: an acknowledgement no longer depends on the leader that took the change.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -45,6 +45,11 @@
 const ANNOUNCEMENT_LIMIT: usize = 16 << 10;
 /// Timeout for forwarding an announcement or withdrawal to the leader.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a change waits for a leader, an election included. Callers try another controller
+/// after a second without an answer.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(850);
+/// Pause before a change that failed is tried again, unless the leadership changes sooner.
+const CHANGE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Request handler of a controller, with the services that it calls.
 #[derive(Clone, Debug)]
@@ -317,11 +322,62 @@
         }
     }
 
-    /// Applies an announcement or withdrawal to the leader's registry, from any controller.
+    /// Applies an announcement or withdrawal to the leader's registry, from any controller. While
+    /// there is no leader, waits for the next one for as long as the caller waits for an answer.
     ///
     /// Deregistrations are committed to the log before they are acknowledged. After success, a
-    /// deregistered upstream therefore gets no further grants, even from a later leader.
+    /// deregistered upstream therefore gets no further requests, whoever leads. One that this
+    /// controller has applied is acknowledged without the leader.
     pub async fn register(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
+        let deadline = Instant::now() + CHANGE_TIMEOUT;
+        loop {
+            if self.is_committed(&message) {
+                return Ok(());
+            }
+            let Err(refusal) = self.try_register(message.clone()).await else { return Ok(()) };
+            if !is_leader_missing(refusal.kind) || !self.wait_for_leader(deadline).await {
+                return Err(refusal);
+            }
+        }
+    }
+
+    /// True for departures only, all of which this controller has applied from the log.
+    fn is_committed(&self, message: &AnnounceMessage) -> bool {
+        let state = self.replica.state();
+        let has_left = |name: &str, incarnation: u64| {
+            let left = state.deregistered().get(name);
+            left.is_some_and(|left| left.incarnation >= incarnation)
+        };
+        match message {
+            AnnounceMessage::Announce(announcements) => announcements
+                .iter()
+                .all(|upstream| upstream.leaving && has_left(&upstream.name, upstream.incarnation)),
+            AnnounceMessage::Withdraw(withdrawal) => {
+                has_left(&withdrawal.name, withdrawal.incarnation)
+            }
+            AnnounceMessage::Depart(departure) => departure
+                .incarnation
+                .is_some_and(|incarnation| has_left(&departure.name, incarnation)),
+        }
+    }
+
+    /// Waits a moment before a change is tried again, until the leadership changes at the latest.
+    /// Returns false once `deadline` leaves no time for another attempt.
+    async fn wait_for_leader(&self, deadline: Instant) -> bool {
+        let mut versions = self.replica.watch_versions();
+        let retry_at = Instant::now() + CHANGE_RETRY_PAUSE;
+        if retry_at >= deadline {
+            return false;
+        }
+        let before = *versions.borrow_and_update();
+        let changed = versions
+            .wait_for(|next| (next.leads, next.leader_term) != (before.leads, before.leader_term));
+        // A failed attempt is repeated after the pause as well: the leader may only have been busy.
+        let _ = tokio::time::timeout_at(retry_at, changed).await;
+        true
+    }
+
+    async fn try_register(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
         if self.replica.leads() {
             return self.register_locally(message).await;
         }
@@ -379,12 +435,14 @@
         let known_incarnation =
             self.replica.state().deregistered().get(&name).map(|left| left.incarnation);
         if known_incarnation.is_some_and(|known| known >= incarnation) {
-            return self.replica.confirm_read().await;
+            return Ok(());
         }
         log::info!(event = "upstream_left", upstream = name.as_str(), incarnation = incarnation; "deregistering an upstream");
         let begun = Instant::now();
         let command = ControlCommand::UpstreamLeft { name: name.clone(), incarnation };
-        let committed = self.replica.propose(command).await;
+        let committed = tokio::time::timeout(CHANGE_TIMEOUT, self.replica.propose(command))
+            .await
+            .unwrap_or_else(|_| Err(late_commit()));
         let reason = committed.as_ref().err().map_or("", |refusal| refusal.kind.answer().code);
         log::info!(event = "departure_committed", upstream = name, incarnation = incarnation, waited_ms = millis(begun.elapsed()), reason = reason; "the commit of a departure has ended");
         committed.map(|_| ())
@@ -405,13 +463,33 @@
             let message = "Not enough controllers have joined the group yet.".to_owned();
             return Err(ReplicaRefusal { kind: ErrorKind::NoQuorum, message });
         }
-        let command = ControlCommand::ReplaceRoutes { table: Box::new(table), document };
-        match self.replica.propose(command).await? {
-            ControlAnswer::Routes(version) => Ok(version),
-            _ => Err(ReplicaRefusal {
-                kind: ErrorKind::Internal,
-                message: "The state machine returned an unexpected type of result.".to_owned(),
-            }),
+        let deadline = Instant::now() + CHANGE_TIMEOUT;
+        loop {
+            let committed = self.replica.state().routes_version();
+            if committed >= table.version {
+                return Ok(committed);
+            }
+            let command = ControlCommand::ReplaceRoutes {
+                table: Box::new(table.clone()),
+                document: document.clone(),
+            };
+            let proposed = tokio::time::timeout_at(deadline, self.replica.propose(command)).await;
+            let refusal = match proposed.unwrap_or_else(|_| Err(late_commit())) {
+                Ok(ControlAnswer::Routes(version)) => return Ok(version),
+                Ok(_) => {
+                    let message = "The state machine returned an unexpected type of result.";
+                    let kind = ErrorKind::Internal;
+                    return Err(ReplicaRefusal { kind, message: message.to_owned() });
+                }
+                Err(refusal) => refusal,
+            };
+            let can_redirect = self.replica.view().in_contact && self.leader_address().is_some();
+            if !is_leader_missing(refusal.kind)
+                || can_redirect
+                || !self.wait_for_leader(deadline).await
+            {
+                return Err(refusal);
+            }
         }
     }
 
@@ -431,6 +509,23 @@
     }
 }
 
+/// True if a change failed because no leader took it, so that the next leader may take it.
+fn is_leader_missing(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::NotLeader
+            | ErrorKind::NoQuorum
+            | ErrorKind::PeerUnreachable
+            | ErrorKind::OutcomeUnknown
+    )
+}
+
+/// The change may still be committed; sending it again is safe and tells whether it was.
+fn late_commit() -> ReplicaRefusal {
+    let message = "The change was not committed in time; send it again.".to_owned();
+    ReplicaRefusal { kind: ErrorKind::NoQuorum, message }
+}
+
 fn announcement_refusal(refusal: &AnnouncementRefusal) -> FullResponse {
     error_response(refusal.kind, &refusal.message)
 }
