Heartbeats, votes and the log of the group run on a thread of their own

Seen: event loops of leaders 0.3 to 1.1 s late after a change of the lead, with a lease of 400 ms. Cause: messages of the group, the log, registrations and acknowledgements were tasks of the event loop that also serves dispatch and polls. Tests and the bench's in-process controllers keep one loop unless they give a runtime.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -11,7 +11,7 @@
 use crate::operator_api::OperatorApi;
 use crate::operator_views;
 use crate::options::ControllerOptions;
-use crate::peer_links::{PeerAddresses, PeerLinks};
+use crate::peer_links::{PeerAddresses, PeerLinks, REPLICA_PATH};
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaDriver, ReplicaHandle};
 use crate::storage_worker::start_storage;
@@ -19,10 +19,11 @@
 use baobabfall_core::control_command::StopKind;
 use baobabfall_core::control_state::ControlState;
 use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::replica_core::{ReplicaCore, ReplicaOptions};
 use baobabfall_core::replica_members::{ReplicaIdentity, ReplicaMembers};
 use baobabfall_node::http_client::PeerClient;
-use baobabfall_node::http_server::{FullResponse, ServerLimits, serve_upgradeable};
+use baobabfall_node::http_server::{FullResponse, ServerLimits, error_response, serve_upgradeable};
 use baobabfall_node::loop_watch::watch_event_loop;
 use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest};
 use baobabfall_node::node_metrics::{NodeMetrics, start_incarnation};
@@ -37,9 +38,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior};
+use tokio_util::task::AbortOnDropHandle;
 
 /// Interval at which the dispatcher and the registry check their timeouts. Also the delay before
 /// a follower retries a registry copy that failed.
@@ -175,7 +178,8 @@
         stop: signal.clone(),
     };
     let mut tasks = JoinSet::new();
-    tasks.spawn(until_draining(driver.run(), signal.clone()));
+    let group = api.options.group_runtime.clone().unwrap_or_else(Handle::current);
+    tasks.spawn_on(until_draining(driver.run(), signal.clone()), &group);
     if api.options.settings.group.is_some() {
         let options = ControllerOptions::clone(&api.options);
         let membership_task = stay_in_group(options, replica.clone(), identity, advertised);
@@ -202,15 +206,42 @@
         tasks.spawn(until_draining(credential.clone().watch(), signal.clone()));
     }
     let handle_api = api.clone();
+    let work = api.options.group_runtime.as_ref().map(|_| Handle::current());
     let service = tower::service_fn(move |request: Request<Incoming>| {
-        let api = api.clone();
-        async move { Ok::<FullResponse, Infallible>(api.handle(request).await) }
+        let (api, work) = (api.clone(), work.clone());
+        async move { Ok::<FullResponse, Infallible>(handle_request(api, work, request).await) }
     });
-    tasks.spawn(serve_upgradeable(listener, service, ServerLimits::default(), signal));
+    let listener = move_listener(listener, &group)
+        .map_err(|error| ControllerError::Listen { address, reason: error.to_string() })?;
+    tasks.spawn_on(serve_upgradeable(listener, service, ServerLimits::default(), signal), &group);
     log::info!(event = "controller_started", address = address.to_string(); "controller started");
     Ok(ControllerHandle { address, replica, stop, tasks, api: handle_api, storage_stopped })
 }
 
+/// Handles messages of the group at once, and all other requests on the runtime `work`, if given.
+async fn handle_request(
+    api: ControlApi,
+    work: Option<Handle>,
+    request: Request<Incoming>,
+) -> FullResponse {
+    match work.filter(|_| request.uri().path() != REPLICA_PATH) {
+        None => api.handle(request).await,
+        Some(work) => {
+            let handled = work.spawn(async move { api.handle(request).await });
+            AbortOnDropHandle::new(handled).await.unwrap_or_else(|_| {
+                error_response(ErrorKind::Stopping, "This controller is shutting down.")
+            })
+        }
+    }
+}
+
+/// Registers a listener with the event loop of `runtime`.
+pub fn move_listener(listener: TcpListener, runtime: &Handle) -> std::io::Result<TcpListener> {
+    let listener = listener.into_std()?;
+    let _context = runtime.enter();
+    TcpListener::from_std(listener)
+}
+
 async fn until_draining(task: impl Future<Output = ()>, mut signal: StopSignal) {
     tokio::select! {
         () = task => {}
@@ -279,8 +310,9 @@
     Ok(OpenedReplica { driver, replica, identity, must_join, storage_stopped })
 }
 
-/// Runs a dispatcher while this controller leads, and passes it every change of the workspace
-/// table, the registry and the planned stops.
+/// Runs a dispatcher while this controller leads a term, and passes it every change of the workspace
+/// table, the registry and the planned stops. A lapse of the lease within the term does not end it,
+/// since nobody else was elected; it grants nothing until the lease is valid again.
 async fn run_dispatcher(api: ControlApi) {
     let mut replica = api.replica.watch_versions();
     let mut registry = api.registry.watch();
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -26,6 +26,7 @@
 use crate::cli::BaobabfallController;
 use crate::error::ControllerError;
 use crate::options::{ControllerOptions, ControllerSettings};
+use baobabfall_node::control_runtime::ControlRuntime;
 use baobabfall_node::settings::load_settings;
 use baobabfall_node::stop_signal::terminate_requested;
 use std::path::Path;
@@ -41,7 +42,14 @@
         return Ok(());
     }
     let base = args.settings.parent().unwrap_or(Path::new("."));
-    let options = ControllerOptions::build(settings, base)?;
+    let group = ControlRuntime::start().map_err(|error| ControllerError::Storage {
+        kind: baobabfall_core::error_kind::ErrorKind::Internal,
+        message: format!("The thread of the group cannot start: {error}."),
+    })?;
+    let options = ControllerOptions {
+        group_runtime: Some(group.handle().clone()),
+        ..ControllerOptions::build(settings, base)?
+    };
     let handle = controller::start(options).await?;
     let failure = tokio::select! {
         _ = terminate_requested() => None,
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -10,6 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::runtime::Handle;
 
 /// Default time after which an announcement lapses unless renewed. A router drops an upstream that
 /// it can't confirm after another 500 ms, so a crashed upstream gets no new work after 3 s.
@@ -184,6 +185,9 @@
     pub metrics: CredentialFile,
     /// Addresses of the peers. They may be replaced while the process runs.
     pub seeds: SeedList,
+    /// Runtime for the messages and the log of the group, so that heartbeats and commits do not
+    /// wait behind dispatch and polls; the caller's runtime if `None`.
+    pub group_runtime: Option<Handle>,
 }
 
 /// Shared list of controller addresses, which is replaced when the settings change.
@@ -228,6 +232,15 @@
         settings.storage.folder = folder;
         let seeds = SeedList::default();
         seeds.replace(settings.peers.iter().map(|peer| peer.address).collect());
-        Ok(Self { settings, announcement_lapse, process, operator, upstream, metrics, seeds })
+        Ok(Self {
+            settings,
+            announcement_lapse,
+            process,
+            operator,
+            upstream,
+            metrics,
+            seeds,
+            group_runtime: None,
+        })
     }
 }
--- a/crates/node/src/control_runtime.rs
+++ b/crates/node/src/control_runtime.rs
@@ -1,9 +1,9 @@
-//! Runtime for the exchange with the controllers, on a thread of its own.
+//! Runtime for control traffic, on a thread of its own.
 //!
-//! Reports, grants and tables must not wait behind the requests of callers. On a
-//! shared event loop every step of an exchange waits until all requests that are ready
-//! had their turn, so that a flood of requests delays grants past the queue time of
-//! the requests that they are for.
+//! On a shared event loop every step of an exchange waits until all requests that are ready had
+//! their turn. A flood of callers' requests then delays a router's grants past the queue time of the
+//! requests that they are for, and a flood of reports delays the heartbeats of a leading controller
+//! past its lease.
 
 use std::io;
 use tokio::runtime::{Builder, Handle, Runtime};
@@ -11,7 +11,7 @@
 /// A runtime with one thread; dropping it ends its tasks.
 ///
 /// ```
-/// use baobabfall_router::control_runtime::ControlRuntime;
+/// use baobabfall_node::control_runtime::ControlRuntime;
 /// let control = ControlRuntime::start().unwrap();
 /// let task = control.handle().spawn(async { 7 });
 /// assert_eq!(control.handle().block_on(task).unwrap(), 7);
--- a/crates/node/src/frame_channel.rs
+++ b/crates/node/src/frame_channel.rs
@@ -94,7 +94,9 @@
             .map_err(|_| io::Error::other("the connection is not a TCP stream"))?;
         let mut received = BytesMut::with_capacity(BUFFER_BYTES);
         received.extend_from_slice(&parts.read_buf);
-        Ok(Self { stream: parts.io.into_inner(), received })
+        // Registered anew, since the listener may belong to the event loop of another thread.
+        let stream = TcpStream::from_std(parts.io.into_inner().into_std()?)?;
+        Ok(Self { stream, received })
     }
 
     /// Opens a channel to the peer at `address`.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod accept_gate;
 pub mod bounded_stream;
 pub mod codec;
+pub mod control_runtime;
 pub mod counted_stream;
 pub mod credentials;
 pub mod frame_channel;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod cancel_guard;
 #[allow(missing_docs)]
 pub mod cli;
-pub mod control_runtime;
 pub mod direct_slots;
 pub mod dispatch_client;
 pub mod drain;
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -1,10 +1,10 @@
 //! Runs the router as a standalone process.
 
 use crate::cli::BaobabfallRouter;
-use crate::control_runtime::ControlRuntime;
 use crate::error::RouterError;
 use crate::options::{RouterListeners, RouterOptions};
 use crate::router::Router;
+use baobabfall_node::control_runtime::ControlRuntime;
 use baobabfall_node::json_log;
 use baobabfall_node::stop_signal::terminate_requested;
 use log::LevelFilter;
--- a/crates/router/tests/exchange_load.rs
+++ b/crates/router/tests/exchange_load.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use baobabfall_router::control_runtime::ControlRuntime;
+use baobabfall_node::control_runtime::ControlRuntime;
 use http::Method;
 use std::sync::Arc;
 use std::time::Duration;
