--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -45,9 +45,9 @@
 const ANNOUNCEMENT_LIMIT: usize = 16 << 10;
 /// Timeout for forwarding an announcement or withdrawal to the leader.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long a change waits for a leader, an election included. Callers try another controller
-/// after a second without an answer.
-const CHANGE_TIMEOUT: Duration = Duration::from_millis(850);
+/// How long a change waits for a leader and its commit. Covers an election; callers with less
+/// patience close their connection, which ends the wait.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Pause before a change that failed is tried again, unless the leadership changes sooner.
 const CHANGE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
