--- a/crates/router/tests/support/fake_upstream.rs
+++ b/crates/router/tests/support/fake_upstream.rs
@@ -20,6 +20,8 @@
     /// Sends the text again and again until the router closes the connection.
     Endless(String),
     Close,
+    /// Ends the connection with a TCP reset.
+    Reset,
 }
 
 #[derive(Default)]
@@ -121,6 +123,7 @@
                     break;
                 }
                 Step::Close => return,
+                Step::Reset => return stream.set_zero_linger().unwrap(),
             }
         }
     }
