Answers: a late copy without an id is not taken for the next answer

Cause: a response that names no request was refused only with a status of 2xx or as a refusal. A second copy of a 404 or 500 that arrived while the kept connection carried another request became that request's answer. Change: on a reused connection, each response without a request id is a failure. Measured: late_copy_of_an_answer_is_not_taken_for_the_next failed before (the 404 of another request, 502 expected) and passes now, for copies of 200, 404 and 500, buffered and as streams. Conclusion: callers got the failure of another request; now they get a 502.

--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -137,9 +137,9 @@
     if has_other_id {
         return failed("the response belongs to another request");
     }
-    // Without an id, a refusal may be a second copy of one that was for an earlier request.
-    if (head.misdirected || head.not_run) && head.request_id.is_none() && is_reused {
-        return failed("the refusal names no request and the connection has carried others");
+    // Without an id, the response may be a second copy of one that was for an earlier request.
+    if head.request_id.is_none() && is_reused {
+        return failed("the response names no request and the connection has carried others");
     }
     if head.misdirected {
         let reason = "the address now belongs to another upstream".to_owned();
--- a/crates/router/tests/repeated_refusals.rs
+++ b/crates/router/tests/repeated_refusals.rs
@@ -1,4 +1,4 @@
-//! Tests with upstreams that write an earlier refusal once more on a kept connection.
+//! Tests with upstreams that write an earlier refusal or other answer once more on a kept connection.
 
 #![allow(clippy::unwrap_used)]
 
@@ -80,3 +80,27 @@
     }
     assert_eq!(site.upstreams[0].log().connections, 3);
 }
+
+/// Guards against a caller who gets a second copy of the answer to an earlier request, which
+/// arrives when the connection is in use again.
+#[tokio::test]
+async fn late_copy_of_an_answer_is_not_taken_for_the_next() {
+    for path in ["/once/x", "/stream/x"] {
+        for copy in [
+            answer_with(200, "x-request: r0\r\nx-mark: m\r\n", "copy"),
+            answer_with(200, "x-mark: m\r\n", "copy"),
+            answer_with(404, "x-request: r0\r\nx-mark: m\r\n", "copy"),
+            answer_with(404, "x-mark: m\r\n", "copy"),
+            answer_with(500, "x-mark: m\r\n", "copy"),
+        ] {
+            let first = answer_with(200, "x-request: r0\r\nx-mark: m\r\n", "first");
+            let late = [copy.clone(), marked_answer("own")].concat();
+            let site = ExchangeSite::start(vec![vec![first, late]]).await;
+            let first = site.call(Method::POST, "/once/x", &[("x-request", "r0")]).await;
+            assert_eq!(first.body, "first");
+            let answer = site.call(Method::POST, path, &[]).await;
+            assert_eq!(answer.status.as_u16(), 502, "{path}: {copy:?} {}", answer.body);
+            assert_eq!(site.upstreams[0].log().connections, 1);
+        }
+    }
+}
