Streams: a router without the dispatcher does not go on with a stream

Cause: in local mode a router placed requests that go on with a stream by its last registry. Change: such requests wait up to 1 s for the dispatcher, and slots of local mode are not used for them. Without an answer a new attempt gets 503 with a time to come back, and a stream that is being relayed breaks off. With health checks, which tell incarnations apart, local mode is unchanged. Measured: taken_up_stream_is_not_placed_without_dispatcher (200, 503 expected) and broken_stream_is_not_continued_without_dispatcher (complete, broken expected) failed before and pass now; the other ten tests of stream_versions pass. Conclusion: a cut-off router refuses rather than guesses. A router that froze and uses grants from before the freeze is not covered by this.

--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -9,10 +9,12 @@
 use crate::exchange_stream::{pump_events, pump_frames};
 use crate::lease_book::QueueKey;
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
+use crate::stream_lookup::ANSWER_WAIT;
 use baobabfall_core::dispatch_messages::{
     CostUnits, LeaseEnd, PartId, PromptSummary, StreamOrigin, UNITS_PER_TOKEN, UpstreamRoute,
 };
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::part_book::RequestSuspects;
 use baobabfall_core::route_table::{RouteKind, RouteRow};
 use baobabfall_core::stream_origins::stream_key;
@@ -43,6 +45,8 @@
 /// Time without an answer from the dispatcher after which it may be unreachable.
 /// Must be longer than its poll interval of 200 ms.
 const DISPATCHER_SILENCE: Duration = Duration::from_millis(260);
+/// How often a request that needs the dispatcher checks whether it answers again.
+const DISPATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Of 256 exchanges that succeed at the first attempt, the number that is logged.
 const LOGGED_SAMPLE_OF_256: u8 = 16;
 /// Shortest `Retry-After` of a rejection. The actual value is spread evenly
@@ -245,6 +249,10 @@
                 lease.finish(LeaseEnd::Unused);
                 continue;
             }
+            if self.is_bound() && self.is_unverified(&lease) {
+                lease.finish(LeaseEnd::Unused);
+                continue;
+            }
             if let Some(left) = self.quarantine_left() {
                 lease.finish(LeaseEnd::Unused);
                 return Err((ErrorKind::PromptQuarantined, Some(left)));
@@ -268,6 +276,29 @@
         }
     }
 
+    fn is_bound(&self) -> bool {
+        matches!(self.binding, StreamBinding::Version(_))
+    }
+
+    /// True if nothing confirms the software version of the slot's upstream. Without the
+    /// dispatcher and health checks, a router does not learn that an upstream came back under its
+    /// name with other software.
+    fn is_unverified(&self, lease: &SlotLease) -> bool {
+        !self.state.router.options.health_checks && lease.slot().lease.term == LOCAL_TERM
+    }
+
+    /// Waits until the dispatcher answers, which alone knows the software versions.
+    async fn wait_for_dispatcher(&self) -> Result<(), (ErrorKind, Option<Duration>)> {
+        let limit = self.call.deadline.min(Instant::now() + ANSWER_WAIT);
+        while self.state.router.dispatch.is_lost() {
+            if Instant::now() >= limit {
+                return Err((ErrorKind::PeerUnreachable, None));
+            }
+            tokio::time::sleep(DISPATCHER_CHECK_INTERVAL).await;
+        }
+        Ok(())
+    }
+
     /// Records a failed attempt. Returns true when the request may be sent to
     /// another upstream. If the request was already sent, the retry is taken from
     /// the budget.
@@ -445,6 +476,9 @@
     }
 
     async fn wait_for_slot(&mut self) -> Result<SlotLease, (ErrorKind, Option<Duration>)> {
+        if self.is_bound() && !self.state.router.options.health_checks {
+            self.wait_for_dispatcher().await?;
+        }
         let call = &self.call;
         let target = self.target();
         let is_bound = target.software.is_some();
--- a/crates/router/src/stream_lookup.rs
+++ b/crates/router/src/stream_lookup.rs
@@ -11,7 +11,7 @@
 /// Most streams that a router asks for at once.
 const LOOKUP_LIMIT: usize = 1024;
 /// Longest wait for the dispatcher's answer: the time in which another leader takes over.
-const ANSWER_WAIT: Duration = Duration::from_secs(1);
+pub(crate) const ANSWER_WAIT: Duration = Duration::from_secs(1);
 /// Time in which the router that began a stream has reported it. A caller whose connection
 /// broke may be faster at another router.
 const REPORT_DELAY: Duration = Duration::from_millis(200);
--- a/crates/router/tests/stream_versions.rs
+++ b/crates/router/tests/stream_versions.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use baobabfall_core::dispatch_messages::StreamOrigin;
+use baobabfall_core::local_dispatcher::LocalSettings;
 use baobabfall_core::route_table::RouteShare;
 use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_core::stream_origins::stream_key;
@@ -122,6 +123,53 @@
     assert_eq!(site.request_count(0), 0);
 }
 
+/// Stops the controller's answers and waits until the router places requests itself, also beyond
+/// the slots that it held.
+async fn cut_off(site: &ExchangeSite) {
+    site.controller.script().silent = true;
+    let state = site.handle.state();
+    wait_for("local mode", || {
+        site.handle.is_local() && state.dispatch.silence() > LocalSettings::default().isolation_wait
+    })
+    .await;
+}
+
+/// Guards against a router that was cut off while an upstream came back under its name with other
+/// software, and that goes on there with a stream of the earlier version.
+#[tokio::test]
+async fn taken_up_stream_is_not_placed_without_dispatcher() {
+    let site = site_of(vec![("v1", vec![broken_after_two(), rest_for("r2")])]).await;
+    begin_stream(&site).await;
+    cut_off(&site).await;
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "peer_unreachable"));
+    assert_ne!(answer.header("x-retry-ms"), "");
+    assert_eq!(site.request_count(0), 1);
+    site.controller.script().silent = false;
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert!(answer.complete, "{}", answer.body);
+    assert_eq!(answer.body, format!("{}{}", event(3), event(4)));
+}
+
+/// The same for a stream that breaks while the router is cut off and that it would continue itself.
+#[tokio::test]
+async fn broken_stream_is_not_continued_without_dispatcher() {
+    let mut broken = broken_after_two();
+    broken.insert(1, Step::Gate);
+    let site = site_of(vec![("v1", vec![broken, rest_for("r1")])]).await;
+    let call = site.call(Method::POST, "/resume/x", &[]);
+    let break_off = async {
+        wait_for("the request", || site.request_count(0) == 1).await;
+        site.controller.script().silent = true;
+        wait_for("local mode", || site.handle.is_local()).await;
+        site.upstreams[0].open_gate();
+    };
+    let (answer, ()) = tokio::join!(call, break_off);
+    assert!(!answer.complete);
+    assert_eq!(answer.body, format!("{}{}", event(1), event(2)));
+    assert_eq!(site.request_count(0), 1);
+}
+
 /// Guards against a stream that goes on at an upstream whose version is not known.
 #[tokio::test]
 async fn stream_of_unknown_version_is_not_continued() {
