Streams: one of unknown version makes its content ambiguous

Cause: a router recorded nothing when it began a stream at an upstream of unknown software version. Callers who name no request are matched by content, so such a stream went on at the version of an earlier stream of the same content. Marks of ambiguous streams could also be dropped from the reports above 16,384 unacknowledged streams. Change: the router records the stream without an origin, which the directories and reports already know as ambiguous. Measured: stream_of_unknown_version_makes_its_content_ambiguous failed before (200 with the events of v1, 503 expected) and passes; all 13 tests of stream_versions pass. The bound of unacknowledged streams has no test of its own. Conclusion: callers get 503 stream_unknown instead of a stream that may be of two versions.

--- a/crates/bench/src/origins.rs
+++ b/crates/bench/src/origins.rs
@@ -112,7 +112,7 @@
     for keys in [100_u32, 1_100] {
         let mut book = OriginBook::default();
         for _ in 0..keys {
-            book.record(Duration::ZERO, random.random(), &origin(1), PATIENCE, 1);
+            book.record(Duration::ZERO, random.random(), Some(&origin(1)), PATIENCE, 1);
         }
         let begun = book.report(Duration::ZERO, false, 0);
         let report = OriginReport { begun, lookups: Vec::new() };
--- a/crates/bench/src/router_model.rs
+++ b/crates/bench/src/router_model.rs
@@ -245,7 +245,7 @@
     if let Some(software) = &lease.route().software {
         let origin = StreamOrigin { service: MODEL.to_owned(), software: software.clone() };
         for key in [draw, draw.rotate_left(32)] {
-            queue.book().record_origin(key, &origin, PATIENCE);
+            queue.book().record_origin(key, Some(&origin), PATIENCE);
         }
     }
     lease.slot().meter.set_first_token(Instant::now());
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -217,20 +217,20 @@
 }
 
 impl OriginBook {
-    /// Records a stream that this router began.
+    /// Records a stream that this router began, with `None` if its software version is unknown.
     pub fn record(
         &mut self,
         now: Duration,
         key: StreamKey,
-        origin: &StreamOrigin,
+        origin: Option<&StreamOrigin>,
         left: Duration,
         sequence: u64,
     ) {
-        self.begun.record(now, key, Some(origin), left);
+        self.begun.record(now, key, origin, left);
         self.unacknowledged.insert(key, sequence);
         if self.unacknowledged.len() > ROUTER_STREAM_LIMIT {
             let begun = &self.begun;
-            self.unacknowledged.retain(|key, _| begun.find(now, *key).is_some());
+            self.unacknowledged.retain(|key, _| begun.locate(now, *key).is_some());
         }
     }
 
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -102,7 +102,7 @@
 #[test]
 fn report_repeats_until_acknowledged() {
     let mut book = OriginBook::default();
-    book.record(NOW, 7, &origin("v1"), Duration::from_secs(9), 4);
+    book.record(NOW, 7, Some(&origin("v1")), Duration::from_secs(9), 4);
     let keys = |groups: Vec<OriginGroup>| -> Vec<StreamKey> {
         groups.iter().flat_map(|group| group.streams.iter().map(|(key, _)| *key)).collect()
     };
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -326,22 +326,19 @@
         if self.binding != StreamBinding::Unbound {
             return;
         }
-        let Some(software) = route.software.clone() else {
-            self.binding = StreamBinding::Unresumable;
-            return;
-        };
         let call = &self.call;
-        let origin = StreamOrigin { service: call.service.clone(), software };
+        let service = call.service.clone();
+        let origin = route.software.clone().map(|software| StreamOrigin { service, software });
         if call.route.kind == RouteKind::ResumableStream {
             let patience = call.head.deadline.unwrap_or(call.route.timeout());
             let left = patience.saturating_sub(call.arrival.elapsed());
             let queue = &self.state.router.queue;
             for key in [stream_key(&call.workspace, &call.head.request_id), call.fingerprint] {
-                queue.book().record_origin(key, &origin, left);
+                queue.book().record_origin(key, origin.as_ref(), left);
             }
             queue.notify();
         }
-        self.binding = StreamBinding::Version(origin);
+        self.binding = origin.map_or(StreamBinding::Unresumable, StreamBinding::Version);
     }
 
     /// What an upstream must serve to run the request or to continue its stream.
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -275,8 +275,8 @@
     }
 
     /// Records the origin of a stream that this router began and whose caller may resume it
-    /// for the time `left`.
-    pub fn record_origin(&mut self, key: StreamKey, origin: &StreamOrigin, left: Duration) {
+    /// for the time `left`; `None` if its software version is unknown.
+    pub fn record_origin(&mut self, key: StreamKey, origin: Option<&StreamOrigin>, left: Duration) {
         let now = self.elapsed();
         self.origins.record(now, key, origin, left, self.sequence + 1);
     }
--- a/crates/router/tests/stream_versions.rs
+++ b/crates/router/tests/stream_versions.rs
@@ -237,6 +237,28 @@
     assert_eq!((site.request_count(0), site.request_count(1)), (2, 0));
 }
 
+/// Guards against a stream of unknown version that goes on at the version of an earlier stream of
+/// the same content.
+#[tokio::test]
+async fn stream_of_unknown_version_makes_its_content_ambiguous() {
+    let site = site_of(vec![
+        ("v1", vec![broken_after_two(), rest_for("r2")]),
+        ("", vec![broken_after_two()]),
+    ])
+    .await;
+    for _ in 0..2 {
+        begin_stream(&site).await;
+    }
+    assert_eq!((site.request_count(0), site.request_count(1)), (1, 1));
+    // The router reports a stream within a few milliseconds.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    site.controller.script().copy_reported_origins();
+    let takes_up = [("x-request", "r2"), ("x-last-event", "2")];
+    let answer = site.call(Method::POST, "/long-resume/x", &takes_up).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stream_unknown"));
+    assert_eq!(site.request_count(0) + site.request_count(1), 2);
+}
+
 /// Guards against callers who resume a stream of another workspace by its id.
 #[tokio::test]
 async fn stream_of_another_workspace_is_unknown() {
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -278,7 +278,10 @@
     pub fn copy_reported_origins(&mut self) {
         for group in self.reports.iter().flat_map(|report| &report.origins.begun) {
             for (key, _) in &group.streams {
-                self.origins.insert(*key, group.origin.clone().unwrap());
+                match &group.origin {
+                    Some(origin) => self.origins.insert(*key, origin.clone()),
+                    None => self.origins.remove(key),
+                };
             }
         }
     }
