Streams: one begun without the dispatcher has no known version

Cause: a router in local mode on a site without health checks recorded the version of its last registry as the origin of a stream. An upstream that came back under its name with other software meanwhile makes that wrong, and other routers went on with the stream at the recorded version. Change: a stream begun on a slot of local mode is recorded without an origin there. Measured: stream_begun_without_dispatcher_has_no_origin failed before (200, 503 stream_unknown expected) and passes. Conclusion: such a stream is not continued, neither by its router nor by another one.

--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -11,7 +11,7 @@
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
 use crate::stream_lookup::ANSWER_WAIT;
 use baobabfall_core::dispatch_messages::{
-    CostUnits, LeaseEnd, PartId, PromptSummary, StreamOrigin, UNITS_PER_TOKEN, UpstreamRoute,
+    CostUnits, LeaseEnd, PartId, PromptSummary, StreamOrigin, UNITS_PER_TOKEN,
 };
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
@@ -322,13 +322,14 @@
 
     /// Binds the stream to the software version of the upstream that sent its first event, and
     /// keeps that version for callers who resume the stream at another router.
-    pub(crate) fn bind_stream(&mut self, route: &UpstreamRoute) {
+    pub(crate) fn bind_stream(&mut self, lease: &SlotLease) {
         if self.binding != StreamBinding::Unbound {
             return;
         }
         let call = &self.call;
         let service = call.service.clone();
-        let origin = route.software.clone().map(|software| StreamOrigin { service, software });
+        let software = lease.route().software.clone().filter(|_| !self.is_unverified(lease));
+        let origin = software.map(|software| StreamOrigin { service, software });
         if call.route.kind == RouteKind::ResumableStream {
             let patience = call.head.deadline.unwrap_or(call.route.timeout());
             let left = patience.saturating_sub(call.arrival.elapsed());
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -206,7 +206,7 @@
         };
         if before == 0 && splitter.events() > 0 {
             meter.set_first_token(Instant::now());
-            run.bind_stream(opened.lease.route());
+            run.bind_stream(&opened.lease);
             run.meter.record_first_event(run.call.arrival.elapsed());
             // The first event shows that the prompt was processed. It is reported at
             // once, because the dispatcher then grants further prompts.
--- a/crates/router/tests/stream_versions.rs
+++ b/crates/router/tests/stream_versions.rs
@@ -170,6 +170,20 @@
     assert_eq!(site.request_count(0), 1);
 }
 
+/// Guards against a stream that a router which was cut off began at an upstream of unconfirmed
+/// version, and that goes on at the version that the router took for granted.
+#[tokio::test]
+async fn stream_begun_without_dispatcher_has_no_origin() {
+    let site = site_of(vec![("v1", vec![broken_after_two(), rest_for("r2")])]).await;
+    cut_off(&site).await;
+    begin_stream(&site).await;
+    site.controller.script().silent = false;
+    wait_for("the dispatcher", || !site.handle.is_local()).await;
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stream_unknown"));
+    assert_eq!(site.request_count(0), 1);
+}
+
 /// Guards against a stream that goes on at an upstream whose version is not known.
 #[tokio::test]
 async fn stream_of_unknown_version_is_not_continued() {
