A removal by the new leader is final; departures are committed before the registry takes them

Cause: previous_upstreams also overrode what the new leader had listed and then removed. And a leaving heartbeat changed the leader's registry before its commit: when that failed, the next copy of the heartbeat was stale for the registry and was acknowledged without a commit. Change: a removal drops the name from the previous registry too; register_locally commits first. A controller that has taken the lead ignores a late answer with the registry of the one before.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -397,12 +397,14 @@
     }
 
     async fn register_locally(&self, message: AnnounceMessage) -> Result<(), RegisterRefusal> {
-        let mut deregistrations = Vec::new();
+        // Departures are committed first: the registry would otherwise take a repeated message for
+        // one that was applied, and the upstream would get its acknowledgement without a commit.
         match message {
             AnnounceMessage::Announce(announcements) => {
                 for mut announcement in announcements {
                     if announcement.leaving {
-                        deregistrations.push((announcement.name.clone(), announcement.incarnation));
+                        let name = announcement.name.clone();
+                        self.commit_deregistration(name, announcement.incarnation).await?;
                     }
                     // The registry learns of departures a moment after the replica.
                     announcement.leaving |= self.has_left(&announcement);
@@ -410,20 +412,19 @@
                 }
             }
             AnnounceMessage::Withdraw(withdrawal) => {
+                let name = withdrawal.name.clone();
+                self.commit_deregistration(name, withdrawal.incarnation).await?;
                 self.registry.withdraw(&withdrawal.name, withdrawal.incarnation);
-                deregistrations.push((withdrawal.name, withdrawal.incarnation));
             }
             AnnounceMessage::Depart(departure) => {
                 let registered = self.registry.incarnation(&departure.name);
                 if let Some(incarnation) = departure.incarnation.or(registered) {
+                    let name = departure.name.clone();
+                    self.commit_deregistration(name, incarnation).await?;
                     self.registry.withdraw(&departure.name, incarnation);
-                    deregistrations.push((departure.name, incarnation));
                 }
             }
         }
-        for (name, incarnation) in deregistrations {
-            self.commit_deregistration(name, incarnation).await?;
-        }
         Ok(())
     }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -456,7 +456,8 @@
             client.call(SYNC_PATH, &token, &request, LEADER_TIMEOUT).await;
         match answer {
             Ok(answer) => {
-                if let Some(view) = answer.registry {
+                // An answer may arrive after this controller has taken the lead.
+                if let Some(view) = answer.registry.filter(|_| !api.replica.leads_term()) {
                     version = view.version;
                     api.registry.copy_from(view);
                 }
--- a/crates/core/tests/dispatch_guarantees.rs
+++ b/crates/core/tests/dispatch_guarantees.rs
@@ -390,6 +390,19 @@
     assert_eq!(fixture.dispatcher.dispatch(START), 0, "the request is not waiting twice");
 }
 
+/// Guards against a grant that is sent to a router again after its upstream has left.
+#[test]
+fn take_answer_departed_upstream_is_not_granted_again() {
+    let mut fixture = DispatchFixture::new(&[row("a", 1, 99)], 3);
+    let report = fixture.router.report(vec![entry("a", 1, 1_000)], vec![]);
+    fixture.dispatcher.apply_report(START, &report);
+    fixture.dispatcher.dispatch(START);
+    assert_eq!(fixture.dispatcher.take_answer(START, "r").grants.len(), 1);
+    fixture.dispatcher.set_upstreams(ms(100), &[]);
+    let repeated = fixture.dispatcher.take_answer(ms(3_100), "r").grants;
+    assert!(repeated.is_empty(), "granted 3 s after the departure: {repeated:?}");
+}
+
 /// Guards the line `dispatch_load`, which tells who holds slots and who returns them unused.
 #[test]
 fn take_load_names_routers_and_begins_new_counts() {
--- a/crates/router/src/upstream_directory.rs
+++ b/crates/router/src/upstream_directory.rs
@@ -58,7 +58,8 @@
     /// Replaces the registry if `view` has a higher version; returns whether it did.
     ///
     /// A new leader may not have received an announcement of every upstream yet, so
-    /// the upstreams of the previous leader's registry are kept for one lifetime.
+    /// the upstreams of the previous leader's registry are kept for one lifetime. One that the new
+    /// leader listed and then removed is not among them any more.
     pub fn set_registry(&self, view: RegistryView) -> bool {
         let held = self.registry_view.load();
         let newer = view.version > held.version;
@@ -66,12 +67,25 @@
             if view.version.0 > held.version.0 {
                 let until = Instant::now() + ANNOUNCEMENT_LIFETIME;
                 self.previous.store(Arc::new((held.upstreams.clone(), until)));
+            } else if Instant::now() < self.previous.load().1 {
+                self.forget_removed(&held, &view);
             }
             self.registry_view.store(Arc::new(view));
         }
         newer
     }
 
+    /// Drops the upstreams from the previous registry that `held` lists and `next` does not.
+    fn forget_removed(&self, held: &RegistryView, next: &RegistryView) {
+        let lists = |view: &RegistryView, name: &str| {
+            view.upstreams.iter().any(|upstream| upstream.name == name)
+        };
+        let previous = self.previous.load();
+        let mut kept = previous.0.clone();
+        kept.retain(|upstream| !lists(held, &upstream.name) || lists(next, &upstream.name));
+        self.previous.store(Arc::new((kept, previous.1)));
+    }
+
     /// Version of the log's set of departures up to which this router knows all.
     pub fn departures_version(&self) -> u64 {
         self.departures.load().version()
