A stopping router passes on only requests that end in time

Cause: during a graceful shutdown only streams on routes with a timeout of more than 1.5 times stop_running were refused, and only by their head. A request whose head or body became complete late, any request of another kind, and every retry were passed on, although their deadline lay beyond the end of the shutdown. Callers saw their connection closed without an answer, also for requests that may run once only.

Change: the shutdown fixes the time at which running requests end when it is announced (stop_notice + stop_queue + stop_running). The check covers retries and resumed streams. What surely ends in time is still served. This replaces the factor of 1.5.

Conclusion: nothing new is begun that the end of the shutdown would cut. A request that was passed on before the announcement and outlasts it is still cut.

--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -1,6 +1,7 @@
 //! Phases of a router's graceful shutdown.
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Progress of a graceful shutdown. The phases are passed in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +23,7 @@
 pub struct DrainState {
     phase: watch::Sender<DrainPhase>,
     requested: watch::Sender<bool>,
+    cutoff: watch::Sender<Option<Instant>>,
 }
 
 impl Default for DrainState {
@@ -36,6 +38,7 @@
         Self {
             phase: watch::Sender::new(DrainPhase::Serving),
             requested: watch::Sender::new(false),
+            cutoff: watch::Sender::new(None),
         }
     }
 
@@ -60,12 +63,30 @@
         });
     }
 
+    /// Announces a shutdown that ends running requests at `cutoff`; never if `None`.
+    pub fn announce(&self, cutoff: Option<Instant>) {
+        self.cutoff.send_replace(cutoff);
+        self.advance(DrainPhase::Announced);
+    }
+
+    /// Time at which the shutdown ends running requests, if one is announced and has
+    /// such a limit.
+    pub fn cutoff(&self) -> Option<Instant> {
+        *self.cutoff.borrow()
+    }
+
+    /// True if a request that lasts until `deadline` would be ended by the shutdown.
+    pub fn cuts(&self, deadline: Instant) -> bool {
+        self.cutoff().is_some_and(|cutoff| deadline > cutoff)
+    }
+
     /// Cancels an announced shutdown. Returns false, without effect, in any other
     /// phase.
     pub fn cancel_announcement(&self) -> bool {
         self.phase.send_if_modified(|held| {
             let announced = *held == DrainPhase::Announced;
             if announced {
+                self.cutoff.send_replace(None);
                 *held = DrainPhase::Serving;
             }
             announced
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -1,7 +1,6 @@
 //! Handles requests on the caller listener of a site with routes: finds the route,
 //! authenticates the caller, reads the body and starts the exchange.
 
-use crate::drain::DrainPhase;
 use crate::exchange_body::ExchangeBody;
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
 use crate::exchange_run::{ExchangeCall, ExchangeRun};
@@ -27,11 +26,7 @@
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// `Retry-After` during a graceful shutdown. Short, because other routers can take
 /// the request.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
-/// During a shutdown, new streams are rejected on routes whose timeout is more than
-/// this many times the limit for running requests. The factor is above 1 because
-/// streams rarely use their whole timeout.
-const STREAM_TIMEOUT_FACTOR: f64 = 1.5;
+pub(crate) const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Longest wait for memory for a request body.
 const BODY_MEMORY_WAIT: Duration = Duration::from_millis(100);
 /// Memory reserved, in bytes, for a request body without a declared length.
@@ -92,12 +87,6 @@
     let head = state.protocol.read_head(parts)?;
     let route = routes.find(&head.host, parts.uri.path()).ok_or(ErrorKind::NotFound)?.clone();
     let (workspace, forward_workspace) = charged_workspace(&routes, &route, &head)?;
-    if may_outlast_shutdown(state, &route) {
-        return Err(IntakeError {
-            kind: ErrorKind::Stopping,
-            retry_after: Some(SHUTDOWN_RETRY_AFTER),
-        });
-    }
     if state.router.is_overloaded() {
         return Err(IntakeError {
             kind: ErrorKind::LimitReached,
@@ -106,6 +95,12 @@
     }
     let deadline = head.deadline.unwrap_or(route.timeout()).min(route.timeout());
     let body = receive_body(state, &routes, parts, body).await?;
+    if state.router.drain.cuts(arrival + deadline) {
+        return Err(IntakeError {
+            kind: ErrorKind::Stopping,
+            retry_after: Some(SHUTDOWN_RETRY_AFTER),
+        });
+    }
     let target = parts.uri.path_and_query().cloned().ok_or(ErrorKind::MalformedRequest)?;
     let content = RequestContent {
         workspace: &workspace,
@@ -179,16 +174,6 @@
     })
 }
 
-/// True when the router is shutting down and a stream of the route may last longer
-/// than running requests are given. It would be cut off. Even a resumable one is better
-/// sent to another router at once than broken off and resumed there.
-fn may_outlast_shutdown<P: ExchangeProtocol>(state: &ExchangeState<P>, route: &RouteRow) -> bool {
-    let running = state.router.options.settings.limits.stop_running;
-    route.kind.is_stream()
-        && state.router.drain.phase() > DrainPhase::Serving
-        && running.is_some_and(|limit| route.timeout() > limit.0.mul_f64(STREAM_TIMEOUT_FACTOR))
-}
-
 /// Returns the workspace to charge and whether its name is forwarded to upstreams.
 fn charged_workspace(
     routes: &RouteIndex,
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -1,6 +1,7 @@
 //! Executes one exchange on a route: waits for an upstream slot, sends the
 //! request, retries failed attempts and returns the response.
 
+use crate::exchange_api::SHUTDOWN_RETRY_AFTER;
 use crate::exchange_body::{ExchangeBody, frame_body};
 use crate::exchange_meter::{ExchangeMeter, ExchangeOutcome};
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
@@ -257,6 +258,10 @@
                 lease.finish(LeaseEnd::Unused);
                 return Err((ErrorKind::PromptQuarantined, Some(left)));
             }
+            if self.is_cut_by_shutdown() {
+                lease.finish(LeaseEnd::Unused);
+                return Err((ErrorKind::Stopping, Some(SHUTDOWN_RETRY_AFTER)));
+            }
             match send_call(&self.state, &self.call, lease, last_event).await {
                 Ok(opened) => {
                     self.attempts += 1;
@@ -365,6 +370,12 @@
             }
     }
 
+    /// True when a shutdown of the router may end the request before its deadline. It is
+    /// then better refused than begun, as another router has the time.
+    fn is_cut_by_shutdown(&self) -> bool {
+        self.state.router.drain.cuts(self.call.deadline)
+    }
+
     fn is_past_deadline(&self) -> bool {
         Instant::now() >= self.call.deadline
     }
@@ -474,6 +485,9 @@
     }
 
     async fn wait_for_slot(&mut self) -> Result<SlotLease, (ErrorKind, Option<Duration>)> {
+        if self.is_cut_by_shutdown() {
+            return Err((ErrorKind::Stopping, Some(SHUTDOWN_RETRY_AFTER)));
+        }
         if self.is_bound() && !self.state.router.options.health_checks {
             self.wait_for_dispatcher().await?;
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -42,6 +42,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tower::Service;
 
@@ -416,9 +417,9 @@
         self.state.queue.deliver(decisions);
         self.state.queue.notify();
         let idle = self.wait_until(|state| state.in_progress() == 0);
-        match limits.stop_running {
-            Some(limit) => {
-                let _ = tokio::time::timeout(limit.0, idle).await;
+        match drain.cutoff() {
+            Some(cutoff) => {
+                let _ = tokio::time::timeout_at(cutoff, idle).await;
             }
             None => idle.await,
         }
@@ -444,10 +445,13 @@
     /// period has no effect.
     async fn announce_shutdown(&self) {
         let drain = &self.state.drain;
-        let notice = self.state.options.settings.limits.stop_notice.0;
+        let limits = &self.state.options.settings.limits;
+        let notice = limits.stop_notice.0;
+        let until_cutoff =
+            limits.stop_running.map(|running| notice + limits.stop_queue.0 + running.0);
         loop {
             self.wait_until(|state| state.drain.is_requested() || is_planned(state)).await;
-            drain.advance(DrainPhase::Announced);
+            drain.announce(until_cutoff.map(|time| Instant::now() + time));
             log::info!(event = "stop_announced"; "graceful shutdown announced");
             let cancelled =
                 self.wait_until(|state| !state.drain.is_requested() && !is_planned(state));
