A request that outlasts a shutdown gets an answer

Cause: at the end of a graceful shutdown, requests whose upstream had not answered were dropped with their connections. Callers saw a closed connection without an answer, which looks the same as a request that was lost on the way.

Change: when running requests end, an exchange whose answer has not begun is answered with 504 deadline_after_dispatch and Connection: close, or with the server error of an earlier attempt. The status promises nothing, as the request may have run. Its upstream connection is closed as before.

Before: failed, the answer was empty. After: it and the 6 other tests of the file pass.

Conclusion: only answers that have begun to be relayed are still cut at the end of a shutdown.

--- a/crates/router/src/drain.rs
+++ b/crates/router/src/drain.rs
@@ -93,6 +93,12 @@
         })
     }
 
+    /// Waits until `phase` or a later one is reached.
+    pub async fn reached(&self, phase: DrainPhase) {
+        let mut receiver = self.phase.subscribe();
+        let _ = receiver.wait_for(|held| *held >= phase).await;
+    }
+
     /// Requests the shutdown of the process.
     pub fn request(&self) {
         self.requested.send_replace(true);
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -1,6 +1,7 @@
 //! Executes one exchange on a route: waits for an upstream slot, sends the
 //! request, retries failed attempts and returns the response.
 
+use crate::drain::DrainPhase;
 use crate::exchange_api::SHUTDOWN_RETRY_AFTER;
 use crate::exchange_body::{ExchangeBody, frame_body};
 use crate::exchange_meter::{ExchangeMeter, ExchangeOutcome};
@@ -140,6 +141,17 @@
     Unresumable,
 }
 
+/// An upstream's answer that may be returned to the caller.
+#[derive(Debug)]
+enum OpenAnswer {
+    /// The body was read completely.
+    Whole(Response<ExchangeBody>),
+    /// The body is relayed as it arrives.
+    Frames(OpenExchange),
+    /// The body is relayed event by event.
+    Events(OpenExchange),
+}
+
 /// Execution of one exchange and its accounting.
 #[derive(Debug)]
 pub struct ExchangeRun<P: ExchangeProtocol> {
@@ -183,26 +195,43 @@
     }
 
     /// Executes the exchange and returns the response. The bodies of streams and of
-    /// large responses are relayed by a separate task.
+    /// large responses are relayed by a separate task. A request that is still running
+    /// when a shutdown ends is answered, because callers cannot tell a closed connection
+    /// from a lost one.
     pub async fn run(mut self) -> Response<ExchangeBody> {
         self.state.record_request(&self.call.service);
+        let router = Arc::clone(&self.state.router);
+        let answer = tokio::select! {
+            biased;
+            answer = self.open_answer() => answer,
+            () = router.drain.reached(DrainPhase::Drained) => {
+                Err((ErrorKind::DeadlineAfterDispatch, None))
+            }
+        };
+        match answer {
+            Ok(OpenAnswer::Whole(response)) => response,
+            Ok(OpenAnswer::Frames(opened)) => self.relay_frames(opened),
+            Ok(OpenAnswer::Events(opened)) => self.relay_events(opened),
+            Err((kind, wait)) => self.reject(kind, wait),
+        }
+    }
+
+    /// Sends the request until an upstream's answer may be returned to the caller.
+    async fn open_answer(&mut self) -> Result<OpenAnswer, (ErrorKind, Option<Duration>)> {
         let last_event = self.call.head.last_event;
         loop {
-            let opened = match self.open_next(last_event).await {
-                Ok(opened) => opened,
-                Err((kind, wait)) => return self.reject(kind, wait),
-            };
+            let opened = self.open_next(last_event).await?;
             let status = opened.parts.status;
             if status.is_success() && self.call.route.kind.is_stream() {
-                return self.relay_events(opened);
+                return Ok(OpenAnswer::Events(opened));
             }
             if content_length(&opened.parts).is_some_and(|length| length > BUFFERED_BODY_LIMIT) {
-                return self.relay_frames(opened);
+                return Ok(OpenAnswer::Frames(opened));
             }
             let response = match self.buffer_response(opened).await {
                 Ok(response) => response,
                 Err(failure) if self.record_failure(&failure) => continue,
-                Err(failure) => return self.reject(failure.kind, None),
+                Err(failure) => return Err((failure.kind, None)),
             };
             if status.is_server_error() && self.try_retry(true) {
                 self.may_have_run = true;
@@ -210,7 +239,7 @@
                 continue;
             }
             self.record_answered(status.as_u16(), 0);
-            return response;
+            return Ok(OpenAnswer::Whole(response));
         }
     }
 
--- a/crates/router/tests/exchange_stops.rs
+++ b/crates/router/tests/exchange_stops.rs
@@ -213,3 +213,24 @@
     }
     assert_eq!(site.request_count(0), served, "a refused request was passed on");
 }
+
+/// Guards against closing the connection of a request without an answer when its upstream does
+/// not answer before the shutdown ends.
+#[tokio::test]
+async fn stop_answers_requests_that_outlast_it() {
+    let site = ExchangeSite::start_with(vec![vec![vec![Step::Hang]; 3]], SHORT_STOP).await;
+    let mut connections = Vec::new();
+    for path in ["/once/x", "/read/x", "/stream/x"] {
+        let mut connection = CallerConnection::open(&site).await;
+        connection.write(&request_text(path, "4000")).await;
+        connections.push((path, connection));
+    }
+    wait_for("the requests to be passed on", || site.request_count(0) == 3).await;
+    site.handle.begin_stop();
+    for (path, connection) in connections {
+        let answer = connection.read_to_end().await;
+        assert!(answer.starts_with("HTTP/1.1 504 "), "{path}: {answer:?}");
+        assert_eq!(header_of(&answer, "connection"), "close", "{path}");
+    }
+    tokio::time::timeout(WAIT_LIMIT, site.handle.join()).await.expect("the router must exit");
+}
