A caller that stops reading frees its upstream at the deadline

Cause: the relay of an exchange watched the deadline only while it waited for the upstream. Once the buffers to a caller that reads nothing, or a few bytes now and then, were full, it waited for the caller without a limit, and kept the upstream's slot and connection as long as the caller stayed.

Change: passing bytes on to the caller ends at the deadline as well, for frames and for events.

Conclusion: a relay lasts no longer than its request's deadline.

--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -12,6 +12,7 @@
 use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_node::node_metrics::AnswerCompleteness;
 use baobabfall_node::units::millis;
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use http::{HeaderValue, StatusCode};
 use http_body_util::BodyExt;
@@ -35,6 +36,20 @@
     Broken(String),
 }
 
+/// Passes bytes on to the caller. Returns how the relay ends if the caller is gone or
+/// does not read them before the deadline.
+async fn relay_bytes(
+    sender: &Sender<FrameEvent>,
+    bytes: Bytes,
+    deadline: Instant,
+) -> Option<RelayEnd> {
+    match tokio::time::timeout_at(deadline, sender.send(FrameEvent::Data(bytes))).await {
+        Ok(Ok(())) => None,
+        Ok(Err(_)) => Some(RelayEnd::CallerGone),
+        Err(_) => Some(RelayEnd::Deadline),
+    }
+}
+
 /// Relays a body as it arrives, without interpreting it.
 pub(crate) async fn pump_frames<P: ExchangeProtocol>(
     mut run: ExchangeRun<P>,
@@ -53,8 +68,8 @@
             Some(Ok(frame)) => {
                 opened.connection.renew_allowance();
                 let Ok(bytes) = frame.into_data() else { continue };
-                if sender.send(FrameEvent::Data(bytes)).await.is_err() {
-                    break RelayEnd::CallerGone;
+                if let Some(end) = relay_bytes(&sender, bytes, run.call.deadline).await {
+                    break end;
                 }
             }
         }
@@ -217,8 +232,10 @@
             bytes_since_event = 0;
         }
         meter.charge((splitter.events() - before) * event_cost);
-        if !ready.is_empty() && sender.send(FrameEvent::Data(ready)).await.is_err() {
-            return RelayEnd::CallerGone;
+        if !ready.is_empty()
+            && let Some(end) = relay_bytes(sender, ready, run.call.deadline).await
+        {
+            return end;
         }
     }
 }
--- a/crates/router/tests/exchange_streams.rs
+++ b/crates/router/tests/exchange_streams.rs
@@ -105,3 +105,24 @@
         assert_eq!(answer.body, format!("{}{}", event(1), event(2)), "{next}");
     }
 }
+
+/// Guards against a caller that stops reading and occupies an upstream beyond its deadline.
+#[tokio::test]
+async fn exchange_stalled_caller_frees_upstream_at_deadline() {
+    let body = "a".repeat(1 << 10);
+    let large_event = chunk(&format!("id: 1\ndata: {body}\n\n"));
+    let endless_stream = vec![Step::Write(stream_head()), Step::Endless(large_event)];
+    let endless_body = vec![
+        Step::Write(
+            "HTTP/1.1 200 X\r\ncontent-length: 999999999\r\nx-request: r1\r\nx-mark: m\r\n\r\n"
+                .to_owned(),
+        ),
+        Step::Endless(body),
+    ];
+    for (path, script) in [("/stream/x", endless_stream), ("/once/x", endless_body)] {
+        let site = ExchangeSite::start(vec![vec![script]]).await;
+        let request = site.request(Method::POST, path, &[("x-wait-ms", "2000")], "");
+        let _unread = send(site.handle.caller_address(), request).await;
+        wait_for(path, || site.upstreams[0].log().closed == 1).await;
+    }
+}
