--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -7,7 +7,7 @@
     /// Runs one experiment with the real roles on loopback and simulated upstreams.
     ///
     /// Experiments: latency, integrity, drain, fairness, utilisation, flood, failover, control,
-    /// config, recovery, actions, slopes, origins, leader.
+    /// config, recovery, actions, slopes, origins, leader, departures.
     ///
     /// Examples:
     ///   baobabfall-bench latency
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod control;
 pub mod control_usage;
+pub mod departures;
 pub mod drain;
 pub mod error;
 pub mod experiment;
@@ -77,5 +78,6 @@
         ExperimentName::Slopes => slopes::run(options).await,
         ExperimentName::Origins => origins::run(options).await,
         ExperimentName::Leader => leader::run(options).await,
+        ExperimentName::Departures => departures::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -38,6 +38,7 @@
     Slopes "slopes",
     Origins "origins",
     Leader "leader",
+    Departures "departures",
 }
 
 /// What to run and how.
--- a/crates/bench/src/router_model.rs
+++ b/crates/bench/src/router_model.rs
@@ -18,6 +18,8 @@
 use baobabfall_router::dispatch_client::DispatchClient;
 use baobabfall_router::leader_link::LeaderLink;
 use baobabfall_router::request_queue::{QueueRequest, SharedQueue, SlotLease};
+use baobabfall_router::table_sync::TableSync;
+use baobabfall_router::table_view::FleetView;
 use hdrhistogram::Histogram;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -85,6 +87,7 @@
 pub struct RouterModels {
     queues: Vec<Arc<SharedQueue>>,
     clients: Vec<Arc<DispatchClient>>,
+    links: Vec<(NodeIdentity, Arc<LeaderLink>)>,
     tasks: JoinSet<()>,
     times: Arc<Mutex<GrantTimes>>,
 }
@@ -93,7 +96,8 @@
     BenchError::Fleet(error.to_string())
 }
 
-fn engine(index: usize, sequence: u64) -> UpstreamAnnouncement {
+/// Announcement of the engine with this index.
+pub fn engine(index: usize, sequence: u64) -> UpstreamAnnouncement {
     let port = 10_000 + u16::try_from(index % 50_000).unwrap_or(0);
     UpstreamAnnouncement {
         name: format!("i-{index:010x}"),
@@ -115,16 +119,24 @@
 }
 
 impl RouterModels {
-    /// Starts `routers` that report to the leader of `fleet`, and announces `engines` to it.
+    /// Starts `routers` that report to the leader of `fleet`, and announces `engines` to it; with
+    /// 0 engines, the caller announces some.
     pub async fn start(fleet: &Fleet, routers: usize, engines: usize) -> Result<Self, BenchError> {
         let addresses = fleet.controller_addresses();
         let leader = fleet.leader().ok_or_else(|| setup("no controller leads"))?;
         let credential = CredentialFile::open(&fleet.credential("process")).map_err(setup)?;
         let metrics = NodeMetrics::new().map_err(setup)?;
         let times = Arc::new(Mutex::new(GrantTimes::new()?));
-        let mut models =
-            Self { queues: Vec::new(), clients: Vec::new(), tasks: JoinSet::new(), times };
-        models.announce(addresses[leader], engines).await?;
+        let mut models = Self {
+            queues: Vec::new(),
+            clients: Vec::new(),
+            links: Vec::new(),
+            tasks: JoinSet::new(),
+            times,
+        };
+        if engines > 0 {
+            models.announce(addresses[leader], engines).await?;
+        }
         for index in 0..routers {
             let queue = SharedQueue::new();
             let (addresses, token) = (addresses.clone(), credential.clone());
@@ -132,6 +144,7 @@
             let name = format!("edge-se-mitt-{}-{index}", zone_of(index));
             let identity = NodeIdentity { name, incarnation: start_incarnation() };
             let zone = zone_of(index).to_owned();
+            models.links.push((identity.clone(), Arc::clone(&link)));
             let client = Arc::new(DispatchClient::new(Arc::clone(&queue), link, identity, zone));
             let reporter = Arc::clone(&client);
             models.tasks.spawn(async move { reporter.run().await });
@@ -162,6 +175,26 @@
         Ok(())
     }
 
+    /// Starts the synchronization of the routers' tables and returns the view of each router.
+    pub fn sync_tables(&mut self) -> Result<Vec<Arc<FleetView>>, BenchError> {
+        let metrics = NodeMetrics::new().map_err(setup)?;
+        let mut views = Vec::new();
+        for (index, (identity, link)) in self.links.iter().enumerate() {
+            let fleet = Arc::new(FleetView::new());
+            let sync = TableSync {
+                fleet: Arc::clone(&fleet),
+                link: Arc::clone(link),
+                identity: identity.clone(),
+                zone: zone_of(index).to_owned(),
+                in_progress: Arc::default(),
+                metrics: metrics.clone(),
+            };
+            self.tasks.spawn(async move { sync.run().await });
+            views.push(fleet);
+        }
+        Ok(views)
+    }
+
     /// Waits until the leader has answered every router.
     async fn wait_ready(&self) -> Result<(), BenchError> {
         let end = Instant::now() + Duration::from_secs(20);
