Bench: departures reports the slots without events as well

Cause: the share of slots was near 0 even with a whole core, which could have been a fault of the experiment.

Change: a figure for one second of load before departures and changes begin.

--- a/crates/bench/src/departures.rs
+++ b/crates/bench/src/departures.rs
@@ -99,6 +99,9 @@
         Some(_) => parts.push((format!("{name}_faults"), options.seconds(4, 60), true)),
     }
     models.play(options.seed, SITE_RATE, WARM_UP).await?;
+    let idle = models.play(options.seed, SITE_RATE, WARM_UP).await?;
+    let slots = idle.granted_share() * 100.0;
+    result.figure(format!("{name}_slots_used_without_events"), slots, "%");
     for (part, time, faults) in parts {
         site.records().clear();
         let mut events = JoinSet::new();
