--- a/crates/bench/src/departures.rs
+++ b/crates/bench/src/departures.rs
@@ -448,7 +448,7 @@
             if departed.is_empty() {
                 continue;
             }
-            let listed = view.upstreams();
+            let listed = view.directory().upstreams();
             for (used, held) in used.iter_mut().zip(&departed) {
                 *used |= is_usable(&listed, &held.name, held.incarnation);
             }
@@ -483,7 +483,7 @@
 /// Waits until every router knows all upstreams.
 async fn wait_ready(views: &[Arc<FleetView>]) -> Result<(), BenchError> {
     let end = Instant::now() + READY_LIMIT;
-    while views.iter().any(|view| view.upstreams().len() < UPSTREAMS) {
+    while views.iter().any(|view| view.directory().upstreams().len() < UPSTREAMS) {
         if Instant::now() > end {
             return Err(BenchError::Fleet("a router does not know every upstream".to_owned()));
         }
