--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -37,6 +37,14 @@
         meaning: "Open caller connections no longer exceed half of their limit; they are kept alive again.",
     },
     LogEvent { name: "controller_started", meaning: "A controller is listening." },
+    LogEvent {
+        name: "departure_committed",
+        meaning: "The commit of a departure ended after `waited_ms`; a `reason` says why it failed.",
+    },
+    LogEvent {
+        name: "departures_in_force",
+        meaning: "The router put departures from the log in force; these `upstreams` get no more requests from it, whatever a registry says.",
+    },
     LogEvent {
         name: "disk_full",
         meaning: "The disk of the data directory is full; the write is retried until it succeeds.",
@@ -56,7 +64,7 @@
     },
     LogEvent {
         name: "document_accepted",
-        meaning: "A configuration was acknowledged; `in_force` is the version now in force, which may be a newer one.",
+        meaning: "A configuration was acknowledged; `in_force` is the version now in force, which may be a newer one; `waited_ms` is the time until it was committed.",
     },
     LogEvent {
         name: "document_not_accepted",
@@ -196,11 +204,11 @@
     },
     LogEvent {
         name: "table_source_answers",
-        meaning: "A controller answers this router's table sync requests again.",
+        meaning: "A controller that hears from its group answers this router's polls again.",
     },
     LogEvent {
         name: "table_source_lost",
-        meaning: "No controller answers this router's table sync requests with the authority of the leader.",
+        meaning: "The controller that this router polls for updates does not answer, or does not hear from its group; the router asks all of them.",
     },
     LogEvent {
         name: "upstream_announced",
@@ -246,5 +254,9 @@
         name: "upstream_withdrawn",
         meaning: "The announcement of an upstream was withdrawn.",
     },
+    LogEvent {
+        name: "upstreams_removed",
+        meaning: "The registry in force at the router no longer lists these `upstreams`; `previous_term` is the term of the registry before.",
+    },
     LogEvent { name: "workspaces_in_force", meaning: "A router applied a workspace table." },
 ];
