Followers pass a document on to the leader in the same call

Seen: replace_routes_while_leader_changes_is_acknowledged failed with not_leader: right after the loss of the leader a follower redirected to it. Cause: a redirect sends the caller to a controller that may be gone, and the next try begins with the caller's growing pause. Change: a follower posts the table and document to the leader (/control/v1/routes) and tries again at the next one, for up to 2.5 s. Documents over 256 KiB are redirected as before. Conclusion: a change needs a quorum, not a certain controller.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -25,8 +25,8 @@
 };
 use baobabfall_node::messages::{
     ANNOUNCE_PATH, AnnounceAnswer, AnnounceMessage, CLAIM_PATH, ClaimRequest, DISPATCH_PATH,
-    DISPATCH_PROTOCOL, FORWARD_PATH, OUTCOME_PATH, OutcomeRequest, REPORT_PATH, SYNC_PATH,
-    UpstreamWithdrawal, WITHDRAW_PATH,
+    DISPATCH_PROTOCOL, FORWARD_PATH, OUTCOME_PATH, OutcomeRequest, REPORT_PATH, ROUTES_PATH,
+    RouteChange, SYNC_PATH, UpstreamWithdrawal, WITHDRAW_PATH,
 };
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::operator_messages::{NodeView, OPERATOR_PREFIX};
@@ -48,6 +48,11 @@
 /// How long a change waits for a leader and its commit. Covers an election; callers with less
 /// patience close their connection, which ends the wait.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long a follower waits for the leader's commit of a change before it looks for another one.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Largest document that is passed on to the leader, in bytes. With its table it fits a message;
+/// callers take larger ones to the leader themselves.
+const FORWARD_LIMIT: usize = 256 << 10;
 /// Pause before a change that failed is tried again, unless the leadership changes sooner.
 const CHANGE_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -159,6 +164,7 @@
                 Err(refusal) => refusal.response(),
             },
             FORWARD_PATH => self.handle_forwarded(request).await,
+            ROUTES_PATH => self.handle_forwarded_routes(request).await,
             ANNOUNCE_PATH => self.announce(request).await,
             WITHDRAW_PATH => self.withdraw(request).await,
             CLAIM_PATH => self.claim(request).await,
@@ -285,6 +291,21 @@
         }
     }
 
+    async fn handle_forwarded_routes(&self, request: Request<Incoming>) -> FullResponse {
+        match read_message::<RouteChange>(request).await {
+            Ok(_) if !self.replica.leads() => {
+                error_response(ErrorKind::NotLeader, self.reject_message(ErrorKind::NotLeader))
+            }
+            Ok(change) => {
+                let deadline = Instant::now() + COMMIT_TIMEOUT;
+                respond_to(self.propose_routes(&change, deadline).await, |version| {
+                    message_response(&version)
+                })
+            }
+            Err(refusal) => refusal.response(),
+        }
+    }
+
     /// Forwards an announcement that arrived at a follower to the leader. A failure is only logged.
     async fn forward_to_leader(&self, message: AnnounceMessage) {
         let Some(address) = self.leader_address() else { return };
@@ -449,8 +470,9 @@
         committed.map(|_| ())
     }
 
-    /// Commits a route table and returns the version that is current afterwards. That version is
-    /// higher than the one of `table` if the group already has a newer table.
+    /// Commits a route table, from any controller, and returns the version that is current
+    /// afterwards. That version is higher than the one of `table` if the group already has a newer
+    /// table. A table that this controller has applied is confirmed without the leader.
     ///
     /// The table is refused until the group has enough voters. A committed table must survive the
     /// loss of as many disks as the settings tolerate, so the quorum must exceed that number.
@@ -464,36 +486,74 @@
             let message = "Not enough controllers have joined the group yet.".to_owned();
             return Err(ReplicaRefusal { kind: ErrorKind::NoQuorum, message });
         }
+        let change = RouteChange { table, document };
         let deadline = Instant::now() + CHANGE_TIMEOUT;
         loop {
             let committed = self.replica.state().routes_version();
-            if committed >= table.version {
+            if committed >= change.table.version {
                 return Ok(committed);
             }
-            let command = ControlCommand::ReplaceRoutes {
-                table: Box::new(table.clone()),
-                document: document.clone(),
-            };
-            let proposed = tokio::time::timeout_at(deadline, self.replica.propose(command)).await;
-            let refusal = match proposed.unwrap_or_else(|_| Err(late_commit())) {
-                Ok(ControlAnswer::Routes(version)) => return Ok(version),
-                Ok(_) => {
-                    let message = "The state machine returned an unexpected type of result.";
-                    let kind = ErrorKind::Internal;
+            let result = match self.leader_address() {
+                None => self.propose_routes(&change, deadline).await,
+                Some(_) if change.document.len() > FORWARD_LIMIT && self.is_in_contact() => {
+                    let message = "The change is too large to be passed on to the leader.";
+                    let kind = ErrorKind::NotLeader;
                     return Err(ReplicaRefusal { kind, message: message.to_owned() });
                 }
-                Err(refusal) => refusal,
+                Some(leader) => self.forward_routes(leader, &change, deadline).await,
             };
-            let can_redirect = self.replica.view().in_contact && self.leader_address().is_some();
-            if !is_leader_missing(refusal.kind)
-                || can_redirect
-                || !self.wait_for_leader(deadline).await
-            {
-                return Err(refusal);
+            match result {
+                Err(refusal) if is_leader_missing(refusal.kind) => {
+                    if !self.wait_for_leader(deadline).await {
+                        return Err(refusal);
+                    }
+                }
+                result => return result,
             }
         }
     }
 
+    /// Commits a route table at this controller, which must lead.
+    async fn propose_routes(
+        &self,
+        change: &RouteChange,
+        deadline: Instant,
+    ) -> Result<u64, ReplicaRefusal> {
+        let command = ControlCommand::ReplaceRoutes {
+            table: Box::new(change.table.clone()),
+            document: change.document.clone(),
+        };
+        let proposed = tokio::time::timeout_at(deadline, self.replica.propose(command)).await;
+        match proposed.unwrap_or_else(|_| Err(late_commit()))? {
+            ControlAnswer::Routes(version) => Ok(version),
+            _ => Err(ReplicaRefusal {
+                kind: ErrorKind::Internal,
+                message: "The state machine returned an unexpected type of result.".to_owned(),
+            }),
+        }
+    }
+
+    fn is_in_contact(&self) -> bool {
+        self.replica.view().in_contact
+    }
+
+    /// Passes a route table on to the leader.
+    async fn forward_routes(
+        &self,
+        leader: SocketAddr,
+        change: &RouteChange,
+        deadline: Instant,
+    ) -> Result<u64, ReplicaRefusal> {
+        let token = self.options.process.token();
+        let client = self.forward_client(leader);
+        let timeout = deadline.saturating_duration_since(Instant::now()).min(COMMIT_TIMEOUT);
+        let answer = client.call(ROUTES_PATH, &token, change, timeout).await;
+        answer.map_err(|error: PeerError| ReplicaRefusal {
+            kind: error.kind(),
+            message: error.to_string(),
+        })
+    }
+
     /// Reads the current route table after confirming that this controller is the leader.
     pub async fn newest_routes(&self) -> Result<Option<RouteRecord>, ReplicaRefusal> {
         self.replica.confirm_read().await?;
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -22,6 +22,8 @@
 pub const SYNC_PATH: &str = "/control/v1/sync";
 /// `POST` forwards an [`AnnounceMessage`] to the leader.
 pub const FORWARD_PATH: &str = "/control/v1/announce";
+/// `POST` sends a [`RouteChange`] from a follower to the leader.
+pub const ROUTES_PATH: &str = "/control/v1/routes";
 /// `POST` sends an [`UpstreamAnnouncement`] in JSON, from an upstream.
 pub const ANNOUNCE_PATH: &str = "/upstreams/v1/announce";
 /// `POST` sends an [`UpstreamWithdrawal`] in JSON, from an upstream.
@@ -193,6 +195,15 @@
     Depart(UpstreamDeparture),
 }
 
+/// Route table that a follower passes on to the leader, which answers with the version in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteChange {
+    /// The parsed table.
+    pub table: RouteTable,
+    /// The operator's document, byte for byte as received.
+    pub document: Vec<u8>,
+}
+
 /// Deregistration of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamDeparture {
