--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -344,7 +344,8 @@
     }
 
     /// Applies an announcement or withdrawal to the leader's registry, from any controller. While
-    /// there is no leader, waits for the next one for as long as the caller waits for an answer.
+    /// there is no leader, a departure waits for the next one; a renewal is refused at once, since
+    /// the upstream may reach the leader through another controller.
     ///
     /// Deregistrations are committed to the log before they are acknowledged. After success, a
     /// deregistered upstream therefore gets no further requests, whoever leads. One that this
@@ -356,7 +357,10 @@
                 return Ok(());
             }
             let Err(refusal) = self.try_register(message.clone()).await else { return Ok(()) };
-            if !is_leader_missing(refusal.kind) || !self.wait_for_leader(deadline).await {
+            if !is_departure(&message)
+                || !is_leader_missing(refusal.kind)
+                || !self.wait_for_leader(deadline).await
+            {
                 return Err(refusal);
             }
         }
@@ -563,13 +567,23 @@
     /// Address of the leader; `None` if it is unknown or this controller leads.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         let view = self.replica.view();
-        if view.leads {
+        if view.led_term.is_some() {
             return None;
         }
         view.members.get(view.leader?.id)?.address.parse().ok()
     }
 }
 
+/// True unless the message only renews announcements.
+fn is_departure(message: &AnnounceMessage) -> bool {
+    match message {
+        AnnounceMessage::Announce(announcements) => {
+            announcements.iter().any(|announcement| announcement.leaving)
+        }
+        AnnounceMessage::Withdraw(_) | AnnounceMessage::Depart(_) => true,
+    }
+}
+
 /// True if a change failed because no leader took it, so that the next leader may take it.
 fn is_leader_missing(kind: ErrorKind) -> bool {
     matches!(
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -25,7 +25,9 @@
 use baobabfall_node::http_client::PeerClient;
 use baobabfall_node::http_server::{FullResponse, ServerLimits, error_response, serve_upgradeable};
 use baobabfall_node::loop_watch::watch_event_loop;
-use baobabfall_node::messages::{NodeKind, SYNC_PATH, SyncAnswer, SyncRequest};
+use baobabfall_node::messages::{
+    FORWARD_PATH, NodeKind, ROUTES_PATH, SYNC_PATH, SyncAnswer, SyncRequest,
+};
 use baobabfall_node::node_metrics::{NodeMetrics, start_incarnation};
 use baobabfall_node::stop_signal::{StopPhase, StopSender, StopSignal, stop_channel};
 use http::Request;
@@ -192,6 +194,10 @@
     let watched = api.dispatch.clone();
     let watch = watch_event_loop(api.metrics.clone(), move |delay| watched.record_delay(delay));
     tasks.spawn(until_draining(watch, signal.clone()));
+    if let Some(runtime) = &api.options.group_runtime {
+        let watch = watch_event_loop(api.metrics.clone(), |_| {});
+        tasks.spawn_on(until_draining(watch, signal.clone()), runtime);
+    }
     tasks.spawn(until_draining(record_metrics(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_dispatcher(api.clone()), signal.clone()));
     tasks.spawn(until_draining(run_expiry(api.clone()), signal.clone()));
@@ -218,13 +224,17 @@
     Ok(ControllerHandle { address, replica, stop, tasks, api: handle_api, storage_stopped })
 }
 
-/// Handles messages of the group at once, and all other requests on the runtime `work`, if given.
+/// Paths that are handled on the runtime of the group: its messages, and changes that followers
+/// pass on, which somebody waits for.
+const GROUP_PATHS: [&str; 3] = [REPLICA_PATH, FORWARD_PATH, ROUTES_PATH];
+
+/// Handles requests on [`GROUP_PATHS`] at once, and all others on the runtime `work`, if given.
 async fn handle_request(
     api: ControlApi,
     work: Option<Handle>,
     request: Request<Incoming>,
 ) -> FullResponse {
-    match work.filter(|_| request.uri().path() != REPLICA_PATH) {
+    match work.filter(|_| !GROUP_PATHS.contains(&request.uri().path())) {
         None => api.handle(request).await,
         Some(work) => {
             let handled = work.spawn(async move { api.handle(request).await });
@@ -317,6 +327,7 @@
     let mut replica = api.replica.watch_versions();
     let mut registry = api.registry.watch();
     let mut deregistered_version = 0;
+    let mut led = false;
     loop {
         let versions = *replica.borrow_and_update();
         registry.borrow_and_update();
@@ -325,15 +336,20 @@
             let deregistered = api.replica.state().deregistered().clone();
             api.registry.update_deregistered(&deregistered);
         }
-        match versions.led_term {
-            Some(term) => {
-                if versions.leads && !api.dispatch.has_dispatcher_for(term) {
-                    api.registry.extend_live_entries();
-                    api.dispatch.lead(term, &api.tracker.live_routers(MAX_ROUTER_SILENCE));
-                }
-                update_dispatcher(&api);
+        if versions.leads && !led {
+            // Renewals were refused until now.
+            api.registry.extend_live_entries();
+        }
+        led = versions.leads;
+        let term = versions.led_term;
+        if term.is_none_or(|term| !api.dispatch.has_dispatcher_for(term)) {
+            api.dispatch.resign();
+        }
+        if let Some(term) = term {
+            if versions.leads && !api.dispatch.has_dispatcher_for(term) {
+                api.dispatch.lead(term, &expected_routers(&api));
             }
-            None => api.dispatch.resign(),
+            update_dispatcher(&api);
         }
         let changed = tokio::select! {
             changed = replica.changed() => changed,
@@ -345,6 +361,16 @@
     }
 }
 
+/// Routers whose full reports complete the state of a new dispatcher. Empty if they are not all
+/// known, so that it waits as long as it may: in a group, the other controllers know the routers
+/// that poll them.
+fn expected_routers(api: &ControlApi) -> Vec<String> {
+    match api.replica.view().members.iter().count() {
+        0 | 1 => api.tracker.live_routers(MAX_ROUTER_SILENCE),
+        _ => Vec::new(),
+    }
+}
+
 fn update_dispatcher(api: &ControlApi) {
     let (table, stopping) = {
         let state = api.replica.state();
@@ -456,8 +482,10 @@
             client.call(SYNC_PATH, &token, &request, LEADER_TIMEOUT).await;
         match answer {
             Ok(answer) => {
-                // An answer may arrive after this controller has taken the lead.
-                if let Some(view) = answer.registry.filter(|_| !api.replica.leads_term()) {
+                // Only a leader's own view is complete. An answer may also arrive after this
+                // controller has taken the lead.
+                let is_current = answer.leads && api.replica.led_term().is_none();
+                if let Some(view) = answer.registry.filter(|_| is_current) {
                     version = view.version;
                     api.registry.copy_from(view);
                 }
--- a/crates/controller/src/dispatch_channel.rs
+++ b/crates/controller/src/dispatch_channel.rs
@@ -116,7 +116,11 @@
             }
             match self.service.take_answer(seat) {
                 Ok(Some(answer)) => self.send(channel, answer).await?,
-                Ok(None) => self.acknowledge_at = Instant::now() + ACKNOWLEDGE_DELAY,
+                Ok(None) => {
+                    // Asks again, since the wake-up has been used.
+                    self.unanswered = self.unanswered.max(1);
+                    self.acknowledge_at = Instant::now() + ACKNOWLEDGE_DELAY;
+                }
                 Err(kind) => return self.refuse(channel, kind).await,
             }
         }
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -138,11 +138,17 @@
     /// Makes the grants that are possible, and wakes the channels that have something to send. Does
     /// nothing while the lease has lapsed.
     fn grant_slots(&self, inner: &mut DispatchInner) {
-        if self.replica.leads() {
+        if self.replica.leads() && self.is_of_led_term(inner) {
             inner.grant_slots(self.now());
         }
     }
 
+    /// True if the dispatcher is that of the term which this controller leads. A new term is known
+    /// a moment before its dispatcher replaces that of the term before.
+    fn is_of_led_term(&self, inner: &DispatchInner) -> bool {
+        self.replica.led_term().is_some_and(|term| inner.has_dispatcher_for(term))
+    }
+
     /// Registers the channel on which the router sent its first report, in place of an earlier
     /// channel of the same router.
     pub fn take_seat(&self, report: &DispatchReport) -> Result<ChannelSeat, ErrorKind> {
@@ -191,14 +197,14 @@
     /// Returns the answer for the router of a channel; `None` while the lease has lapsed, when
     /// neither a grant nor an acknowledgement may be sent.
     pub fn take_answer(&self, seat: &ChannelSeat) -> Result<Option<DispatchAnswer>, ErrorKind> {
-        if !self.replica.leads_term() {
+        let now = self.now();
+        let mut inner = self.lock();
+        if !self.is_of_led_term(&inner) {
             return Err(ErrorKind::NotLeader);
         }
         if !self.replica.leads() {
             return Ok(None);
         }
-        let now = self.now();
-        let mut inner = self.lock();
         if !inner.is_seated(seat) {
             return Err(ErrorKind::StaleIncarnation);
         }
@@ -337,7 +343,7 @@
 
     /// Checks that this controller leads its term and that the router was not removed.
     fn check_sender(&self, router: &NodeIdentity) -> Result<(), ErrorKind> {
-        if !self.replica.leads_term() {
+        if self.replica.led_term().is_none() {
             return Err(ErrorKind::NotLeader);
         }
         match self.replica.state().is_removed(router) {
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -165,9 +165,9 @@
         self.view.borrow().leads && self.lease.is_valid()
     }
 
-    /// True while this replica leads its term, also while its lease has lapsed.
-    pub fn leads_term(&self) -> bool {
-        self.view.borrow().led_term.is_some()
+    /// Term that this replica leads, also while its lease has lapsed.
+    pub fn led_term(&self) -> Option<u64> {
+        self.view.borrow().led_term
     }
 
     /// A receiver that is notified of each change of the view.
--- a/crates/router/src/leader_link.rs
+++ b/crates/router/src/leader_link.rs
@@ -37,7 +37,10 @@
     members: Vec<SocketAddr>,
     /// Highest term in which a controller named a leader.
     term: u64,
+    /// The presumed leader, which is tried next.
     leader: SocketAddr,
+    /// The leader that a controller named last.
+    named: SocketAddr,
     clients: SortedMap<SocketAddr, Arc<PeerClient>>,
 }
 
@@ -46,7 +49,13 @@
     pub fn new(addresses: Vec<SocketAddr>, token: CredentialFile, metrics: NodeMetrics) -> Self {
         let leader = addresses[0];
         let members = Vec::new();
-        let state = Mutex::new(LinkState { members, term: 0, leader, clients: SortedMap::new() });
+        let state = Mutex::new(LinkState {
+            members,
+            term: 0,
+            leader,
+            named: leader,
+            clients: SortedMap::new(),
+        });
         Self { seeds: Mutex::new(addresses), state, elected: Notify::new(), token, metrics }
     }
 
@@ -109,10 +118,15 @@
             self.elected.notify_waiters();
         }
         if term >= state.term {
-            (state.term, state.leader) = (term, leader);
+            (state.term, state.leader, state.named) = (term, leader, leader);
         }
     }
 
+    /// The leader that a controller named last; unlike [`Self::leader`], no guess.
+    pub fn named_leader(&self) -> SocketAddr {
+        self.state().named
+    }
+
     /// Waits until a controller names a leader of a higher term.
     pub async fn leader_changed(&self) {
         self.elected.notified().await;
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -87,11 +87,14 @@
         })
     }
 
-    /// True unless the upstream has left. One that came back under its name may resume the stream.
+    /// True unless the upstream has left. One that came back under its name and address may resume
+    /// the stream.
     fn may_resume(&self) -> bool {
         let directory = self.fleet.directory();
         !directory.has_left(&self.route.name, self.route.incarnation)
-            || directory.upstreams().iter().any(|upstream| upstream.name == self.route.name)
+            || directory.upstreams().iter().any(|upstream| {
+                upstream.name == self.route.name && upstream.address == self.route.address
+            })
     }
 
     async fn run(self, position: u64) -> Result<ResumedStream, String> {
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -102,7 +102,7 @@
     /// The controller that this router polls when all of them work: a follower that its name
     /// selects, or the leader of a group of one.
     fn own_controller(&self) -> SocketAddr {
-        let leader = self.link.leader();
+        let leader = self.link.named_leader();
         let mut others = self.link.members();
         others.retain(|address| *address != leader);
         others.sort();
@@ -119,11 +119,16 @@
         let Some(answer) = self.request_sync(address, 0, ANSWER_TIMEOUT).await else {
             return false;
         };
-        let is_source = answer.leads || answer.in_contact;
+        let is_source = self.hears_group(&answer);
         self.apply_newer(address, answer);
         is_source
     }
 
+    /// True if the controller hears from its group, and not from a leader that has been replaced.
+    fn hears_group(&self, answer: &SyncAnswer) -> bool {
+        (answer.leads || answer.in_contact) && answer.term >= self.link.leader_term()
+    }
+
     /// Runs one long poll. Returns true if the controller hears from its group, which means
     /// that no other controller can have newer data for long.
     async fn poll(&self, address: SocketAddr, answer_timeout: Duration) -> bool {
@@ -131,7 +136,7 @@
         let Some(answer) = self.request_sync(address, SYNC_WAIT_MS, answer_timeout).await else {
             return false;
         };
-        let is_source = answer.leads || answer.in_contact;
+        let is_source = self.hears_group(&answer);
         let updated = self.apply_newer(address, answer);
         if is_source && !updated && started.elapsed() < HELD_ANSWER_MINIMUM {
             tokio::time::sleep(IDLE_PAUSE).await;
@@ -174,7 +179,7 @@
                 continue;
             };
             let (term, leads, timeout) = (answer.term, answer.leads, *timeout);
-            let is_source = leads || answer.in_contact;
+            let is_source = self.hears_group(&answer);
             self.apply_newer(address, answer);
             if leads {
                 self.link.set_leader(term, address);
