--- a/review/kit/resumed.rs
+++ b/review/kit/resumed.rs
@@ -24,7 +24,7 @@
 /// Time after the close in which a worker may still be at work.
 const GRACE: Duration = Duration::from_millis(500);
 
-/// A client that left, and what it had seen until then.
+/// An attempt that its client left.
 struct Leaver {
     attempt: String,
     left_at: Duration,
@@ -72,7 +72,7 @@
         thread::sleep(LATER_PAUSE);
     }
     let leavers: Vec<Leaver> =
-        clients.into_iter().filter_map(|client| client.join().ok().flatten()).collect();
+        clients.into_iter().filter_map(|client| client.join().ok()).flatten().collect();
     thread::sleep(Duration::from_secs(2));
     let lines = record.lines();
     let ended_late = |leaver: &&Leaver| {
@@ -82,41 +82,40 @@
     };
     let late = leavers.iter().filter(ended_late).count();
     record.note(&format!(
-        "check: {} clients left their streams; workers were still at work half a second later on {late} of these, at most a quarter may",
+        "check: clients left {} streams; workers were still at work half a second later on {late} of these, at most a quarter may",
         leavers.len()
     ));
     Ok(if late * 4 > leavers.len() { Verdict::Broken } else { Verdict::Held })
 }
 
 /// Reads a stream. If it pauses for longer than the client waits, the client leaves and takes it
-/// up at the other machine.
-fn run_client(record: &Record, number: u32, addresses: [SocketAddr; 2]) -> Option<Leaver> {
+/// up at the other machine. Returns the attempts that the client left.
+fn run_client(record: &Record, number: u32, addresses: [SocketAddr; 2]) -> Vec<Leaver> {
     let begun = Instant::now();
     let path = format!("/case/{number}?first=60&gap=100&events=75");
     let parts = format!("a{number:07x}:341");
-    let attempt = format!("{:016x}", u64::from(number) << 8);
-    record.note(&format!("client: sent {attempt} to {}", addresses[0]));
-    let answer = stream_call(addresses[0], &path, &attempt, &parts, DEADLINE).run();
-    let left_at = record.elapsed();
-    let last = answer.events.last().map_or(0, |(id, _)| *id);
-    record.note(&format!(
-        "client: {attempt} got {} to event {last}, {:?}",
-        answer.status, answer.end
-    ));
-    if answer.end != StreamEnd::Left {
-        return None;
-    }
-    let again = format!("{:016x}", u64::from(number) << 8 | 1);
-    let left = DEADLINE.saturating_sub(begun.elapsed());
-    let mut call = stream_call(addresses[1], &path, &again, &parts, left);
-    if last > 0 {
-        call.headers.push(("Last-Event-Id".to_owned(), last.to_string()));
-        call.headers.push(("Resumes".to_owned(), attempt.clone()));
+    let first_attempt = format!("{:016x}", u64::from(number) << 8);
+    let (mut last, mut leavers) = (0, Vec::new());
+    for (retry, address) in addresses.iter().enumerate() {
+        let attempt = format!("{:016x}", u64::from(number) << 8 | retry as u64);
+        let left = DEADLINE.saturating_sub(begun.elapsed());
+        let mut call = stream_call(*address, &path, &attempt, &parts, left);
+        if last > 0 {
+            call.headers.push(("Last-Event-Id".to_owned(), last.to_string()));
+            call.headers.push(("Resumes".to_owned(), first_attempt.clone()));
+        }
+        record.note(&format!("client: sent {attempt} to {address}, last event {last}"));
+        let answer = call.run();
+        let left_at = record.elapsed();
+        last = answer.events.last().map_or(last, |(id, _)| *id);
+        record.note(&format!(
+            "client: {attempt} got {} to event {last}, {:?}",
+            answer.status, answer.end
+        ));
+        if answer.end != StreamEnd::Left {
+            break;
+        }
+        leavers.push(Leaver { attempt, left_at });
     }
-    record.note(&format!("client: sent {again} to {}, last event {last}", addresses[1]));
-    let answer = call.run();
-    let last = answer.events.last().map_or(last, |(id, _)| *id);
-    record
-        .note(&format!("client: {again} got {} to event {last}, {:?}", answer.status, answer.end));
-    Some(Leaver { attempt, left_at })
+    leavers
 }
