--- a/review/kit/departed.rs
+++ b/review/kit/departed.rs
@@ -57,6 +57,9 @@
         if trouble && !restarted && begun.elapsed() >= RESTART {
             restarted = true;
             let leave = CUT + LEAVE_DELAY - begun.elapsed();
+            if std::env::var_os("NEW_ID").is_some() {
+                specs[0].id.push_str("-1");
+            }
             specs[0].extra = vec!["--leave-after-ms".to_owned(), leave.as_millis().to_string()];
             workers[0] = start_worker(&fleet, &specs[0], record)?;
         }
@@ -83,9 +86,10 @@
     let lines = record.lines();
     let acknowledged = lines.iter().find(|(_, line)| line.ends_with("its DELETE was acknowledged"));
     let acknowledged = acknowledged.ok_or("the worker's DELETE was not acknowledged")?.0;
-    let reached = lines
-        .iter()
-        .filter(|(at, line)| *at > acknowledged + DRAIN && line.starts_with("worker i-00: run "));
+    let reached = lines.iter().filter(|(at, line)| {
+        let is_run = line.starts_with("worker i-00") && line.contains(": run ");
+        *at > acknowledged + DRAIN && is_run
+    });
     let reached = reached.count();
     record.note(&format!(
         "check: {reached} requests reached worker i-00 later than drain_ms after its DELETE was acknowledged, none may"
