Departures: hold announcements after one that names no incarnation

Cause: a deregistration without a body names no incarnation. The leader committed the departure of the incarnation that it had heard of, or acknowledged without a commit if it knew none. An upstream that had started again behind a partition and left was brought back by a heartbeat that it had sent before.

Change: if the leader heard from an incarnation within 2 s, the departure is its own. Otherwise it is committed as unnamed, also for unknown upstreams, and for six seconds no announcement of that name is accepted, at the next leader either. Clocks of upstreams play no part. The registry reads the log's state under its own lock, since two tasks apply it now.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -26,7 +26,7 @@
 use baobabfall_node::messages::{
     ANNOUNCE_PATH, AnnounceAnswer, AnnounceMessage, CLAIM_PATH, ClaimRequest, DISPATCH_PATH,
     DISPATCH_PROTOCOL, FORWARD_PATH, OUTCOME_PATH, OutcomeRequest, REPORT_PATH, ROUTES_PATH,
-    RouteChange, SYNC_PATH, UpstreamWithdrawal, WITHDRAW_PATH,
+    RouteChange, SYNC_PATH, UpstreamDeparture, UpstreamWithdrawal, WITHDRAW_PATH,
 };
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::operator_messages::{NodeView, OPERATOR_PREFIX};
@@ -441,12 +441,19 @@
                 self.commit_deregistration(name, withdrawal.incarnation).await?;
                 self.registry.withdraw(&withdrawal.name, withdrawal.incarnation);
             }
-            AnnounceMessage::Depart(departure) => {
-                let registered = self.registry.incarnation(&departure.name);
-                if let Some(incarnation) = departure.incarnation.or(registered) {
-                    let name = departure.name.clone();
-                    self.commit_deregistration(name, incarnation).await?;
-                    self.registry.withdraw(&departure.name, incarnation);
+            AnnounceMessage::Depart(UpstreamDeparture { name, incarnation }) => {
+                match incarnation.or_else(|| self.registry.announcing(&name)) {
+                    Some(incarnation) => {
+                        self.commit_deregistration(name.clone(), incarnation).await?;
+                        self.registry.withdraw(&name, incarnation);
+                    }
+                    // A later incarnation may have started that this controller has not heard of.
+                    None => {
+                        let latest = self.registry.incarnation(&name).unwrap_or(0);
+                        self.commit_departure(name, latest, true).await?;
+                        // Otherwise an announcement could come before the registry learns of it.
+                        self.registry.update_deregistered(&self.replica);
+                    }
                 }
             }
         }
@@ -463,9 +470,18 @@
         if known_incarnation.is_some_and(|known| known >= incarnation) {
             return Ok(());
         }
-        log::info!(event = "upstream_left", upstream = name.as_str(), incarnation = incarnation; "deregistering an upstream");
+        self.commit_departure(name, incarnation, false).await
+    }
+
+    async fn commit_departure(
+        &self,
+        name: String,
+        incarnation: u64,
+        unnamed: bool,
+    ) -> Result<(), ReplicaRefusal> {
+        log::info!(event = "upstream_left", upstream = name.as_str(), incarnation = incarnation, unnamed = unnamed; "deregistering an upstream");
         let begun = Instant::now();
-        let command = ControlCommand::UpstreamLeft { name: name.clone(), incarnation };
+        let command = ControlCommand::UpstreamLeft { name: name.clone(), incarnation, unnamed };
         let committed = tokio::time::timeout(CHANGE_TIMEOUT, self.replica.propose(command))
             .await
             .unwrap_or_else(|_| Err(late_commit()));
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -333,8 +333,7 @@
         registry.borrow_and_update();
         if versions.deregistered_version != deregistered_version {
             deregistered_version = versions.deregistered_version;
-            let deregistered = api.replica.state().deregistered().clone();
-            api.registry.update_deregistered(&deregistered);
+            api.registry.update_deregistered(&api.replica);
         }
         if versions.leads && !led {
             // Renewals were refused until now.
--- a/crates/controller/src/registry_service.rs
+++ b/crates/controller/src/registry_service.rs
@@ -1,8 +1,7 @@
 //! Registry of the announced upstreams on a controller. The leader receives the announcements;
 //! followers keep a copy of its registry.
 
-use baobabfall_core::control_state::DeregisteredUpstream;
-use baobabfall_core::sorted_map::SortedMap;
+use crate::replica_driver::ReplicaHandle;
 use baobabfall_core::upstream_registry::{
     AnnouncementRefusal, UpstreamAnnouncement, UpstreamRegistry,
 };
@@ -127,10 +126,9 @@
 
     /// Replaces a follower's copy by the leader's view.
     pub fn copy_from(&self, view: RegistryView) {
-        let expires_at = self.now() + COPIED_ENTRY_TTL;
         *self.lock_copied() = Some(view.clone());
         let mut registry = self.lock();
-        registry.copy_live(expires_at, view.upstreams);
+        registry.copy_live(self.now(), COPIED_ENTRY_TTL, view.upstreams);
         let version = registry.version();
         drop(registry);
         self.publish(version);
@@ -148,14 +146,24 @@
         self.lock().entries().get(name).map(|entry| entry.announcement.incarnation)
     }
 
+    /// Incarnation of the upstream that announces itself to this controller at present.
+    pub fn announcing(&self, name: &str) -> Option<u64> {
+        self.lock().announcing(self.now(), name)
+    }
+
     /// Replaces the set of deregistered upstreams by that of the replicated state.
-    pub fn update_deregistered(&self, deregistered: &SortedMap<String, DeregisteredUpstream>) {
-        let deregistered = deregistered
+    pub fn update_deregistered(&self, replica: &ReplicaHandle) {
+        // The state is read under the lock of the registry, so that no older one is applied later.
+        let mut registry = self.lock();
+        let state = replica.state();
+        let deregistered = state
+            .deregistered()
             .iter()
             .map(|(name, upstream)| (name.clone(), upstream.incarnation))
             .collect();
-        let mut registry = self.lock();
         registry.set_deregistered(self.now(), deregistered);
+        registry.set_unnamed_departures(self.now(), &state.unnamed_departures());
+        drop(state);
         let version = registry.version();
         drop(registry);
         self.publish(version);
--- a/crates/core/src/control_command.rs
+++ b/crates/core/src/control_command.rs
@@ -117,6 +117,10 @@
         name: String,
         /// Incarnation that is leaving.
         incarnation: u64,
+        /// True if the upstream did not say which incarnation leaves. `incarnation` is then the
+        /// latest that the proposer had heard of, and a later one may be leaving.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        unnamed: bool,
     },
 }
 
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -14,10 +14,11 @@
 use crate::route_table::RouteTable;
 use crate::sorted_map::SortedMap;
 use crate::table_history::{RevisionAuthor, TableDifference, TableHistory};
-use crate::upstream_registry::is_valid_name;
+use crate::upstream_registry::{UNNAMED_DEPARTURE_HOLD, UnnamedDeparture, is_valid_name};
 use crate::workspace_table::RowChange;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Version of the snapshot format, stored as the first byte of each snapshot.
@@ -93,6 +94,15 @@
     left: SortedMap<String, DeregisteredUpstream>,
     #[serde(default)]
     left_version: u64,
+    /// The latest departures that named no incarnation.
+    #[serde(default)]
+    unnamed_departures: SortedMap<String, UnnamedRecord>,
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct UnnamedRecord {
+    number: u64,
+    left_ms: u64,
 }
 
 /// The route table in force, with the document from which it was parsed.
@@ -223,7 +233,10 @@
             ControlCommand::ReplaceRoutes { table, document } => {
                 self.replace_routes(table, document)
             }
-            ControlCommand::UpstreamLeft { name, incarnation } => {
+            ControlCommand::UpstreamLeft { name, incarnation, unnamed } => {
+                if *unnamed {
+                    self.record_unnamed_departure(name);
+                }
                 self.record_deregistration(name, *incarnation);
                 ControlAnswer::Done
             }
@@ -256,6 +269,24 @@
         ControlAnswer::Routes(table.version)
     }
 
+    fn record_unnamed_departure(&mut self, name: &str) {
+        let hold_ms = u64::try_from(UNNAMED_DEPARTURE_HOLD.as_millis()).unwrap_or(u64::MAX);
+        let now_ms = self.time_ms;
+        self.unnamed_departures.retain(|_, left| now_ms < left.left_ms.saturating_add(hold_ms));
+        self.left_version += 1;
+        let record = UnnamedRecord { number: self.left_version, left_ms: now_ms };
+        self.unnamed_departures.insert(name.to_owned(), record);
+    }
+
+    /// The latest departures that named no incarnation, by name of the upstream.
+    pub fn unnamed_departures(&self) -> SortedMap<String, UnnamedDeparture> {
+        let departures = self.unnamed_departures.iter().map(|(name, left)| {
+            let age = Duration::from_millis(self.time_ms.saturating_sub(left.left_ms));
+            (name.clone(), UnnamedDeparture { number: left.number, age })
+        });
+        departures.collect()
+    }
+
     fn record_deregistration(&mut self, name: &str, incarnation: u64) {
         let known = self.left.get(name).map(|upstream| upstream.incarnation);
         if known.is_some_and(|known| known >= incarnation) {
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -102,6 +102,15 @@
 /// announcement of the same incarnation is recognized as stale.
 pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time after a departure that named no incarnation in which no announcement of that upstream is
+/// accepted. One that was sent before the departure may arrive seconds later, and nothing tells it
+/// from that of an upstream that has started again: the start time that it names was read from a
+/// clock which may be wrong.
+pub const UNNAMED_DEPARTURE_HOLD: Duration = Duration::from_secs(6);
+/// Time since its last announcement in which no other incarnation of an upstream can have started
+/// and left. Upstreams announce themselves about every second.
+const ANNOUNCER_TIME: Duration = Duration::from_secs(2);
+
 /// True for a non-empty name of at most [`NAME_LIMIT_BYTES`] bytes in `a-z 0-9 - . _`.
 pub fn is_valid_name(name: &str) -> bool {
     !name.is_empty()
@@ -184,6 +193,25 @@
     /// True while the upstream may get new work; false once it has withdrawn,
     /// expired or is leaving.
     pub live: bool,
+    /// Time of the latest announcement; `None` in a copy of another registry.
+    pub announced_at: Option<Duration>,
+}
+
+/// Committed departure that named no incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnnamedDeparture {
+    /// Number of the departure, which increases.
+    pub number: u64,
+    /// Time since its commit, by the log's clock.
+    pub age: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DepartureHold {
+    /// Number of the departure.
+    number: u64,
+    /// Time up to which no announcement of the upstream is accepted.
+    until: Duration,
 }
 
 /// All announced upstreams, by name.
@@ -191,6 +219,7 @@
 pub struct UpstreamRegistry {
     entries: SortedMap<String, UpstreamEntry>,
     deregistered: SortedMap<String, u64>,
+    holds: SortedMap<String, DepartureHold>,
     version: u64,
 }
 
@@ -220,6 +249,12 @@
         mut announcement: UpstreamAnnouncement,
     ) -> Result<(), AnnouncementRefusal> {
         announcement.check()?;
+        if !announcement.leaving && self.is_held(now, &announcement.name) {
+            return Err(AnnouncementRefusal {
+                kind: ErrorKind::StaleIncarnation,
+                message: "The upstream has left a moment ago; announce it again.".to_owned(),
+            });
+        }
         announcement.leaving |= self.has_left(&announcement.name, announcement.incarnation);
         if let Some(entry) = self.entries.get(&announcement.name) {
             entry.check_successor(&announcement)?;
@@ -247,7 +282,8 @@
             self.version += 1;
         }
         let live = !announcement.leaving;
-        let entry = UpstreamEntry { expires_at: now + lifetime, live, announcement };
+        let announced_at = Some(now);
+        let entry = UpstreamEntry { expires_at: now + lifetime, live, announcement, announced_at };
         let name = entry.announcement.name.clone();
         let replaced = self.entries.insert(name.clone(), entry);
         let changed = replaced.is_none_or(|old| {
@@ -284,6 +320,39 @@
         self.deregistered = deregistered;
     }
 
+    /// Sets the departures from the replicated log that named no incarnation. Whichever
+    /// incarnation was registered has left, and for [`UNNAMED_DEPARTURE_HOLD`] none is accepted.
+    pub fn set_unnamed_departures(
+        &mut self,
+        now: Duration,
+        departures: &SortedMap<String, UnnamedDeparture>,
+    ) {
+        for (name, departure) in departures.iter() {
+            let number = departure.number;
+            if self.holds.get(name).is_some_and(|hold| hold.number >= number) {
+                continue;
+            }
+            let left = UNNAMED_DEPARTURE_HOLD.saturating_sub(departure.age);
+            self.holds.insert(name.clone(), DepartureHold { number, until: now + left });
+            let entry = self.entries.get(name).filter(|_| !left.is_zero());
+            if let Some(incarnation) = entry.map(|entry| entry.announcement.incarnation) {
+                self.withdraw(now, name, incarnation);
+            }
+        }
+        self.holds.retain(|name, hold| now < hold.until || departures.contains_key(name));
+    }
+
+    fn is_held(&self, now: Duration, name: &str) -> bool {
+        self.holds.get(name).is_some_and(|hold| now < hold.until)
+    }
+
+    /// Incarnation of the upstream that announces itself at present, if there is one.
+    pub fn announcing(&self, now: Duration, name: &str) -> Option<u64> {
+        let entry = self.entries.get(name)?;
+        let is_heard = entry.announced_at.is_some_and(|at| now < at + ANNOUNCER_TIME);
+        is_heard.then_some(entry.announcement.incarnation)
+    }
+
     fn has_left(&self, name: &str, incarnation: u64) -> bool {
         self.deregistered.get(name).is_some_and(|latest| *latest >= incarnation)
     }
@@ -297,8 +366,15 @@
     }
 
     /// Copies the live upstreams of another registry. Entries that it does not list
-    /// are no longer live, but a later announcement can renew them.
-    pub fn copy_live(&mut self, expires_at: Duration, upstreams: Vec<UpstreamAnnouncement>) {
+    /// are no longer live, but a later announcement can renew them. A copy may be older than a
+    /// departure.
+    pub fn copy_live(
+        &mut self,
+        now: Duration,
+        lifetime: Duration,
+        upstreams: Vec<UpstreamAnnouncement>,
+    ) {
+        let expires_at = now + lifetime;
         let mut changed = false;
         for (name, entry) in self.entries.iter_mut() {
             let listed = upstreams.iter().any(|upstream| upstream.name == *name);
@@ -307,6 +383,9 @@
         }
         for mut announcement in upstreams {
             announcement.leaving |= self.has_left(&announcement.name, announcement.incarnation);
+            if self.is_held(now, &announcement.name) {
+                continue;
+            }
             let newer = self.entries.get(&announcement.name).is_none_or(|entry| {
                 let current = &entry.announcement;
                 (current.incarnation, current.sequence)
@@ -315,7 +394,9 @@
             if newer {
                 let live = !announcement.leaving;
                 let name = announcement.name.clone();
-                self.entries.insert(name, UpstreamEntry { announcement, expires_at, live });
+                let announced_at = None;
+                let entry = UpstreamEntry { announcement, expires_at, live, announced_at };
+                self.entries.insert(name, entry);
                 changed = true;
             }
         }
--- a/crates/core/tests/control_state.rs
+++ b/crates/core/tests/control_state.rs
@@ -13,6 +13,7 @@
 use baobabfall_core::table_history::{DifferenceContent, REVISION_LIMIT};
 use baobabfall_core::workspace_table::{RowChange, WorkspaceRow, WorkspaceTable, hash_key};
 use quickcheck::{Arbitrary, Gen};
+use std::time::Duration;
 
 /// 2026-12-03T00:00:00Z.
 const DAY_START: u64 = 1_796_256_000_000;
@@ -59,6 +60,24 @@
     }
 }
 
+/// Guards against a late announcement that is accepted by a controller that restored its state from
+/// a snapshot.
+#[test]
+fn unnamed_departures_survive_snapshot() {
+    let leave = |name: &str, unnamed| {
+        let name = name.to_owned();
+        ControlCommand::UpstreamLeft { name, incarnation: 0, unnamed }
+    };
+    let mut state = ControlState::default();
+    apply(&mut state, 1_000, leave("u", true));
+    apply(&mut state, 3_500, leave("v", false));
+    let state = ControlState::from_snapshot(&state.to_snapshot().unwrap()).unwrap();
+    let departures = state.unnamed_departures();
+    assert_eq!(departures.len(), 1);
+    assert_eq!(departures.get("u").unwrap().age, Duration::from_millis(2_500));
+    assert!(state.deregistered_version() >= departures.get("u").unwrap().number);
+}
+
 /// Guards against a resent edit that is applied twice, also after a snapshot is
 /// restored, and against an edit id that is reused for another edit.
 #[test]
--- a/crates/core/tests/route_table.rs
+++ b/crates/core/tests/route_table.rs
@@ -171,6 +171,7 @@
 fn upstream_left_is_kept_and_bounded() {
     let mut state = ControlState::default();
     let deregister = |name: &str, incarnation| ControlCommand::UpstreamLeft {
+        unnamed: false,
         name: name.to_owned(),
         incarnation,
     };
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -209,8 +209,7 @@
 pub struct UpstreamDeparture {
     /// Name of the upstream.
     pub name: String,
-    /// Incarnation that is deregistered; `None` for the incarnation that the leader
-    /// knows.
+    /// Incarnation that is deregistered; `None` if the upstream did not name it.
     pub incarnation: Option<u64>,
 }
 
