Held bytes: one account for bodies, buffered answers and incomplete events

Cause: the permit for a request body ended before the body did, and partial events and buffered answers had a bound each but none together. Each piece of a partial event was also copied and searched together with all bytes before it.

Spent: bodies are refused with limit_reached before anything is sent, answers that need a buffer fail their attempt, streams with an incomplete event are broken off.

--- a/crates/router/src/event_splitter.rs
+++ b/crates/router/src/event_splitter.rs
@@ -24,7 +24,12 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    /// Received bytes of an event that is not complete.
     partial: BytesMut,
+    /// Start of the last line in `partial`.
+    line_start: usize,
+    /// Bytes of `partial` that hold no end of that line.
+    searched: usize,
     last_id: Option<u64>,
     events: u64,
     resuming: bool,
@@ -52,20 +57,42 @@
         self.partial.is_empty()
     }
 
+    /// Bytes of memory for the partial event.
+    pub fn held_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Feeds received bytes and returns the events that they complete. Events that
     /// were already relayed before a resumption are left out.
     pub fn feed(&mut self, bytes: &Bytes) -> Result<Bytes, OversizedEvent> {
         if self.partial.len() + bytes.len() > 2 * EVENT_LIMIT {
             return Err(OversizedEvent);
         }
-        let mut buffer = match self.partial.is_empty() {
-            true => bytes.clone(),
-            false => {
-                self.partial.extend_from_slice(bytes);
-                std::mem::take(&mut self.partial).freeze()
-            }
-        };
-        let (relay_from, end) = self.scan(&buffer);
+        if self.partial.is_empty() {
+            let (relay_from, end) = self.scan(bytes);
+            return self.keep_rest(bytes.clone(), relay_from, end);
+        }
+        let mut partial = std::mem::take(&mut self.partial);
+        partial.extend_from_slice(bytes);
+        let (relay_from, end) = self.scan(&partial);
+        if end > 0 {
+            return self.keep_rest(partial.freeze(), relay_from, end);
+        }
+        // Nothing is copied while the event goes on.
+        self.partial = partial;
+        match self.partial.len() > EVENT_LIMIT {
+            true => Err(OversizedEvent),
+            false => Ok(Bytes::new()),
+        }
+    }
+
+    /// Returns the events to relay of a scanned buffer and keeps what follows after them.
+    fn keep_rest(
+        &mut self,
+        mut buffer: Bytes,
+        relay_from: usize,
+        end: usize,
+    ) -> Result<Bytes, OversizedEvent> {
         let rest = buffer.split_off(end);
         if rest.len() > EVENT_LIMIT {
             return Err(OversizedEvent);
@@ -75,12 +102,15 @@
         Ok(buffer)
     }
 
-    /// Returns the byte range of the events to relay.
+    /// Returns the byte range of the events to relay in a buffer that begins with the partial
+    /// event, and records how far the rest was searched.
     fn scan(&mut self, buffer: &[u8]) -> (usize, usize) {
-        let (mut relay_from, mut event_start, mut line_start) = (0, 0, 0);
-        while let Some(length) = buffer[line_start..].iter().position(|byte| *byte == b'\n') {
-            let line = &buffer[line_start..line_start + length];
-            line_start += length + 1;
+        let (mut relay_from, mut event_start) = (0, 0);
+        let (mut line_start, mut searched) = (self.line_start, self.searched);
+        while let Some(length) = buffer[searched..].iter().position(|byte| *byte == b'\n') {
+            let line = &buffer[line_start..searched + length];
+            line_start = searched + length + 1;
+            searched = line_start;
             if !matches!(line, b"" | b"\r") {
                 continue;
             }
@@ -90,6 +120,8 @@
                 relay_from = event_start;
             }
         }
+        self.line_start = line_start - event_start;
+        self.searched = buffer.len() - event_start;
         (relay_from, event_start)
     }
 
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -5,6 +5,7 @@
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
 use crate::exchange_run::{ExchangeCall, ExchangeRun};
 use crate::exchange_state::ExchangeState;
+use crate::held_bytes::{CollectError, HeldBytes};
 use crate::request_fingerprint::RequestContent;
 use crate::request_order::end_to_end_headers;
 use crate::stream_lookup::{StreamReference, find_origin};
@@ -12,7 +13,6 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::route_table::{OPEN_WORKSPACE, RouteIndex, RouteRow};
 use baobabfall_core::stream_origins::stream_key;
-use baobabfall_node::http_server::read_body;
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Request, Response, request};
@@ -28,9 +28,7 @@
 /// the request.
 pub(crate) const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Longest wait for memory for a request body.
-const BODY_MEMORY_WAIT: Duration = Duration::from_millis(100);
-/// Memory reserved, in bytes, for a request body without a declared length.
-const CHUNKED_BODY_MEMORY: usize = 128 << 10;
+const HELD_BYTES_WAIT: Duration = Duration::from_millis(100);
 
 /// Why a request is rejected before it is queued.
 #[derive(Clone, Copy, Debug)]
@@ -94,7 +92,7 @@
         });
     }
     let deadline = head.deadline.unwrap_or(route.timeout()).min(route.timeout());
-    let body = receive_body(state, &routes, parts, body).await?;
+    let (body, held) = receive_body(state, &routes, parts, body).await?;
     if state.router.drain.cuts(arrival + deadline) {
         return Err(IntakeError {
             kind: ErrorKind::Stopping,
@@ -130,6 +128,7 @@
         target,
         headers: forwarded_headers(&parts.headers),
         body,
+        held,
         forward_workspace,
         workspace,
         service,
@@ -196,9 +195,9 @@
     routes: &RouteIndex,
     parts: &request::Parts,
     body: Incoming,
-) -> Result<Bytes, IntakeError> {
+) -> Result<(Bytes, HeldBytes), IntakeError> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), state.account.holder()));
     }
     if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
         return Err(ErrorKind::MalformedRequest.into());
@@ -209,15 +208,17 @@
     if length.is_some_and(|length| length > limit) {
         return Err(ErrorKind::OversizedRequest.into());
     }
-    let memory = state.reserve_body(length.unwrap_or(CHUNKED_BODY_MEMORY), BODY_MEMORY_WAIT).await;
-    let Some(_memory) = memory else {
-        return Err(IntakeError {
-            kind: ErrorKind::LimitReached,
-            retry_after: Some(UNAVAILABLE_RETRY_AFTER),
-        });
-    };
+    let full =
+        IntakeError { kind: ErrorKind::LimitReached, retry_after: Some(UNAVAILABLE_RETRY_AFTER) };
+    let mut held = state.account.take(length.unwrap_or(0), HELD_BYTES_WAIT).await.ok_or(full)?;
     let timeout = Duration::from_millis(limits.idle_ms);
-    read_body(body, limit, timeout).await.map_err(|refusal| refusal.kind.into())
+    match tokio::time::timeout(timeout, held.collect(body, limit)).await {
+        Ok(Ok(body)) => Ok((body, held)),
+        Ok(Err(CollectError::AccountSpent)) => Err(full),
+        Ok(Err(CollectError::Oversized(_))) => Err(ErrorKind::OversizedRequest.into()),
+        Ok(Err(CollectError::Broken(_))) => Err(ErrorKind::MalformedRequest.into()),
+        Err(_) => Err(ErrorKind::SlowRequest.into()),
+    }
 }
 
 /// Returns the caller's end-to-end headers and `host`, which upstreams receive
--- a/crates/router/src/exchange_body.rs
+++ b/crates/router/src/exchange_body.rs
@@ -1,5 +1,6 @@
 //! Response bodies of exchanges: buffered completely, or relayed frame by frame.
 
+use crate::held_bytes::HeldBytes;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
@@ -21,7 +22,12 @@
 #[derive(Debug)]
 pub enum ExchangeBody {
     /// The complete body.
-    Whole(Full<Bytes>),
+    Whole {
+        /// Its bytes.
+        body: Full<Bytes>,
+        /// Their memory, if it has to be given back.
+        held: Option<HeldBytes>,
+    },
     /// Frames that are relayed as the upstream sends them.
     Frames {
         /// Source of the frames. A channel that closes without [`FrameEvent::End`]
@@ -50,7 +56,7 @@
 
 impl From<Full<Bytes>> for ExchangeBody {
     fn from(body: Full<Bytes>) -> Self {
-        Self::Whole(body)
+        Self::Whole { body, held: None }
     }
 }
 
@@ -63,7 +69,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedAnswer>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
+            Self::Whole { body, .. } => {
+                Pin::new(body).poll_frame(context).map_err(|never| match never {})
+            }
             Self::Frames { frames, left } => frames.poll_recv(context).map(|event| match event {
                 Some(FrameEvent::Data(bytes)) => {
                     let length = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
@@ -81,14 +89,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) => body.is_end_stream(),
+            Self::Whole { body, .. } => body.is_end_stream(),
             Self::Frames { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => body.size_hint(),
+            Self::Whole { body, .. } => body.size_hint(),
             Self::Frames { left: Some(left), .. } => SizeHint::with_exact(*left),
             Self::Frames { left: None, .. } => SizeHint::default(),
         }
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -9,6 +9,7 @@
 use crate::exchange_send::{OpenExchange, SendFailure, forwarded_head, send_call};
 use crate::exchange_state::{ExchangeState, ProgressGuard};
 use crate::exchange_stream::{pump_events, pump_frames};
+use crate::held_bytes::{CollectError, HeldBytes};
 use crate::lease_book::QueueKey;
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
 use crate::stream_lookup::ANSWER_WAIT;
@@ -28,7 +29,7 @@
 use http::header::CONTENT_LENGTH;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Response, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -56,7 +57,7 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
 
 /// A caller's request with everything that was decided before it is queued.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct ExchangeCall {
     /// Hash of the content, which stays when the caller sends the request again.
     pub fingerprint: PartId,
@@ -69,6 +70,8 @@
     pub headers: HeaderMap,
     /// Complete request body, kept so that it can be sent again.
     pub body: Bytes,
+    /// Memory of the body.
+    pub held: HeldBytes,
     /// What the site's protocol read from the request head.
     pub head: ExchangeHead,
     /// Route that matched the host and the path.
@@ -600,7 +603,8 @@
         &mut self,
         mut opened: OpenExchange,
     ) -> Result<Response<ExchangeBody>, SendFailure> {
-        let body = Limited::new(&mut opened.body, BUFFERED_BODY_LIMIT).collect();
+        let mut held = self.state.account.holder();
+        let body = held.collect(&mut opened.body, BUFFERED_BODY_LIMIT);
         let collected = tokio::time::timeout_at(self.call.deadline, body).await;
         let (kind, reason) = match collected {
             Ok(Ok(collected)) => {
@@ -614,12 +618,14 @@
                     opened.evidence.record_end(&opened.parts, queue, self.call.suspects());
                 }
                 opened.complete(if failed { LeaseEnd::Failed } else { LeaseEnd::Finished });
-                let body = Full::new(collected.to_bytes());
-                return Ok(response.map(|()| ExchangeBody::from(body)));
+                let body = Full::new(collected);
+                return Ok(response.map(|()| ExchangeBody::Whole { body, held: Some(held) }));
             }
             Ok(Err(error)) => {
-                let route = opened.lease.route();
-                self.state.router.queue.record_casualty(route, self.call.suspects(), false);
+                if matches!(error, CollectError::Broken(_)) {
+                    let route = opened.lease.route();
+                    self.state.router.queue.record_casualty(route, self.call.suspects(), false);
+                }
                 (ErrorKind::AnswerIncomplete, error.to_string())
             }
             Err(_) => (ErrorKind::DeadlineAfterDispatch, "the deadline passed".to_owned()),
--- a/crates/router/src/exchange_state.rs
+++ b/crates/router/src/exchange_state.rs
@@ -1,14 +1,13 @@
-//! State that all exchanges of a router share: retry budgets, memory for incoming
-//! request bodies and the count of requests in progress.
+//! State that all exchanges of a router share: retry budgets, the account of held bytes
+//! and the count of requests in progress.
 
 use crate::exchange_protocol::ExchangeProtocol;
+use crate::held_bytes::ByteAccount;
 use crate::router_state::RouterState;
 use baobabfall_core::retry_window::{FleetRetryBudget, RetryWindow};
 use baobabfall_core::sorted_map::SortedMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 /// Number of routers that are assumed to share a retry budget while the actual
@@ -24,9 +23,9 @@
 pub struct ExchangeOptions {
     /// Retry budget of each service for the whole fleet.
     pub budget: FleetRetryBudget,
-    /// Total size, in bytes, of the request bodies that are received at the same
-    /// time; rounded down to whole KiB.
-    pub body_bytes: usize,
+    /// Bytes that the router may hold at the same time for callers and upstreams: request
+    /// bodies, buffered answers and incomplete events; rounded down to whole KiB.
+    pub held_bytes: usize,
 }
 
 /// State that all exchanges of one router share.
@@ -38,7 +37,8 @@
     pub protocol: P,
     budget: FleetRetryBudget,
     windows: Mutex<SortedMap<String, RetryWindow>>,
-    bodies: Arc<Semaphore>,
+    /// Bytes that the router holds for callers and upstreams.
+    pub account: ByteAccount,
     started: Instant,
 }
 
@@ -53,7 +53,7 @@
             protocol,
             budget,
             windows: Mutex::default(),
-            bodies: Arc::new(Semaphore::new(options.body_bytes >> 10)),
+            account: ByteAccount::new(options.held_bytes),
             started: Instant::now(),
         })
     }
@@ -77,14 +77,6 @@
         window.take_retry(self.started.elapsed(), &self.budget, routers)
     }
 
-    /// Reserves memory for an incoming request body of up to `bytes` until the
-    /// permit is dropped. Returns `None` when there is not enough within `wait`.
-    pub async fn reserve_body(&self, bytes: usize, wait: Duration) -> Option<OwnedSemaphorePermit> {
-        let permits = u32::try_from(bytes.div_ceil(1 << 10).max(1)).unwrap_or(u32::MAX);
-        let reservation = Arc::clone(&self.bodies).acquire_many_owned(permits);
-        tokio::time::timeout(wait, reservation).await.ok()?.ok()
-    }
-
     /// True when the router is serving, has both a workspace table and a route table,
     /// and is not so crowded that new callers should go elsewhere.
     pub fn is_ready(&self) -> bool {
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -211,6 +211,7 @@
     let event_cost = run.call.event_cost();
     let meter = opened.lease.slot().meter.clone();
     let mut bytes_since_event = 0;
+    let mut held = run.state.account.holder();
     // Such a stream ends with its connection, so that a complete one and one whose upstream
     // ended look alike.
     let ends_unframed = ends_with_connection(&opened.parts);
@@ -244,6 +245,9 @@
         let Ok(ready) = splitter.feed(&bytes) else {
             return RelayEnd::Invalid("an event is too large");
         };
+        if !held.resize(splitter.held_bytes()) {
+            return RelayEnd::Invalid("no memory is left for incomplete events");
+        }
         if before == 0 && splitter.events() > 0 {
             meter.set_first_token(Instant::now());
             run.bind_stream(&opened.lease);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 mod exchange_stream;
 pub mod fleet_api;
 pub mod health_probe;
+pub mod held_bytes;
 pub mod leader_link;
 pub mod lease_book;
 pub mod load_tally;
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -221,7 +221,7 @@
         let window = Duration::from_secs(10);
         let exchanges = ExchangeOptions {
             budget: FleetRetryBudget { ratio: 0.2, slack: 20.0, window },
-            body_bytes: 1 << 20,
+            held_bytes: 1 << 20,
         };
         let (handle, state) =
             Router::start_exchanges(options, listeners, TestProtocol, &exchanges).await.unwrap();
