Streams: notice a caller who leaves during a resumption

Cause: nothing watched the caller's connection while a stream was resumed: the wait for a slot, the send and the wait for the head of the answer.

Change: the resumption ends with the caller; its slot is returned and its connection closed.

--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -6,7 +6,7 @@
 use crate::exchange_body::FrameEvent;
 use crate::exchange_meter::ExchangeOutcome;
 use crate::exchange_protocol::ExchangeProtocol;
-use crate::exchange_run::ExchangeRun;
+use crate::exchange_run::{ExchangeCall, ExchangeRun};
 use crate::exchange_send::OpenExchange;
 use baobabfall_core::dispatch_messages::{LeaseEnd, UpstreamRoute};
 use baobabfall_core::error_kind::ErrorKind;
@@ -141,7 +141,14 @@
         drop((opened.body, opened.connection));
         let last = splitter.last_id();
         splitter = EventSplitter::resume_after(last);
-        opened = match run.open_next(last).await {
+        let next = tokio::select! {
+            next = run.open_next(last) => next,
+            // Drops the attempt, which closes its connection.
+            () = sender.closed() => {
+                return log_cut(&run.call, &RelayEnd::CallerGone, splitter.events());
+            }
+        };
+        opened = match next {
             Ok(next) if continues_stream(&next, content_type.as_ref()) => next,
             Ok(next) => {
                 run.meter.end(ExchangeOutcome::Unknown);
@@ -295,7 +302,10 @@
             opened.lease.finish(LeaseEnd::Failed);
         }
     }
-    let call = &run.call;
+    log_cut(&run.call, &end, events);
+}
+
+fn log_cut(call: &ExchangeCall, end: &RelayEnd, events: u64) {
     log::info!(
         event = "answer_cut", request_id = call.head.request_id.as_str(),
         route = call.route.name.as_str(), events = events,
--- a/crates/router/tests/exchange_streams.rs
+++ b/crates/router/tests/exchange_streams.rs
@@ -126,3 +126,22 @@
         wait_for(path, || site.upstreams[0].log().closed == 1).await;
     }
 }
+
+/// Guards against an upstream that goes on working on a stream whose caller disconnected while it was
+/// being resumed: the caller takes the stream up elsewhere, and it runs twice.
+#[tokio::test]
+async fn exchange_caller_disconnected_during_resumption_closes_upstream() {
+    let broken = vec![Step::Write(format!("{}{}", stream_head(), event_chunks(1, 3))), Step::Close];
+    let site = ExchangeSite::start(vec![vec![broken], vec![vec![Step::Hang]]]).await;
+    let request = site.request(Method::POST, "/resume/x", &[], "");
+    let address = site.handle.caller_address();
+    let call = tokio::spawn(async move {
+        let mut response = send(address, request).await;
+        while response.body_mut().frame().await.is_some() {}
+    });
+    wait_for("the stream to be resumed", || site.request_count(1) == 1).await;
+    call.abort();
+    let left = tokio::time::Instant::now();
+    wait_for("the upstream to be closed", || site.upstreams[1].log().closed > 0).await;
+    assert!(left.elapsed() < std::time::Duration::from_secs(1), "after {:?}", left.elapsed());
+}
