Storage: a full disk may refuse to cut off a partial write

Cause: an append that fails leaves bytes behind. If the disk refused to cut them off too, the store counted as damaged and refused all writes.

Change: the store remembers that its file has to be cut and does so before the next write. Any other error than a full disk still ends it.

Evidence: full_disk_that_refuses_all_changes_is_retried failed before the fix with Poisoned.

--- a/crates/controller/src/log_store.rs
+++ b/crates/controller/src/log_store.rs
@@ -47,6 +47,8 @@
     file: F::File,
     length: usize,
     pending: Vec<u8>,
+    /// True while the file holds bytes after `length`, of a write that failed.
+    torn: bool,
     poisoned: bool,
 }
 
@@ -138,8 +140,16 @@
     ) -> Result<(Self, StoredReplica), StoreError> {
         let (file, length) = write_generation(&folder, &identity, &stored)?;
         let pending = Vec::new();
-        let store =
-            Self { folder, identity, generation: 0, file, length, pending, poisoned: false };
+        let store = Self {
+            folder,
+            identity,
+            generation: 0,
+            file,
+            length,
+            pending,
+            torn: false,
+            poisoned: false,
+        };
         store.write_synced_length();
         Ok((store, stored))
     }
@@ -177,7 +187,16 @@
             .map_err(|source| StoreError::SyncFailed { file: name.clone(), source })?;
         let identity = header.identity;
         let pending = Vec::new();
-        let store = Self { folder, identity, generation, file, length, pending, poisoned: false };
+        let store = Self {
+            folder,
+            identity,
+            generation,
+            file,
+            length,
+            pending,
+            torn: false,
+            poisoned: false,
+        };
         store.write_synced_length();
         Ok((store, reader.stored))
     }
@@ -226,9 +245,14 @@
         let name = log_name(self.generation);
         let mut bytes = Vec::with_capacity(self.pending.len() + 16);
         encode_frame(&mut bytes, &self.pending)?;
+        self.remove_torn_write()?;
         if let Err(error) = self.file.append(&bytes) {
-            let length = u64::try_from(self.length).unwrap_or(u64::MAX);
-            self.poisoned = self.file.truncate(length).is_err();
+            self.torn = true;
+            // A full disk may refuse this too; the next call tries it again.
+            match self.remove_torn_write() {
+                Ok(()) | Err(StoreError::DiskFull { .. }) => {}
+                Err(_) => self.poisoned = true,
+            }
             return Err(StoreError::from_io(&name, error));
         }
         if let Err(source) = self.file.sync() {
@@ -241,6 +265,16 @@
         Ok(())
     }
 
+    fn remove_torn_write(&mut self) -> Result<(), StoreError> {
+        if self.torn {
+            let name = log_name(self.generation);
+            let length = u64::try_from(self.length).unwrap_or(u64::MAX);
+            self.file.truncate(length).map_err(|error| StoreError::from_io(&name, error))?;
+            self.torn = false;
+        }
+        Ok(())
+    }
+
     /// Stores a snapshot and the entries after it as a new generation, then removes the old one.
     ///
     /// Records that were appended but not synced are discarded, so `term_vote` and `tail` must
@@ -273,6 +307,7 @@
         self.file = file;
         self.length = length;
         self.generation = generation;
+        self.torn = false;
         self.pending.clear();
         self.write_synced_length();
         self.remove(&log_name(old))?;
--- a/crates/controller/tests/faulty_folder/mod.rs
+++ b/crates/controller/tests/faulty_folder/mod.rs
@@ -27,6 +27,8 @@
     /// Number of operations that still succeed, and the OS error code with which the next one
     /// fails.
     pub fault: Option<(usize, i32)>,
+    /// True while the disk is full: nothing can be written, created, renamed, removed or cut.
+    pub full: bool,
     /// Number of operations that still succeed before every further one fails.
     pub operations_until_power_loss: Option<usize>,
     locked: bool,
@@ -44,6 +46,9 @@
         if let Some(remaining) = &mut content.operations_until_power_loss {
             *remaining = remaining.checked_sub(1).ok_or_else(|| Error::from_raw_os_error(EIO))?;
         }
+        if content.full {
+            return Err(Error::from_raw_os_error(ENOSPC));
+        }
         match content.fault.take() {
             Some((0, code)) => return Err(Error::from_raw_os_error(code)),
             Some((remaining, code)) => content.fault = Some((remaining - 1, code)),
--- a/crates/controller/tests/log_store.rs
+++ b/crates/controller/tests/log_store.rs
@@ -196,6 +196,27 @@
     assert_eq!(indexes(&open(folder).unwrap().1), [2]);
 }
 
+/// Guards against a controller that ends, and comes back without room for its log, because a full
+/// disk refuses even to remove what was written in part.
+#[test]
+fn full_disk_that_refuses_all_changes_is_retried() {
+    let folder = FaultyFolder::default();
+    let (mut store, _) = open(folder.clone()).unwrap();
+    store.append(None, &[entry(1, 1)]).unwrap();
+    folder.0.borrow_mut().full = true;
+    for index in 2..5 {
+        let full = store.sync();
+        assert!(matches!(full, Err(StoreError::DiskFull { .. })), "{full:?}");
+        store.append(None, &[entry(index, 1)]).unwrap();
+    }
+    let full = store.save_snapshot(&snapshot(1), vote(1), &[entry(2, 1)]);
+    assert!(matches!(full, Err(StoreError::DiskFull { .. })), "{full:?}");
+    folder.0.borrow_mut().full = false;
+    store.sync().unwrap();
+    folder.lose_power(0);
+    assert_eq!(indexes(&open(folder).unwrap().1), [1, 2, 3, 4]);
+}
+
 /// Guards against an error message that does not say that the folder is read-only.
 #[test]
 fn read_only_folder_is_reported() {
