Storage: a full disk may refuse to remove old files

Cause: the new generation was already in use when the removal of the old one failed.

Change: removing old files is not part of the step that is repeated.

--- a/crates/controller/src/log_store.rs
+++ b/crates/controller/src/log_store.rs
@@ -310,11 +310,24 @@
         self.torn = false;
         self.pending.clear();
         self.write_synced_length();
-        self.remove(&log_name(old))?;
-        self.remove(&snapshot_name(old))?;
-        self.folder.sync().map_err(|source| {
-            self.poisoned = true;
-            StoreError::SyncFailed { file: self.folder.label(), source }
+        match self.remove_old_files() {
+            Err(error @ StoreError::DiskFull { .. }) => {
+                // The next snapshot or the next start removes them.
+                log::warn!(event = "old_files_kept"; "old files of the log were not removed: {error}");
+                Ok(())
+            }
+            result => result.inspect_err(|_| self.poisoned = true),
+        }
+    }
+
+    /// Removes the files of other generations.
+    fn remove_old_files(&self) -> Result<(), StoreError> {
+        let label = self.folder.label();
+        let names = self.folder.list().map_err(|error| StoreError::from_io(&label, error))?;
+        self.remove_other_files(&names)?;
+        self.folder.sync().map_err(|source| match StoreError::from_io(&label, source) {
+            StoreError::Other { file, source } => StoreError::SyncFailed { file, source },
+            error => error,
         })
     }
 
--- a/crates/controller/tests/log_store.rs
+++ b/crates/controller/tests/log_store.rs
@@ -7,7 +7,7 @@
 use baobabfall_controller::disk_folder::{DataFolder, DiskFolder};
 use baobabfall_controller::log_store::LogStore;
 use baobabfall_controller::record_codec::{FrameRead, read_frame};
-use baobabfall_controller::store_error::StoreError;
+use baobabfall_controller::store_error::StoreError::{self, SyncFailed};
 use baobabfall_core::control_command::ControlCommand;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::replica_events::StoredReplica;
@@ -217,6 +217,40 @@
     assert_eq!(indexes(&open(folder).unwrap().1), [1, 2, 3, 4]);
 }
 
+/// Guards against a snapshot that is stored in part when the disk becomes full, so that the next
+/// attempt is refused and the controller ends.
+#[test]
+fn save_snapshot_full_disk_at_any_operation_is_retried() {
+    for operations in 0..14 {
+        let folder = FaultyFolder::default();
+        let (mut store, _) = open(folder.clone()).unwrap();
+        store.append(None, &[entry(1, 1), entry(2, 1)]).unwrap();
+        store.sync().unwrap();
+        folder.0.borrow_mut().fault = Some((operations, ENOSPC));
+        let mut save = || store.save_snapshot(&snapshot(1), vote(1), &[entry(2, 1)]);
+        let result = match save() {
+            Err(StoreError::DiskFull { .. }) => save(),
+            result => result,
+        };
+        // A folder whose sync fails may or may not have the new names; only a restart tells.
+        if let Err(error) = result {
+            let SyncFailed { source, .. } = error else { panic!("{operations}: {error}") };
+            assert_eq!(source.raw_os_error(), Some(ENOSPC));
+            folder.lose_power(0);
+            assert_eq!(indexes(&open(folder).unwrap().1).last(), Some(&2), "{operations}");
+            continue;
+        }
+        store.append(None, &[entry(3, 1)]).unwrap();
+        folder.0.borrow_mut().fault = None;
+        store.sync().unwrap();
+        folder.lose_power(0);
+        let (_, stored) = open(folder.clone()).unwrap();
+        assert_eq!((stored.snapshot.meta.index, indexes(&stored)), (1, vec![2, 3]));
+        let names = folder.list().unwrap();
+        assert_eq!(names.len(), 3, "old files are removed at the latest at the start: {names:?}");
+    }
+}
+
 /// Guards against an error message that does not say that the folder is read-only.
 #[test]
 fn read_only_folder_is_reported() {
