--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -119,6 +119,10 @@
         name: "metrics_unavailable",
         meaning: "The metrics listener could not be opened; the process continues without it.",
     },
+    LogEvent {
+        name: "old_files_kept",
+        meaning: "Old files of the log could not be removed from a full disk; the next snapshot or the next start removes them.",
+    },
     LogEvent {
         name: "peer_unknown",
         meaning: "A message could not be sent because the address of the peer is unknown.",
