--- a/crates/core/src/crash_tracker.rs
+++ b/crates/core/src/crash_tracker.rs
@@ -13,7 +13,7 @@
 //! judged by the crashes that it does not explain.
 //!
 //! An upstream may crash before it begins an answer or while it writes it. Both are judged
-//! apart, see [`CrashStage`]: an answer that has begun clears its parts of the former only.
+//! apart: an answer that has begun clears its parts of the former only.
 //!
 //! A whole request goes before its parts when they explain equally many crashes, because
 //! its quarantine refuses fewer others. Should a part be the cause, the next request with
