Router load: processor time, connections admitted and closed

Change: router_load is also logged while connections are closed unread, and names connections admitted and closed and the processor time of the callers' event loop and of the control thread (thread_clock). The watchers move to load_watch. Conclusion: observability only, no change of logic.

--- a/crates/bench/src/slow_core.rs
+++ b/crates/bench/src/slow_core.rs
@@ -1,18 +1,11 @@
 //! Slows a role down to a share of a core.
 
-use rustix::time::{ClockId, clock_gettime};
+use baobabfall_node::thread_clock::thread_time;
 use std::time::Duration;
 
 /// Time between two pauses. A pause lasts some milliseconds, as a turn of the scheduler does.
 const PAUSE_INTERVAL: Duration = Duration::from_millis(1);
 
-/// Processor time of the calling thread.
-fn thread_time() -> Duration {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-    Duration::from_secs(seconds) + Duration::from_nanos(u64::try_from(time.tv_nsec).unwrap_or(0))
-}
-
 /// Blocks the thread of a current-thread runtime so that its tasks get `share` of a core, as on
 /// a host whose core is that much slower. Runs until the task is dropped.
 pub async fn limit_share(share: f64) {
--- a/crates/node/src/accept_gate.rs
+++ b/crates/node/src/accept_gate.rs
@@ -23,6 +23,7 @@
     in_progress: Arc<AtomicU32>,
     /// Connections accepted and not yet served.
     unserved: AtomicU32,
+    admitted: AtomicU64,
     closed: AtomicU64,
     limit: Mutex<AdmissionLimit>,
     leave: Mutex<RotationLeave>,
@@ -45,6 +46,7 @@
             permits,
             in_progress,
             unserved: AtomicU32::new(0),
+            admitted: AtomicU64::new(0),
             closed: AtomicU64::new(0),
             limit: Mutex::default(),
             leave: Mutex::default(),
@@ -70,6 +72,11 @@
         self.leave().is_away(self.started.elapsed())
     }
 
+    /// Connections that were admitted so far.
+    pub fn admitted(&self) -> u64 {
+        self.admitted.load(Ordering::Relaxed)
+    }
+
     /// Connections that were closed unread so far.
     pub fn closed(&self) -> u64 {
         self.closed.load(Ordering::Relaxed)
@@ -105,6 +112,7 @@
             held = held.or_else(|| self.try_permit());
             if let Some(permit) = held.take_if(|_| self.limit().admits(self.occupied())) {
                 self.unserved.fetch_add(1, Ordering::Relaxed);
+                self.admitted.fetch_add(1, Ordering::Relaxed);
                 let gate = Arc::clone(self);
                 return Ok(AdmittedConnection { stream, accepted: Instant::now(), gate, permit });
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod settings;
 pub mod stop_signal;
 pub mod tcp_options;
+pub mod thread_clock;
 pub mod units;
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -151,7 +151,7 @@
     LogEvent { name: "request_rejected", meaning: "A request was rejected before it was queued." },
     LogEvent {
         name: "router_load",
-        meaning: "At most once a second while requests are refused for want of slots: requests `refused` on arrival, `expired` in the queue and `granted` a slot, `reports` answered by the dispatcher with the longest time for one in that second.",
+        meaning: "At most once a second while requests are refused for want of slots or connections are closed unread: requests `refused` on arrival, `expired` in the queue and `granted` a slot, `reports` answered by the dispatcher with the longest time for one in that second, `connections` admitted and `closed_unread`, and the processor time of the callers' event loop and of the thread for the controllers.",
     },
     LogEvent { name: "router_ended", meaning: "The router has shut down." },
     LogEvent {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod leader_link;
 pub mod lease_book;
 pub mod load_tally;
+mod load_watch;
 pub mod local_mode;
 pub mod options;
 pub mod process;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -12,6 +12,7 @@
 use crate::fleet_api;
 use crate::health_probe::{HealthProbe, ProbeTarget};
 use crate::leader_link::LeaderLink;
+use crate::load_watch::{publish_thread_time, watch_connections, watch_load};
 use crate::local_mode::LocalMode;
 use crate::options::{RouterListeners, RouterOptions};
 use crate::relay_watch::RelayWatch;
@@ -30,6 +31,7 @@
 use baobabfall_node::messages::StopKind;
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
+use baobabfall_node::thread_clock::ThreadTime;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body::Body;
@@ -52,10 +54,6 @@
 const IDLE_CONNECTION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// How often upstreams with long-running requests are considered for a health check.
 const UPSTREAM_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// How often open caller connections are counted for the log and the metrics.
-const CONNECTION_COUNT_INTERVAL: Duration = Duration::from_millis(250);
-/// How often the load of a router that refuses requests is logged.
-const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a graceful shutdown waits for the final reports to be acknowledged, and
 /// afterwards for the remaining connections to close.
 const FINAL_REPORTS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -286,7 +284,9 @@
     let relays = Arc::clone(&state.relays);
     tasks.spawn(async move { relays.run().await });
     tasks.spawn(watch_connections(Arc::clone(state)));
-    tasks.spawn(watch_load(Arc::clone(state)));
+    let control_time = Arc::new(ThreadTime::default());
+    tasks.spawn_on(publish_thread_time(Arc::clone(&control_time)), &control);
+    tasks.spawn(watch_load(Arc::clone(state), control_time));
     if state.options.health_checks {
         tasks.spawn(watch_upstreams(Arc::clone(state)));
     }
@@ -295,70 +295,6 @@
     }
 }
 
-/// Records the number of open caller connections and logs when it rises above
-/// or falls below half of the limit.
-async fn watch_connections(state: Arc<RouterState>) {
-    let mut near_limit = false;
-    let mut closed = 0;
-    loop {
-        tokio::time::sleep(CONNECTION_COUNT_INTERVAL).await;
-        let closed_before = std::mem::replace(&mut closed, state.accept_gate.closed());
-        state.metrics.closed_unread.add(closed - closed_before, &[]);
-        if closed > closed_before {
-            let in_progress = state.in_progress();
-            log::info!(
-                event = "connections_closed_unread", count = closed - closed_before,
-                in_progress = in_progress;
-                "new connections would have waited too long to be served and were closed"
-            );
-        }
-        let open = state.open_connections();
-        state.metrics.connections.record(u64::try_from(open).unwrap_or(u64::MAX), &[]);
-        if state.is_near_connection_limit() == near_limit {
-            continue;
-        }
-        near_limit = !near_limit;
-        let limit = state.options.settings.limits.connections;
-        let running = state.in_progress();
-        let queued = state.queue.book().queued();
-        match near_limit {
-            true => log::info!(
-                event = "connections_crowded", open = open, limit = limit,
-                in_progress = running, queued = queued;
-                "caller connections are above half of the limit; each is closed after its answer"
-            ),
-            false => log::info!(
-                event = "connections_relieved", open = open, limit = limit,
-                in_progress = running, queued = queued;
-                "caller connections are back below half of the limit; keep-alive is on again"
-            ),
-        }
-    }
-}
-
-/// Logs once a second what became of the requests that needed a slot, while any are
-/// refused.
-async fn watch_load(state: Arc<RouterState>) {
-    let mut earlier = state.queue.tally().read();
-    loop {
-        tokio::time::sleep(LOAD_LOG_INTERVAL).await;
-        let reading = state.queue.tally().read();
-        let counts = reading.since(&earlier);
-        earlier = reading;
-        if counts.refused + counts.expired == 0 {
-            continue;
-        }
-        let queued = state.queue.book().queued();
-        log::info!(
-            event = "router_load", refused = counts.refused, expired = counts.expired,
-            granted = counts.granted, reports = counts.reports,
-            longest_report_ms = counts.longest_report_ms, queued = queued,
-            in_progress = state.in_progress(), open = state.open_connections();
-            "requests were refused for want of slots"
-        );
-    }
-}
-
 /// Health-checks the upstreams that have a long-running request. This detects an
 /// upstream that disappeared without closing its connections.
 async fn watch_upstreams(state: Arc<RouterState>) {
