--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod actions;
 pub mod answer_check;
+pub mod bound_callers;
 pub mod call_route;
 pub mod caller;
 pub mod central_queue;
@@ -9,9 +10,11 @@
 pub mod config;
 pub mod control;
 pub mod control_usage;
+pub mod crowded;
 pub mod departures;
 pub mod drain;
 pub mod error;
+pub mod exchange_scene;
 pub mod experiment;
 pub mod failover;
 pub mod fairness;
@@ -78,6 +81,7 @@
         ExperimentName::Slopes => slopes::run(options).await,
         ExperimentName::Origins => origins::run(options).await,
         ExperimentName::Leader => leader::run(options).await,
+        ExperimentName::Crowded => crowded::run(options).await,
         ExperimentName::Departures => departures::run(options).await,
     }
 }
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -39,6 +39,7 @@
     Origins "origins",
     Leader "leader",
     Departures "departures",
+    Crowded "crowded",
 }
 
 /// What to run and how.
