--- a/crates/bench/src/departures.rs
+++ b/crates/bench/src/departures.rs
@@ -382,6 +382,7 @@
         health_path: "/health".to_owned(),
         connections: 64,
         engine: Some(EngineRow { slots: UPSTREAM_SLOTS, memory_tokens: 60_000, event_tokens: 4 }),
+        cold: None,
     };
     RouteTable {
         version,
--- a/crates/bench/src/exchange_scene.rs
+++ b/crates/bench/src/exchange_scene.rs
@@ -221,6 +221,7 @@
                 memory_tokens: 600_000,
                 event_tokens: 4,
             }),
+            cold: None,
         }],
         workspaces: Some((0..workspaces).map(keys).collect()),
         limits: CallerLimits::default(),
@@ -383,6 +384,7 @@
         leaving: false,
         running: None,
         software: SoftwareVersion::parse("v1"),
+        cold_ms: None,
     }
 }
 
--- a/crates/bench/src/memory_slopes.rs
+++ b/crates/bench/src/memory_slopes.rs
@@ -199,6 +199,7 @@
         leaving: false,
         running: None,
         software: None,
+        cold_ms: None,
     }
 }
 
@@ -223,6 +224,7 @@
         origins: OriginReport::default(),
         received_grant: 0,
         wait_ms: 0,
+        load: None,
     }
 }
 
--- a/crates/bench/src/message_slopes.rs
+++ b/crates/bench/src/message_slopes.rs
@@ -106,6 +106,7 @@
         leaving: false,
         running: Some(12),
         software: SoftwareVersion::parse("v1.2"),
+        cold_ms: None,
     }
 }
 
--- a/crates/bench/src/router_model.rs
+++ b/crates/bench/src/router_model.rs
@@ -115,6 +115,7 @@
         leaving: false,
         running: None,
         software: SoftwareVersion::parse("v1"),
+        cold_ms: None,
     }
 }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -475,6 +475,7 @@
             registry_version: version,
             in_progress: 0,
             wait_ms: 1000,
+            evacuations_version: 0,
         };
         let token = api.options.process.token();
         let answer: Result<SyncAnswer, _> =
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -171,6 +171,7 @@
             routes,
             routes_age_ms: routes_age.map_or(0, millis),
             controllers,
+            evacuations: None,
         }
     }
 
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -181,6 +181,7 @@
         wait_ms: 0,
         departures_version: 0,
         leader_term: u64::MAX,
+        evacuations_version: 0,
     }
 }
 
@@ -402,6 +403,7 @@
         parts: PartReport::default(),
         limits: LimitReport::default(),
         origins: OriginReport::default(),
+        load: None,
     }
 }
 
--- a/crates/controller/tests/dispatch_channel.rs
+++ b/crates/controller/tests/dispatch_channel.rs
@@ -41,6 +41,7 @@
         leaving: false,
         running: None,
         software: None,
+        cold_ms: None,
     };
     let message = AnnounceMessage::Announce(vec![engine]);
     let client = PeerClient::new(address);
@@ -90,6 +91,7 @@
             parts: PartReport::default(),
             limits: LimitReport::default(),
             origins: OriginReport::default(),
+            load: None,
         };
         self.channel.write(&report).await.unwrap();
     }
--- a/crates/controller/tests/follower_sync.rs
+++ b/crates/controller/tests/follower_sync.rs
@@ -25,6 +25,7 @@
         routes_version: 0,
         departures_version: 0,
         leader_term: u64::MAX,
+        evacuations_version: 0,
     };
     let client = PeerClient::new(group.address(index));
     client.call(SYNC_PATH, PROCESS_TOKEN, &request, CALL_TIMEOUT).await.unwrap()
--- a/crates/controller/tests/open_group.rs
+++ b/crates/controller/tests/open_group.rs
@@ -170,6 +170,7 @@
         routes_version: 0,
         departures_version: 0,
         leader_term: u64::MAX,
+        evacuations_version: 0,
     }
 }
 
--- a/crates/controller/tests/unnamed_departure.rs
+++ b/crates/controller/tests/unnamed_departure.rs
@@ -33,6 +33,7 @@
         leaving: false,
         running: None,
         software: None,
+        cold_ms: None,
     }])
 }
 
--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -81,6 +81,7 @@
             parts: PartReport::default(),
             limits: LimitReport::default(),
             origins: OriginReport::default(),
+            load: None,
         };
         self.dispatcher.apply_report(Duration::ZERO, &report);
         self.dispatcher.finish_recovery(Duration::ZERO);
@@ -157,5 +158,6 @@
         leaving: false,
         running: None,
         software: None,
+        cold_ms: None,
     }
 }
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -317,6 +317,46 @@
     pub origin: Option<StreamOrigin>,
 }
 
+/// Requests of one workspace that a router turned away before they could join its queue, since it
+/// started. The dispatcher counts the growth as demand of the workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnedAway {
+    /// Workspace that sent the requests.
+    #[serde(rename = "w")]
+    pub workspace: String,
+    /// Number of requests.
+    #[serde(rename = "n")]
+    pub requests: u64,
+}
+
+/// What a router reports about its own load.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouterLoad {
+    /// Requests that the router could take on now, by its processor time, memory and descriptors.
+    #[serde(default, rename = "r")]
+    pub room: u32,
+    /// Address at which the router takes requests that other routers hand over.
+    #[serde(default, rename = "a", skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
+    /// Counts that have changed.
+    #[serde(default, rename = "t", skip_serializing_if = "Vec::is_empty")]
+    pub turned_away: Vec<TurnedAway>,
+}
+
+/// Router that takes requests of the one that gets this message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NeighbourRoom {
+    /// Name of the router.
+    #[serde(rename = "n")]
+    pub router: String,
+    /// Address at which it takes requests that other routers hand over.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Requests that this router may hand over to it at once.
+    #[serde(rename = "r")]
+    pub room: u32,
+}
+
 /// Report that a router sends to the dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchReport {
@@ -374,6 +414,9 @@
     /// Origins of streams. Routers of releases without this field leave it out.
     #[serde(default, skip_serializing_if = "is_default", rename = "o")]
     pub origins: OriginReport,
+    /// Load of the router itself; absent while it asks for nothing and offers nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none", rename = "d")]
+    pub load: Option<RouterLoad>,
 }
 
 impl DispatchReport {
@@ -486,4 +529,7 @@
     /// Results of the router's lookups of streams.
     #[serde(default, skip_serializing_if = "Vec::is_empty", rename = "o")]
     pub origins: Vec<OriginAnswer>,
+    /// Routers that take requests of this one while it is crowded; absent when unchanged.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub neighbours: Option<Vec<NeighbourRoom>>,
 }
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -118,6 +118,7 @@
 ///     leaving: false,
 ///     running: None,
 ///     software: None,
+///     cold_ms: None,
 /// };
 /// let now = Duration::ZERO;
 /// let mut local = LocalDispatcher::new(LocalSettings::default(), &table, [&held]);
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -2,6 +2,7 @@
 //! each time with a higher version.
 
 use crate::sorted_map::SortedMap;
+use crate::upstream_limits::RequestRate;
 use crate::upstream_registry::is_valid_name;
 use crate::workspace_table::{RowChange, WorkspaceRow, WorkspaceTable};
 use serde::{Deserialize, Serialize};
@@ -150,6 +151,18 @@
     pub connections: u32,
     /// Properties of its model engines; `None` for a plain service.
     pub engine: Option<EngineRow>,
+    /// What its upstreams tolerate while they are cold; `None` when that is no less than otherwise.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<ColdRow>,
+}
+
+/// What the upstreams of a service tolerate while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdRow {
+    /// Time for which an upstream is cold after it started, in milliseconds.
+    pub start_ms: u64,
+    /// Requests that a cold upstream tolerates from all routers together.
+    pub rate: RequestRate,
 }
 
 /// Properties of the model engines of a service.
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -68,6 +68,7 @@
 ///     leaving: false,
 ///     running: None,
 ///     software: None,
+///     cold_ms: None,
 /// };
 /// let mut dispatcher = SlotDispatcher::new(now, 1, DispatchSettings::default());
 /// dispatcher.expect_routers(["entry-1"]);
@@ -97,6 +98,7 @@
 ///     parts: PartReport::default(),
 ///     limits: LimitReport::default(),
 ///     origins: OriginReport::default(),
+///     load: None,
 /// });
 /// assert_eq!(dispatcher.dispatch(now), 1);
 /// assert_eq!(dispatcher.routers_to_wake(), ["entry-1"]);
@@ -552,6 +554,7 @@
             limits: None,
             hold_ms: self.hold_ms,
             origins: Vec::new(),
+            neighbours: None,
         };
         let Some(id) = self.router_names.get(router_name).copied() else { return answer };
         let mut pending_refusals = std::mem::take(&mut self.routers[id].pending_refusals);
--- a/crates/core/src/upstream_notices.rs
+++ b/crates/core/src/upstream_notices.rs
@@ -9,6 +9,7 @@
 
 use crate::dispatch_messages::UpstreamRestriction;
 use crate::limit_book::RateStatement;
+use crate::send_barrier::SendBarrier;
 use crate::sorted_map::SortedMap;
 use std::time::Duration;
 
@@ -99,6 +100,15 @@
         self.next_use(now, name, incarnation) <= now
     }
 
+    /// What the upstream stated that keeps requests of this router away now, if anything.
+    pub fn barrier(&self, now: Duration, name: &str, incarnation: u64) -> Option<SendBarrier> {
+        match self.next_use(now, name, incarnation) {
+            Duration::MAX => Some(SendBarrier::Leaving),
+            next_use if next_use > now => Some(SendBarrier::Quiet),
+            _ => None,
+        }
+    }
+
     /// Time at which this incarnation of the upstream takes requests again: `now` when
     /// it does already, [`Duration::MAX`] when it is leaving.
     pub fn next_use(&self, now: Duration, name: &str, incarnation: u64) -> Duration {
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -87,6 +87,10 @@
     /// Version of its software; `None` when it is unknown, which equals no other version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub software: Option<SoftwareVersion>,
+    /// Time for which the upstream stays cold, in milliseconds: it tolerates only the request rate
+    /// that its service names. Zero when it is warm, `None` when it does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_ms: Option<u64>,
 }
 
 /// Maximum length of a name in bytes: of an upstream, model, service, zone, pool
--- a/crates/core/tests/dispatch_fleet/mod.rs
+++ b/crates/core/tests/dispatch_fleet/mod.rs
@@ -59,6 +59,7 @@
         leaving: false,
         running: None,
         software: None,
+        cold_ms: None,
     }
 }
 
@@ -121,6 +122,7 @@
             parts: PartReport::default(),
             limits: LimitReport::default(),
             origins: OriginReport::default(),
+            load: None,
         }
     }
 
@@ -284,6 +286,7 @@
             parts: PartReport::default(),
             limits: LimitReport::default(),
             origins: OriginReport::default(),
+            load: None,
         }
     }
 
--- a/crates/core/tests/route_table.rs
+++ b/crates/core/tests/route_table.rs
@@ -29,7 +29,13 @@
 }
 
 fn service(name: &str) -> ServiceRow {
-    ServiceRow { name: name.to_owned(), health_path: "/h".to_owned(), connections: 1, engine: None }
+    ServiceRow {
+        name: name.to_owned(),
+        health_path: "/h".to_owned(),
+        connections: 1,
+        engine: None,
+        cold: None,
+    }
 }
 
 fn workspace(name: &str, keys: &[&str]) -> WorkspaceKeys {
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -8,6 +8,7 @@
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
+use baobabfall_core::zone_evacuations::EvacuationList;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -86,6 +87,9 @@
     /// Term of the leader that the node knows.
     #[serde(default)]
     pub leader_term: u64,
+    /// Version of the list of evacuated zones that the node holds.
+    #[serde(default)]
+    pub evacuations_version: u64,
 }
 
 /// Answer to a [`SyncRequest`]. Revisions and versions only increase.
@@ -115,6 +119,9 @@
     /// Departures that the controller has applied and the node lacks, from any controller.
     #[serde(default)]
     pub departures: Option<DepartureList>,
+    /// Evacuated zones, when the node's version is older; from any controller.
+    #[serde(default)]
+    pub evacuations: Option<EvacuationList>,
     /// Time since the controller applied its route table, in milliseconds.
     #[serde(default)]
     pub routes_age_ms: u64,
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -17,6 +17,7 @@
 use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
 use baobabfall_core::local_dispatcher::LOCAL_TERM;
 use baobabfall_core::part_book::{AnswerProgress, PartBook, RequestSuspects};
+use baobabfall_core::send_barrier::SendBarrier;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::stream_origins::OriginBook;
 use baobabfall_core::upstream_notices::{UpstreamNotice, UpstreamNotices};
@@ -345,6 +346,11 @@
         self.notices.notices.is_empty()
     }
 
+    /// What the upstream told this router that keeps requests away now, if anything.
+    pub fn barrier(&self, name: &str, incarnation: u64) -> Option<SendBarrier> {
+        self.notices.notices.barrier(self.notices.started.elapsed(), name, incarnation)
+    }
+
     /// True when the upstream has not told this router to send it no requests.
     pub fn permits(&self, name: &str, incarnation: u64) -> bool {
         self.time_until_use(name, incarnation).is_zero()
@@ -537,6 +543,7 @@
                 begun: self.origins.report(self.elapsed(), full, since),
                 lookups: self.lookups.keys(),
             },
+            load: None,
         }
     }
 
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -16,6 +16,7 @@
 use baobabfall_core::dispatch_messages::UpstreamRoute;
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::request_life::RequestLifecycle;
+use baobabfall_core::send_barrier::SendBarrier;
 use baobabfall_node::accept_gate::AcceptGate;
 use baobabfall_node::node_metrics::NodeMetrics;
 use std::sync::Arc;
@@ -79,11 +80,17 @@
         self.fleet.table().is_none().then_some(ErrorKind::NotReady)
     }
 
-    /// True if this incarnation of an upstream may get a request now: it has not left, and has not
-    /// said that it wants none for a time. Asked last, right before a request is written.
+    /// Why this incarnation of an upstream may not get a request now, if there is a reason. Asked
+    /// last, right before a request is written.
+    pub fn send_barrier(&self, route: &UpstreamRoute) -> Option<SendBarrier> {
+        let directory = self.fleet.directory();
+        let left = directory.has_left(&route.name, route.incarnation).then_some(SendBarrier::Left);
+        left.or_else(|| self.queue.book().barrier(&route.name, route.incarnation))
+    }
+
+    /// True if this incarnation of an upstream may get a request now.
     pub fn may_send(&self, route: &UpstreamRoute) -> bool {
-        !self.fleet.directory().has_left(&route.name, route.incarnation)
-            && self.queue.book().permits(&route.name, route.incarnation)
+        self.send_barrier(route).is_none()
     }
 
     /// True if a load balancer should send requests to this router.
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -208,6 +208,7 @@
             departures_version: self.fleet.directory().departures_version(),
             leader_term: self.link.leader_term(),
             wait_ms,
+            evacuations_version: 0,
         };
         let timeout = answer_timeout + Duration::from_millis(wait_ms.into());
         match self.link.call::<_, SyncAnswer>(address, SYNC_PATH, &request, timeout).await {
--- a/crates/router/tests/fleet_view.rs
+++ b/crates/router/tests/fleet_view.rs
@@ -23,6 +23,7 @@
         leaving: false,
         running: None,
         software: None,
+        cold_ms: None,
     }
 }
 
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -63,6 +63,7 @@
         limits: None,
         hold_ms: 0,
         origins: Vec::new(),
+        neighbours: None,
     }
 }
 
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -162,12 +162,14 @@
                 health_path: "/h".to_owned(),
                 connections: 9,
                 engine: Some(EngineRow { slots: 4, memory_tokens: 1_000, event_tokens: 1 }),
+                cold: None,
             },
             ServiceRow {
                 name: "lookups".to_owned(),
                 health_path: "/h".to_owned(),
                 connections: 9,
                 engine: None,
+                cold: None,
             },
         ],
         workspaces: Some(vec![WorkspaceKeys {
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -221,6 +221,7 @@
             table,
             stops: (request.stops_version < script.stops_version).then_some(stops),
             registry: (request.registry_version != version).then_some(view),
+            evacuations: None,
         }
     };
     script.lock().unwrap().sync_count += 1;
@@ -340,6 +341,7 @@
                     limits: script.limits.clone(),
                     hold_ms: 0,
                     origins: script.answer_lookups(&report.origins.lookups),
+                    neighbours: None,
                 });
             }
         }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -48,6 +48,7 @@
         leaving: false,
         running: None,
         software: SoftwareVersion::parse("v1"),
+        cold_ms: None,
     }
 }
 
--- a/crates/standin/src/upstream_handle.rs
+++ b/crates/standin/src/upstream_handle.rs
@@ -124,6 +124,7 @@
             leaving: false,
             running: None,
             software: SoftwareVersion::parse(SOFTWARE),
+            cold_ms: None,
         }
     }
 }
