Answers: only the statuses 200 to 599 end a request

Cause: the HTTP client accepts statuses up to 999, and 101. An upstream in trouble that sent 600 had its answer passed on to the caller as an answer. Change: UpstreamConnection::send takes other statuses as a broken answer, on the own interface and for exchanges on routes.

--- a/crates/router/src/upstream_pool.rs
+++ b/crates/router/src/upstream_pool.rs
@@ -6,7 +6,7 @@
 use baobabfall_node::tcp_options::set_user_timeout;
 use bytes::Bytes;
 use http::header::HOST;
-use http::{Method, Request, Response};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -227,6 +227,12 @@
     }
 }
 
+/// True for the statuses with which an answer may end a request. `101` ends HTTP on the connection,
+/// which no request asks for, and those from 600 on have no meaning that a caller could rely on.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reason of the failure, and the request if it was not sent.
 type SendFailure = (String, Option<Box<Request<Full<Bytes>>>>);
 
@@ -247,6 +253,10 @@
     ) -> Result<(Response<Incoming>, Self), SendFailure> {
         self.renew_allowance();
         match self.sender.sender.try_send_request(request).await {
+            Ok(response) if !is_final(response.status()) => {
+                let status = response.status();
+                Err((format!("the upstream sent the status {status}, which no answer has"), None))
+            }
             Ok(response) => Ok((response, self)),
             Err(mut failure) => {
                 let unsent = failure.take_message().map(Box::new);
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -209,6 +209,18 @@
         upstreams: Vec<FakeUpstream>,
         limits: &str,
         control: Option<Handle>,
+    ) -> Self {
+        Self::start_holding(controller, upstreams, limits, control, 1 << 20).await
+    }
+
+    /// Like [`Self::start_between`], for a router that may hold `held_bytes` for its callers and
+    /// upstreams.
+    pub async fn start_holding(
+        controller: FakeController,
+        upstreams: Vec<FakeUpstream>,
+        limits: &str,
+        control: Option<Handle>,
+        held_bytes: usize,
     ) -> Self {
         let directory = tempfile::TempDir::new().unwrap();
         let text = settings_text(directory.path(), &[controller.address], limits);
@@ -223,7 +235,7 @@
         let window = Duration::from_secs(10);
         let exchanges = ExchangeOptions {
             budget: FleetRetryBudget { ratio: 0.2, slack: 20.0, window },
-            held_bytes: 1 << 20,
+            held_bytes,
         };
         let (handle, state) =
             Router::start_exchanges(options, listeners, TestProtocol, &exchanges).await.unwrap();
