--- a/crates/bench/src/exchange_scene.rs
+++ b/crates/bench/src/exchange_scene.rs
@@ -7,6 +7,7 @@
 use crate::role_thread::RoleThread;
 use crate::slow_core::limit_share;
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::hedge_policy::HedgeLimit;
 use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::retry_window::FleetRetryBudget;
 use baobabfall_core::route_table::{
@@ -305,6 +306,7 @@
         let exchanges = ExchangeOptions {
             budget: FleetRetryBudget { ratio: 0.2, slack: 200.0, window: Duration::from_secs(10) },
             held_bytes: HELD_BYTES,
+            hedges: HedgeLimit::NONE,
         };
         let start = async move {
             let listeners = RouterListeners::bind(&options.settings).await.map_err(setup)?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 mod dispatch_upstreams;
 pub mod error_kind;
 pub mod fair_order;
+pub mod hedge_policy;
 pub mod limit_book;
 pub mod local_dispatcher;
 pub mod naive_dispatcher;
--- a/crates/core/src/part_book.rs
+++ b/crates/core/src/part_book.rs
@@ -173,6 +173,12 @@
         added.copied().collect()
     }
 
+    /// True if a crash of upstreams is suspected of the request or of a part of its prompt.
+    pub fn is_suspect(&self, request: RequestSuspects<'_>) -> bool {
+        let mut suspects = request.parts.iter().chain([&request.request]);
+        suspects.any(|part| is_listed(&self.watched, &self.quarantined, *part))
+    }
+
     /// Time until a request may run again if it or a part of it is in quarantine.
     pub fn quarantine_left(&self, now: Duration, request: RequestSuspects<'_>) -> Option<Duration> {
         if self.quarantined.is_empty() {
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -94,6 +94,10 @@
         name: "heartbeat_refused",
         meaning: "The heartbeat of an upstream was invalid and was rejected without effect.",
     },
+    LogEvent {
+        name: "hedge_ended",
+        meaning: "A repeatable request without an answer after `delay_ms` was sent to a second upstream as well; `answered` says which of them answered first, or that both failed.",
+    },
     LogEvent {
         name: "leadership_changed",
         meaning: "This controller learned of a new leader or term.",
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -61,6 +61,9 @@
     pub answers: Counter<u64>,
     /// Retried attempts by workspace.
     pub retries: Counter<u64>,
+    /// Requests that were sent to a second upstream because the first one was slow, by workspace
+    /// and by the upstream that answered first.
+    pub hedges: Counter<u64>,
     /// Time that requests wait for a slot, in seconds, by model.
     pub queue_wait: Histogram<f64>,
     /// Time from the arrival of a request to its first token, in seconds, by
@@ -116,6 +119,7 @@
             refusals: meter.u64_counter("baobabfall_refusals").build(),
             answers: meter.u64_counter("baobabfall_answers").build(),
             retries: meter.u64_counter("baobabfall_retries").build(),
+            hedges: meter.u64_counter("baobabfall_hedges").build(),
             queue_wait: meter
                 .f64_histogram("baobabfall_queue_wait")
                 .with_unit("s")
--- a/crates/router/src/exchange_meter.rs
+++ b/crates/router/src/exchange_meter.rs
@@ -56,6 +56,11 @@
         self.metrics.retries.add(1, &self.labels[..1]);
     }
 
+    /// Counts a request with a second attempt, by the upstream that answered first.
+    pub(crate) fn count_hedge(&self, outcome: KeyValue) {
+        self.metrics.hedges.add(1, &[self.labels[0].clone(), outcome]);
+    }
+
     pub(crate) fn count_answer(&self, completeness: AnswerCompleteness) {
         let [workspace, model] = self.labels.clone();
         let labels = [workspace, model, KeyValue::new("completeness", completeness.label())];
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -6,7 +6,7 @@
 use crate::exchange_body::{ExchangeBody, frame_body};
 use crate::exchange_meter::{ExchangeMeter, ExchangeOutcome};
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
-use crate::exchange_send::{OpenExchange, SendFailure, forwarded_head, send_call};
+use crate::exchange_send::{OpenExchange, SendFailure, forwarded_head};
 use crate::exchange_state::{ExchangeState, ProgressGuard};
 use crate::exchange_stream::{pump_events, pump_frames};
 use crate::held_bytes::{CollectError, HeldBytes};
@@ -276,7 +276,6 @@
     ) -> Result<OpenExchange, (ErrorKind, Option<Duration>)> {
         loop {
             let lease = self.wait_for_slot().await?;
-            let name = lease.route().name.clone();
             if !self.state.router.may_send(lease.route()) {
                 // The upstream made its statement after the slot was granted.
                 lease.finish(LeaseEnd::Unused);
@@ -294,10 +293,10 @@
                 lease.finish(LeaseEnd::Unused);
                 return Err((ErrorKind::Stopping, Some(SHUTDOWN_RETRY_AFTER)));
             }
-            match send_call(&self.state, &self.call, lease, last_event).await {
+            match self.send_attempt(lease, last_event).await {
                 Ok(opened) => {
                     self.attempts += 1;
-                    self.avoid = Some(name);
+                    self.avoid = Some(opened.lease.route().name.clone());
                     return Ok(opened);
                 }
                 Err(failure) => {
@@ -313,6 +312,63 @@
         }
     }
 
+    /// True until the request was sent for the first time.
+    pub(crate) fn is_first_attempt(&self) -> bool {
+        self.attempts == 0 && self.connect_failures == 0
+    }
+
+    /// Counts an attempt that runs beside another one.
+    pub(crate) fn count_attempt(&mut self) {
+        self.attempts += 1;
+    }
+
+    /// Records the failure of an attempt beside which another one goes on.
+    pub(crate) fn record_lost_attempt(&mut self, failure: &SendFailure) {
+        self.may_have_run |= failure.may_have_run;
+        let call = &self.call;
+        log::info!(
+            event = "attempt_failed", request_id = call.head.request_id.as_str(),
+            route = call.route.name.as_str(), upstream = failure.upstream.as_str(),
+            attempt = self.attempts, may_have_run = failure.may_have_run, again = false,
+            fingerprint = format!("{:016x}", call.fingerprint);
+            "attempt failed while another one goes on: {}", failure.reason
+        );
+    }
+
+    /// True if the request may be sent to a second upstream beside the first one. Its own wait
+    /// for a slot, at most `free_wait`, shows that upstreams have room.
+    pub(crate) fn allows_hedge(&self, free_wait: Duration) -> bool {
+        let router = &self.state.router;
+        let book = router.queue.book();
+        self.attempts + 2 <= self.call.route.attempts
+            && self.queued <= free_wait
+            && book.queued() == 0
+            && !book.is_suspect(self.call.suspects())
+            && !router.dispatch.is_lost()
+            && !self.is_cut_by_shutdown()
+    }
+
+    /// Takes a slot at another upstream than `first`, if there is one within `wait`.
+    pub(crate) async fn take_slot_beside(&self, first: &str, wait: Duration) -> Option<SlotLease> {
+        let (call, router) = (&self.call, &self.state.router);
+        let target = self.target();
+        if router.fleet.directory().serving_count(&target) < 2 {
+            return None;
+        }
+        if call.plain {
+            return self.take_direct_slot(&target, Some(first));
+        }
+        let request = QueueRequest {
+            key: (target, call.workspace.clone()),
+            cost_hint: call.cost_hint(),
+            prefix: call.head.prefix,
+            avoid: Some(first.to_owned()),
+            number: None,
+            prompt: call.prompt_note(),
+        };
+        router.queue.enqueue(request).wait(Instant::now() + wait).await.ok()
+    }
+
     fn is_bound(&self) -> bool {
         matches!(self.binding, StreamBinding::Version(_))
     }
@@ -470,13 +526,13 @@
     /// does not learn which upstreams have left, and not while an upstream of the
     /// service limits its requests, because only the dispatcher knows those of all
     /// routers.
-    fn take_direct_slot(&self, target: &WorkTarget) -> Option<SlotLease> {
+    fn take_direct_slot(&self, target: &WorkTarget, avoid: Option<&str>) -> Option<SlotLease> {
         let router = &self.state.router;
         if !self.call.plain || router.dispatch.is_lost() || self.has_limited_upstream(target) {
             return None;
         }
         let permits = |name: &str, incarnation| router.queue.book().permits(name, incarnation);
-        let slot = router.direct.take(&router.fleet, target, self.avoid.as_deref(), permits)?;
+        let slot = router.direct.take(&router.fleet, target, avoid, permits)?;
         Some(SlotLease::direct(&router.direct, &self.call.service, slot))
     }
 
@@ -538,7 +594,7 @@
         if let Some(left) = self.quarantine_left() {
             return Err((ErrorKind::PromptQuarantined, Some(left)));
         }
-        if let Some(lease) = self.take_direct_slot(&target) {
+        if let Some(lease) = self.take_direct_slot(&target, self.avoid.as_deref()) {
             return Ok(lease);
         }
         if let Some(wait) = self.time_until_upstream(&target) {
--- a/crates/router/src/exchange_state.rs
+++ b/crates/router/src/exchange_state.rs
@@ -4,10 +4,12 @@
 use crate::exchange_protocol::ExchangeProtocol;
 use crate::held_bytes::ByteAccount;
 use crate::router_state::RouterState;
+use baobabfall_core::hedge_policy::{HedgeLimit, HedgePolicy};
 use baobabfall_core::retry_window::{FleetRetryBudget, RetryWindow};
 use baobabfall_core::sorted_map::SortedMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Number of routers that are assumed to share a retry budget while the actual
@@ -26,6 +28,8 @@
     /// Bytes that the router may hold at the same time for callers and upstreams: request
     /// bodies, buffered answers and incomplete events; rounded down to whole KiB.
     pub held_bytes: usize,
+    /// Limit of the second attempts for slow answers.
+    pub hedges: HedgeLimit,
 }
 
 /// State that all exchanges of one router share.
@@ -37,6 +41,8 @@
     pub protocol: P,
     budget: FleetRetryBudget,
     windows: Mutex<SortedMap<String, RetryWindow>>,
+    hedges: Mutex<HedgePolicy>,
+    hedges_enabled: bool,
     /// Bytes that the router holds for callers and upstreams.
     pub account: ByteAccount,
     started: Instant,
@@ -53,6 +59,8 @@
             protocol,
             budget,
             windows: Mutex::default(),
+            hedges: Mutex::new(HedgePolicy::new(options.hedges)),
+            hedges_enabled: options.hedges.is_enabled(),
             account: ByteAccount::new(options.held_bytes),
             started: Instant::now(),
         })
@@ -77,6 +85,38 @@
         window.take_retry(self.started.elapsed(), &self.budget, routers)
     }
 
+    /// True if slow requests may be sent to a second upstream at all.
+    pub fn hedges_enabled(&self) -> bool {
+        self.hedges_enabled
+    }
+
+    fn with_hedges<T>(&self, action: impl FnOnce(&mut HedgePolicy, Duration) -> T) -> T {
+        let mut hedges = self.hedges.lock().unwrap_or_else(PoisonError::into_inner);
+        action(&mut hedges, self.started.elapsed())
+    }
+
+    /// Counts a request that may be hedged, if `is_first` tells that it is sent for the first time.
+    pub fn record_hedgeable(&self, is_first: bool) {
+        if is_first {
+            self.with_hedges(HedgePolicy::record_request);
+        }
+    }
+
+    /// Time after which a request of the route without an answer may be sent to a second upstream.
+    pub fn hedge_delay(&self, route: &str) -> Option<Duration> {
+        self.with_hedges(|hedges, now| hedges.delay(now, route))
+    }
+
+    /// Records the time between a request and the head of its answer.
+    pub fn record_answer_time(&self, route: &str, time: Duration) {
+        self.with_hedges(|hedges, now| hedges.record_answer(now, route, time));
+    }
+
+    /// Takes a second attempt from the operator's limit and from the retry budget of the service.
+    pub fn take_hedge(&self, service: &str) -> bool {
+        self.with_hedges(HedgePolicy::take_hedge) && self.take_retry(service)
+    }
+
     /// True when the router is serving, has both a workspace table and a route table,
     /// and is not so crowded that new callers should go elsewhere.
     pub fn is_ready(&self) -> bool {
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -330,6 +330,11 @@
         self.parts.record_casualty(now, casualty, self.sequence + 1);
     }
 
+    /// True if a crash of upstreams is suspected of the request or of a part of its prompt.
+    pub fn is_suspect(&self, request: RequestSuspects<'_>) -> bool {
+        self.parts.is_suspect(request)
+    }
+
     /// Time until a request may run again if it or a part of it is in quarantine.
     pub fn quarantine_left(&self, request: RequestSuspects<'_>) -> Option<Duration> {
         self.parts.quarantine_left(self.elapsed(), request)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event_splitter;
 pub mod exchange_api;
 pub mod exchange_body;
+mod exchange_hedge;
 mod exchange_meter;
 pub mod exchange_protocol;
 pub mod exchange_run;
--- a/crates/router/tests/early_answers.rs
+++ b/crates/router/tests/early_answers.rs
@@ -5,11 +5,12 @@
 
 mod support;
 
+use baobabfall_router::exchange_state::ExchangeOptions;
 use http::Method;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use support::exchange_site::{ExchangeSite, answer_with, event, route_table};
+use support::exchange_site::{ExchangeSite, answer_with, event, exchange_options, route_table};
 use support::fake_controller::FakeController;
 use support::fake_upstream::{FakeUpstream, Step, complete_answer};
 use support::{TestRouter, model_announcement, service_announcement};
@@ -70,7 +71,8 @@
     let mut table = route_table(5);
     table.limits.body_bytes = 2 * UPLOAD_BYTES as u64;
     controller.script().routes = Some(Arc::new(table));
-    ExchangeSite::start_holding(controller, Vec::new(), "", None, 8 * UPLOAD_BYTES).await
+    let options = ExchangeOptions { held_bytes: 8 * UPLOAD_BYTES, ..exchange_options() };
+    ExchangeSite::start_options(controller, Vec::new(), "", None, options).await
 }
 
 /// Guards against a part of an answer without a length that reaches the caller as a complete
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -4,6 +4,7 @@
 use super::fake_upstream::{FakeUpstream, Step, chunk};
 use super::{Answer, send, service_announcement, settings_text, wait_for};
 use baobabfall_core::error_kind::ErrorKind;
+use baobabfall_core::hedge_policy::HedgeLimit;
 use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::retry_window::FleetRetryBudget;
 use baobabfall_core::route_table::*;
@@ -210,17 +211,16 @@
         limits: &str,
         control: Option<Handle>,
     ) -> Self {
-        Self::start_holding(controller, upstreams, limits, control, 1 << 20).await
+        Self::start_options(controller, upstreams, limits, control, exchange_options()).await
     }
 
-    /// Like [`Self::start_between`], for a router that may hold `held_bytes` for its callers and
-    /// upstreams.
-    pub async fn start_holding(
+    /// Like [`Self::start_between`], with other limits for exchanges.
+    pub async fn start_options(
         controller: FakeController,
         upstreams: Vec<FakeUpstream>,
         limits: &str,
         control: Option<Handle>,
-        held_bytes: usize,
+        exchanges: ExchangeOptions,
     ) -> Self {
         let directory = tempfile::TempDir::new().unwrap();
         let text = settings_text(directory.path(), &[controller.address], limits);
@@ -232,11 +232,6 @@
         options.health_checks = false;
         options.control = control;
         options.close_on_stop = true;
-        let window = Duration::from_secs(10);
-        let exchanges = ExchangeOptions {
-            budget: FleetRetryBudget { ratio: 0.2, slack: 20.0, window },
-            held_bytes,
-        };
         let (handle, state) =
             Router::start_exchanges(options, listeners, TestProtocol, &exchanges).await.unwrap();
         let site = Self { handle, state, controller, upstreams, _temp_dir: directory };
@@ -289,6 +284,16 @@
     }
 }
 
+/// The limits for exchanges that tests start with.
+pub fn exchange_options() -> ExchangeOptions {
+    let window = Duration::from_secs(10);
+    ExchangeOptions {
+        budget: FleetRetryBudget { ratio: 0.2, slack: 20.0, window },
+        held_bytes: 1 << 20,
+        hedges: HedgeLimit::NONE,
+    }
+}
+
 /// Starts one upstream per list of scripts, and a controller that knows them.
 pub async fn start_peers(scripts: Vec<Vec<Vec<Step>>>) -> (FakeController, Vec<FakeUpstream>) {
     let mut upstreams = Vec::new();
