Evacuated zones: orders in the replicated log, and no grants at the dispatcher

Cause: operators can't empty an availability zone; nothing knows an evacuation. Change: ControlCommand::EvacuateZone and ZoneEvacuations in the control state, with a version that each change increments. An order names the version that its receiver held, so that a late copy doesn't revert a later order. The dispatcher gives upstreams of evacuated zones no slots; a readmitted zone begins with a slow start.

--- a/crates/core/src/control_command.rs
+++ b/crates/core/src/control_command.rs
@@ -11,6 +11,7 @@
 use crate::route_table::RouteTable;
 use crate::table_history::TableDifference;
 use crate::workspace_table::RowChange;
+use crate::zone_evacuations::{EvacuationAnswer, EvacuationOrder};
 use serde::{Deserialize, Serialize};
 
 /// Maximum length of an operator name, an edit id or a note, in bytes.
@@ -122,6 +123,11 @@
         #[serde(default, skip_serializing_if = "std::ops::Not::not")]
         unnamed: bool,
     },
+    /// Evacuates an availability zone or readmits it.
+    EvacuateZone {
+        /// The order as the receiving controller read it.
+        order: EvacuationOrder,
+    },
 }
 
 /// Operator who makes a change, and the unique id of that change.
@@ -185,6 +191,8 @@
     Outcomes(Vec<OutcomeAnswer>),
     /// Version of the route table in force after the command.
     Routes(u64),
+    /// What became of the evacuation of a zone, or of its end.
+    Evacuation(EvacuationAnswer),
 }
 
 /// Result of an operator's edit that was applied.
@@ -229,7 +237,8 @@
             | Self::Releases { .. }
             | Self::RouterSeen { .. }
             | Self::ReplaceRoutes { .. }
-            | Self::UpstreamLeft { .. } => None,
+            | Self::UpstreamLeft { .. }
+            | Self::EvacuateZone { .. } => None,
         }
     }
 
--- a/crates/core/src/control_state.rs
+++ b/crates/core/src/control_state.rs
@@ -16,6 +16,7 @@
 use crate::table_history::{RevisionAuthor, TableDifference, TableHistory};
 use crate::upstream_registry::{UNNAMED_DEPARTURE_HOLD, UnnamedDeparture, is_valid_name};
 use crate::workspace_table::RowChange;
+use crate::zone_evacuations::ZoneEvacuations;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,7 +75,7 @@
 
 /// Everything that the controllers replicate: workspace table and its history,
 /// route table, planned stops, action claims, removed nodes, deregistered
-/// upstreams and replica membership.
+/// upstreams, evacuated zones and replica membership.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ControlState {
     applied_index: u64,
@@ -97,6 +98,8 @@
     /// The latest departures that named no incarnation.
     #[serde(default)]
     unnamed_departures: SortedMap<String, UnnamedRecord>,
+    #[serde(default)]
+    evacuations: ZoneEvacuations,
 }
 
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -240,6 +243,9 @@
                 self.record_deregistration(name, *incarnation);
                 ControlAnswer::Done
             }
+            ControlCommand::EvacuateZone { order } => {
+                ControlAnswer::Evacuation(self.evacuations.apply(order))
+            }
             command => match command.edit() {
                 Some(edit) => self.apply_edit(edit, command),
                 None => ControlAnswer::Done,
@@ -317,6 +323,11 @@
         self.routes.as_ref().map_or(0, |record| record.table.version)
     }
 
+    /// Availability zones that operators have evacuated.
+    pub fn evacuations(&self) -> &ZoneEvacuations {
+        &self.evacuations
+    }
+
     /// Deregistered upstreams by name.
     pub fn deregistered(&self) -> &SortedMap<String, DeregisteredUpstream> {
         &self.left
--- a/crates/core/src/dispatch_ledger.rs
+++ b/crates/core/src/dispatch_ledger.rs
@@ -338,6 +338,9 @@
         if !upstream.live || upstream.stopping || upstream.left == Some(upstream.incarnation) {
             return 0;
         }
+        if self.evacuated_zones.contains(&upstream.zone) {
+            return 0;
+        }
         let slots = upstream.capacity.slots(now, &self.settings.placement);
         match self.limits.wait(now, &upstream.name, upstream.incarnation) {
             // The request rate allows no further request at present.
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -289,6 +289,8 @@
     pub ejected: bool,
     /// True while a planned stop keeps new requests away from the upstream.
     pub stopping: bool,
+    /// True while operators have evacuated the upstream's availability zone.
+    pub evacuated: bool,
 }
 
 pub(crate) fn refusal(
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -54,6 +54,30 @@
         }
     }
 
+    /// Sets the evacuated zones. Their upstreams get no more grants; their running leases continue.
+    /// The upstreams of a readmitted zone begin with few slots: they may have restarted or lost
+    /// their caches meanwhile.
+    pub fn set_evacuated_zones<'a>(
+        &mut self,
+        now: Duration,
+        names: impl IntoIterator<Item = &'a str>,
+    ) {
+        let zones: Vec<usize> = names.into_iter().map(|name| self.zone_id(name)).collect();
+        if zones == self.evacuated_zones {
+            return;
+        }
+        let previous = std::mem::replace(&mut self.evacuated_zones, zones);
+        for id in 0..self.upstreams.len() {
+            let upstream = &mut self.upstreams[id];
+            let zone = upstream.zone;
+            if upstream.live && previous.contains(&zone) && !self.evacuated_zones.contains(&zone) {
+                upstream.capacity.begin_slow_start(now);
+                self.track_slot_changes(id);
+            }
+            self.refresh_upstream(now, id);
+        }
+    }
+
     /// Returns the index of an upstream and adds the upstream if it is new.
     pub(crate) fn upstream_id(&mut self, name: &str, incarnation: u64) -> usize {
         if let Some(id) = self.upstream_names.get(name) {
@@ -340,6 +364,7 @@
                 running: upstream.running,
                 ejected: upstream.capacity.is_ejected(),
                 stopping: upstream.stopping,
+                evacuated: self.evacuated_zones.contains(&upstream.zone),
             }
         })
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -180,6 +180,11 @@
             .map(|start| (now + settings.slow_start_step).min(start + settings.slow_start))
     }
 
+    /// Begins a slow start; an ejection goes on.
+    pub fn begin_slow_start(&mut self, now: Duration) {
+        self.slow_start = Some(now);
+    }
+
     /// Ends an ejection and begins a slow start.
     pub fn readmit(&mut self, now: Duration) {
         self.ejected_until = None;
--- a/crates/core/src/replica_core.rs
+++ b/crates/core/src/replica_core.rs
@@ -319,6 +319,16 @@
         self.commit_index
     }
 
+    /// True if the log holds an order to evacuate or readmit a zone that is not applied, because
+    /// this replica doesn't know whether it is committed.
+    pub fn has_unapplied_evacuation(&self) -> bool {
+        let mut unapplied = self.applied_index + 1..=self.last_index();
+        unapplied.any(|index| {
+            let entry = self.log.get(index);
+            entry.is_some_and(|entry| matches!(entry.command, ControlCommand::EvacuateZone { .. }))
+        })
+    }
+
     /// Index of the last entry of the log, committed or not.
     pub fn last_index(&self) -> u64 {
         self.log.last_index()
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -136,6 +136,8 @@
     pub(crate) upstreams: Vec<UpstreamState>,
     pub(crate) free_upstreams: Vec<usize>,
     pub(crate) stopping: Vec<String>,
+    /// Indices of the zones whose upstreams get no grants.
+    pub(crate) evacuated_zones: Vec<usize>,
     pub(crate) zones: Vec<String>,
     pub(crate) router_names: SortedMap<String, usize>,
     pub(crate) routers: Vec<RouterState>,
@@ -194,6 +196,7 @@
             upstreams: Vec::new(),
             free_upstreams: Vec::new(),
             stopping: Vec::new(),
+            evacuated_zones: Vec::new(),
             zones: Vec::new(),
             router_names: SortedMap::new(),
             routers: Vec::new(),
--- a/crates/core/tests/control_state.rs
+++ b/crates/core/tests/control_state.rs
@@ -12,6 +12,7 @@
 use baobabfall_core::state_chart::{ACTION_CHART, CompiledChart};
 use baobabfall_core::table_history::{DifferenceContent, REVISION_LIMIT};
 use baobabfall_core::workspace_table::{RowChange, WorkspaceRow, WorkspaceTable, hash_key};
+use baobabfall_core::zone_evacuations::{EvacuationAnswer, EvacuationOrder, ZONE_LIMIT};
 use quickcheck::{Arbitrary, Gen};
 use std::time::Duration;
 
@@ -450,3 +451,83 @@
     apply(&mut state, 8, edit("e3", 2, moved));
     assert_eq!(state.history().revision(), 3);
 }
+
+fn evacuate(zone: &str, evacuated: bool, seen: u64) -> ControlCommand {
+    let order = EvacuationOrder { zone: zone.to_owned(), evacuated, seen };
+    ControlCommand::EvacuateZone { order }
+}
+
+fn apply_order(
+    state: &mut ControlState,
+    zone: &str,
+    evacuated: bool,
+    seen: u64,
+) -> EvacuationAnswer {
+    match apply(state, 1, evacuate(zone, evacuated, seen)) {
+        ControlAnswer::Evacuation(answer) => answer,
+        other => panic!("unexpected answer {other:?}"),
+    }
+}
+
+/// Guards against an order that is refused or changes the set again when it is resent because its
+/// acknowledgement was lost.
+#[test]
+fn evacuation_sent_again_changes_nothing() {
+    let mut state = ControlState::default();
+    for _ in 0..2 {
+        assert_eq!(apply_order(&mut state, "z1", true, 0), EvacuationAnswer::InForce(1));
+    }
+    for _ in 0..2 {
+        assert_eq!(apply_order(&mut state, "z1", false, 1), EvacuationAnswer::InForce(2));
+    }
+    assert_eq!(apply_order(&mut state, "z2", false, 2), EvacuationAnswer::InForce(2));
+    assert!(state.evacuations().list().zones.is_empty());
+}
+
+/// Guards against a copy of an order that was held up on its way and reverts a later one.
+#[test]
+fn evacuation_late_copy_is_overtaken() {
+    let mut state = ControlState::default();
+    apply_order(&mut state, "z1", true, 0);
+    apply_order(&mut state, "z1", false, 1);
+    apply_order(&mut state, "z2", true, 2);
+    assert_eq!(apply_order(&mut state, "z1", true, 0), EvacuationAnswer::Overtaken(3));
+    assert_eq!(apply_order(&mut state, "z2", false, 1), EvacuationAnswer::Overtaken(3));
+    assert_eq!(state.evacuations().list().zones, ["z2"]);
+    assert_eq!(apply_order(&mut state, "z1", true, 3), EvacuationAnswer::InForce(4));
+}
+
+/// Guards against evacuations that a controller loses when it restores its state from a snapshot,
+/// and against late copies that it then takes for new orders.
+#[test]
+fn evacuations_survive_snapshot() {
+    let mut state = ControlState::default();
+    apply_order(&mut state, "z2", true, 0);
+    apply_order(&mut state, "z1", true, 1);
+    apply_order(&mut state, "z2", false, 2);
+    let mut state = ControlState::from_snapshot(&state.to_snapshot().unwrap()).unwrap();
+    let list = state.evacuations().list_since(2).unwrap();
+    assert_eq!((list.version, list.zones), (3, vec!["z1".to_owned()]));
+    assert!(state.evacuations().list_since(3).is_none());
+    assert_eq!(apply_order(&mut state, "z2", true, 1), EvacuationAnswer::Overtaken(3));
+}
+
+/// Guards against a log in which orders for ever new names fill the memory of every controller,
+/// and against an order in force that is refused once the limit is reached.
+#[test]
+fn evacuation_of_many_zones_is_limited() {
+    let mut state = ControlState::default();
+    for number in 0..ZONE_LIMIT {
+        apply_order(&mut state, &format!("z{number}"), true, 0);
+    }
+    assert_eq!(apply_order(&mut state, "more", true, 999), EvacuationAnswer::LimitReached);
+    assert!(matches!(apply_order(&mut state, "z7", true, 0), EvacuationAnswer::InForce(_)));
+    for number in 0..3 * ZONE_LIMIT {
+        let seen = state.evacuations().version();
+        apply_order(&mut state, "z7", number % 2 == 1, seen);
+        let seen = state.evacuations().version();
+        apply_order(&mut state, &format!("other{number}"), number % 2 == 0, seen);
+        apply_order(&mut state, &format!("other{number}"), false, seen + 1);
+    }
+    assert!(state.to_snapshot().unwrap().len() < 64 * ZONE_LIMIT);
+}
