Evacuated zones: acknowledged at any controller, in force at every router

Change: any controller commits an order, forwards it to the leader and waits for the next one; the sync answer carries the list. RouterState::send_barrier reports Evacuated; direct placement, local mode and resumptions leave the zone out; requests that only evacuated upstreams serve are refused at once. A restarted router takes unconfirmed tables only if a majority of the group holds no order that is not applied. Log lines, gauges, and a counter of withheld requests by reason.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -25,11 +25,11 @@
 };
 use baobabfall_node::messages::{
     ANNOUNCE_PATH, AnnounceAnswer, AnnounceMessage, CLAIM_PATH, ClaimRequest, DISPATCH_PATH,
-    DISPATCH_PROTOCOL, FORWARD_PATH, OUTCOME_PATH, OutcomeRequest, REPORT_PATH, ROUTES_PATH,
-    RouteChange, SYNC_PATH, UpstreamDeparture, UpstreamWithdrawal, WITHDRAW_PATH,
+    DISPATCH_PROTOCOL, EVACUATIONS_PATH, FORWARD_PATH, OUTCOME_PATH, OutcomeRequest, REPORT_PATH,
+    ROUTES_PATH, RouteChange, SYNC_PATH, UpstreamDeparture, UpstreamWithdrawal, WITHDRAW_PATH,
 };
 use baobabfall_node::node_metrics::NodeMetrics;
-use baobabfall_node::operator_messages::{NodeView, OPERATOR_PREFIX};
+use baobabfall_node::operator_messages::{NodeView, OPERATOR_PREFIX, ZONES_PATH};
 use baobabfall_node::stop_signal::StopSignal;
 use baobabfall_node::units::millis;
 use http::{Method, Request};
@@ -47,9 +47,9 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a change waits for a leader and its commit. Covers an election; callers with less
 /// patience close their connection, which ends the wait.
-const CHANGE_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(crate) const CHANGE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long a follower waits for the leader's commit of a change before it looks for another one.
-const COMMIT_TIMEOUT: Duration = Duration::from_millis(1000);
+pub(crate) const COMMIT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Largest document that is passed on to the leader, in bytes. With its table it fits a message;
 /// callers take larger ones to the leader themselves.
 const FORWARD_LIMIT: usize = 256 << 10;
@@ -125,6 +125,9 @@
             let message = "This path requires a valid credential as a bearer token.";
             return error_response(ErrorKind::Unauthenticated, message);
         }
+        if path == ZONES_PATH && request.method() == Method::POST {
+            return self.edit_zone(request).await;
+        }
         if path.starts_with(OPERATOR_PREFIX) {
             return self.operators.handle(request).await;
         }
@@ -165,6 +168,7 @@
             },
             FORWARD_PATH => self.handle_forwarded(request).await,
             ROUTES_PATH => self.handle_forwarded_routes(request).await,
+            EVACUATIONS_PATH => self.handle_forwarded_evacuation(request).await,
             ANNOUNCE_PATH => self.announce(request).await,
             WITHDRAW_PATH => self.withdraw(request).await,
             CLAIM_PATH => self.claim(request).await,
@@ -213,7 +217,7 @@
         upgrade_response(DISPATCH_PROTOCOL)
     }
 
-    fn reject_message(&self, kind: ErrorKind) -> &'static str {
+    pub(crate) fn reject_message(&self, kind: ErrorKind) -> &'static str {
         match kind {
             ErrorKind::NotLeader => "This controller is not the leader.",
             ErrorKind::StaleIncarnation => "This incarnation was removed or has been replaced.",
@@ -324,7 +328,7 @@
         client.call(FORWARD_PATH, &token, message, FORWARD_TIMEOUT).await
     }
 
-    fn forward_client(&self, address: SocketAddr) -> Arc<PeerClient> {
+    pub(crate) fn forward_client(&self, address: SocketAddr) -> Arc<PeerClient> {
         let mut cached = self.leader.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         match cached.as_ref().filter(|client| client.address() == address) {
             Some(client) => Arc::clone(client),
@@ -388,7 +392,7 @@
 
     /// Waits a moment before a change is tried again, until the leadership changes at the latest.
     /// Returns false once `deadline` leaves no time for another attempt.
-    async fn wait_for_leader(&self, deadline: Instant) -> bool {
+    pub(crate) async fn wait_for_leader(&self, deadline: Instant) -> bool {
         let mut versions = self.replica.watch_versions();
         let retry_at = Instant::now() + CHANGE_RETRY_PAUSE;
         if retry_at >= deadline {
@@ -490,22 +494,28 @@
         committed.map(|_| ())
     }
 
+    /// Refuses changes until the group has enough voters. A committed change must survive the loss
+    /// of as many disks as the settings tolerate, so the quorum must exceed that number.
+    pub(crate) fn check_group_size(&self) -> Result<(), ReplicaRefusal> {
+        let tolerated = self.options.settings.group.as_ref().map_or(0, |group| group.tolerated);
+        if self.replica.view().members.quorum() <= tolerated {
+            let message = "Not enough controllers have joined the group yet.".to_owned();
+            return Err(ReplicaRefusal { kind: ErrorKind::NoQuorum, message });
+        }
+        Ok(())
+    }
+
     /// Commits a route table, from any controller, and returns the version that is current
     /// afterwards. That version is higher than the one of `table` if the group already has a newer
     /// table. A table that this controller has applied is confirmed without the leader.
     ///
-    /// The table is refused until the group has enough voters. A committed table must survive the
-    /// loss of as many disks as the settings tolerate, so the quorum must exceed that number.
+    /// The table is refused until the group has enough voters.
     pub async fn replace_routes(
         &self,
         table: RouteTable,
         document: Vec<u8>,
     ) -> Result<u64, ReplicaRefusal> {
-        let tolerated = self.options.settings.group.as_ref().map_or(0, |group| group.tolerated);
-        if self.replica.view().members.quorum() <= tolerated {
-            let message = "Not enough controllers have joined the group yet.".to_owned();
-            return Err(ReplicaRefusal { kind: ErrorKind::NoQuorum, message });
-        }
+        self.check_group_size()?;
         let change = RouteChange { table, document };
         let deadline = Instant::now() + CHANGE_TIMEOUT;
         loop {
@@ -601,7 +611,7 @@
 }
 
 /// True if a change failed because no leader took it, so that the next leader may take it.
-fn is_leader_missing(kind: ErrorKind) -> bool {
+pub(crate) fn is_leader_missing(kind: ErrorKind) -> bool {
     matches!(
         kind,
         ErrorKind::NotLeader
@@ -612,7 +622,7 @@
 }
 
 /// The change may still be committed; sending it again is safe and tells whether it was.
-fn late_commit() -> ReplicaRefusal {
+pub(crate) fn late_commit() -> ReplicaRefusal {
     let message = "The change was not committed in time; send it again.".to_owned();
     ReplicaRefusal { kind: ErrorKind::NoQuorum, message }
 }
@@ -621,7 +631,7 @@
     error_response(refusal.kind, &refusal.message)
 }
 
-fn respond_to<T>(
+pub(crate) fn respond_to<T>(
     result: Result<T, ReplicaRefusal>,
     answer: impl FnOnce(T) -> FullResponse,
 ) -> FullResponse {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -26,7 +26,7 @@
 use baobabfall_node::http_server::{FullResponse, ServerLimits, error_response, serve_upgradeable};
 use baobabfall_node::loop_watch::watch_event_loop;
 use baobabfall_node::messages::{
-    FORWARD_PATH, NodeKind, ROUTES_PATH, SYNC_PATH, SyncAnswer, SyncRequest,
+    EVACUATIONS_PATH, FORWARD_PATH, NodeKind, ROUTES_PATH, SYNC_PATH, SyncAnswer, SyncRequest,
 };
 use baobabfall_node::node_metrics::{NodeMetrics, start_incarnation};
 use baobabfall_node::stop_signal::{StopPhase, StopSender, StopSignal, stop_channel};
@@ -226,7 +226,7 @@
 
 /// Paths that are handled on the runtime of the group: its messages, and changes that followers
 /// pass on, which somebody waits for.
-const GROUP_PATHS: [&str; 3] = [REPLICA_PATH, FORWARD_PATH, ROUTES_PATH];
+const GROUP_PATHS: [&str; 4] = [REPLICA_PATH, FORWARD_PATH, ROUTES_PATH, EVACUATIONS_PATH];
 
 /// Handles requests on [`GROUP_PATHS`] at once, and all others on the runtime `work`, if given.
 async fn handle_request(
@@ -321,7 +321,7 @@
 }
 
 /// Runs a dispatcher while this controller leads a term, and passes it every change of the workspace
-/// table, the registry and the planned stops. A lapse of the lease within the term does not end it,
+/// table, the registry, the planned stops and the evacuated zones. A lapse of the lease within the term does not end it,
 /// since nobody else was elected; it grants nothing until the lease is valid again.
 async fn run_dispatcher(api: ControlApi) {
     let mut replica = api.replica.watch_versions();
@@ -371,7 +371,7 @@
 }
 
 fn update_dispatcher(api: &ControlApi) {
-    let (table, stopping) = {
+    let (table, stopping, evacuations) = {
         let state = api.replica.state();
         let stops: Vec<String> = state
             .stops()
@@ -379,7 +379,7 @@
             .filter(|target| matches!(target.kind, StopKind::Upstream | StopKind::Host))
             .map(|target| target.name.clone())
             .collect();
-        (state.history().table().clone(), stops)
+        (state.history().table().clone(), stops, state.evacuations().list())
     };
     let stopping: Vec<String> = stopping
         .iter()
@@ -393,6 +393,7 @@
         dispatcher.set_table(now, &table);
         dispatcher.set_upstreams(now, &live);
         dispatcher.set_stopping_upstreams(now, stopping.iter().map(String::as_str));
+        dispatcher.set_evacuated_zones(now, evacuations.zones.iter().map(String::as_str));
     });
 }
 
@@ -463,9 +464,10 @@
             (state.history().revision(), state.stops_version())
         };
         let request = SyncRequest {
-            // Controllers receive the route table and departures through the log, not through a sync.
+            // Controllers receive these through the log, not through a sync.
             routes_version: u64::MAX,
             departures_version: u64::MAX,
+            evacuations_version: u64::MAX,
             leader_term: u64::MAX,
             node: node.clone(),
             kind: NodeKind::Controller,
@@ -475,7 +477,6 @@
             registry_version: version,
             in_progress: 0,
             wait_ms: 1000,
-            evacuations_version: 0,
         };
         let token = api.options.process.token();
         let answer: Result<SyncAnswer, _> =
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch_channel;
 pub mod dispatch_service;
 pub mod error;
+pub mod evacuation_orders;
 pub mod log_store;
 pub mod membership;
 pub mod node_tracker;
--- a/crates/controller/src/operator_api.rs
+++ b/crates/controller/src/operator_api.rs
@@ -21,7 +21,7 @@
 use baobabfall_node::operator_messages::{
     ACTIONS_PATH, ActionResolution, ConflictView, EditAnswer, FAIRNESS_PATH, HISTORY_PATH,
     MEMBERS_PATH, MemberEdit, NODES_PATH, NodeRemoval, ROLLBACK_PATH, STATUS_PATH, STOPS_PATH,
-    StopEdit, TABLE_PATH, TableEdit, TableRollback, UPSTREAMS_PATH, WORKSPACES_PATH,
+    StopEdit, TABLE_PATH, TableEdit, TableRollback, UPSTREAMS_PATH, WORKSPACES_PATH, ZONES_PATH,
 };
 use http::{Method, Request};
 use hyper::body::Incoming;
@@ -88,6 +88,7 @@
         let path = request.uri().path().to_owned();
         let result = match (request.method().clone(), path.as_str()) {
             (Method::GET, STATUS_PATH) => Ok(json_response(200, &operator_views::status(self))),
+            (Method::GET, ZONES_PATH) => self.read_zones(),
             (Method::GET, path) => self.read(path, request.uri().query()).await,
             (Method::POST, path) => self.change(path, request).await,
             _ => Ok(error_response(ErrorKind::MethodNotAllowed, "Use GET or POST.")),
@@ -111,6 +112,16 @@
         })
     }
 
+    /// Answers from the applied state of any controller that hears from its group, because an
+    /// operator who evacuates a zone may not reach the leader.
+    fn read_zones(&self) -> OperatorResult {
+        if !self.replica.view().in_contact {
+            let message = "This controller does not hear from its group.";
+            return Ok(error_response(ErrorKind::NoQuorum, message));
+        }
+        Ok(json_response(200, &operator_views::evacuations(self)))
+    }
+
     fn read_table(&self, query: Option<&str>) -> FullResponse {
         let revision = match query.map(|query| query.strip_prefix("revision=").unwrap_or(query)) {
             None => self.replica.state().history().revision(),
--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -3,11 +3,13 @@
 use crate::operator_api::OperatorApi;
 use baobabfall_core::action_ledger::ActionKey;
 use baobabfall_core::control_command::{PlannedStop, StopKind, StopTarget};
+use baobabfall_core::dispatch_state::UpstreamView as SlotView;
 use baobabfall_core::table_history::RowEdit;
+use baobabfall_core::upstream_registry::UpstreamEntry;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
 use baobabfall_node::operator_messages::{
-    ActionView, FairnessView, HistoryEntry, MembersView, NodeView, StatusView, StopView, TableView,
-    UpstreamView, WorkspaceView,
+    ActionView, EvacuationsView, FairnessView, HistoryEntry, MembersView, NodeView, StatusView,
+    StopView, TableView, UpstreamView, WorkspaceView, ZoneView,
 };
 use baobabfall_node::units::wall_clock_ms;
 
@@ -116,14 +118,21 @@
     views
 }
 
+fn slot_state(view: &SlotView<'_>) -> &'static str {
+    match view {
+        view if view.stopping => "stopping",
+        view if view.evacuated => "evacuated",
+        view if view.ejected => "ejected",
+        _ => "live",
+    }
+}
+
 /// Announced upstreams, including those that left or lapsed recently.
 pub fn upstreams(api: &OperatorApi) -> Vec<UpstreamView> {
     let slots = api.dispatch.read(|dispatcher, now| {
         dispatcher
             .upstreams(now)
-            .map(|view| {
-                (view.name.to_owned(), view.slots, view.running, view.ejected, view.stopping)
-            })
+            .map(|view| (view.name.to_owned(), view.slots, view.running, slot_state(&view)))
             .collect::<Vec<_>>()
     });
     let slots = slots.unwrap_or_default();
@@ -136,9 +145,8 @@
             let state = match slot_view {
                 _ if announcement.leaving => "leaving",
                 _ if !entry.live => "lapsed",
-                Some((_, _, _, _, true)) => "stopping",
-                Some((_, _, _, true, _)) => "ejected",
-                _ => "live",
+                Some((.., state)) => state,
+                None => "live",
             };
             UpstreamView {
                 name: announcement.name.clone(),
@@ -256,6 +264,23 @@
         .collect()
 }
 
+/// The evacuated zones, and those with live upstreams.
+pub fn evacuations(api: &OperatorApi) -> EvacuationsView {
+    let list = api.replica.state().evacuations().list();
+    let registry = api.registry.lock();
+    let zone_of = |entry: &UpstreamEntry| entry.announcement.zone.clone();
+    let mut names: Vec<String> = registry.live().map(zone_of).collect();
+    names.extend(list.zones.iter().cloned());
+    names.sort_unstable();
+    names.dedup();
+    let zones = names.into_iter().map(|name| ZoneView {
+        evacuated: list.contains(&name),
+        upstreams: registry.live().filter(|entry| entry.announcement.zone == name).count(),
+        name,
+    });
+    EvacuationsView { version: list.version, zones: zones.collect() }
+}
+
 /// Names of the controllers in the group, split into voters and learners.
 pub fn members(api: &OperatorApi) -> MembersView {
     let members = api.replica.view().members;
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -67,6 +67,10 @@
     pub routes_applied: Option<Instant>,
     /// Version of the set of deregistered upstreams.
     pub deregistered_version: u64,
+    /// Version of the set of evacuated zones.
+    pub evacuations_version: u64,
+    /// True while the log holds an order about a zone that is not applied.
+    pub evacuation_pending: bool,
     /// Term that this replica leads, also while its lease has lapsed.
     pub led_term: Option<u64>,
     /// True while this replica leads and its lease is valid.
@@ -268,7 +272,10 @@
         let state = Arc::new(Mutex::new(state));
         let view = view_of(&core, start.elapsed(), None);
         let (view_sender, view_receiver) = watch::channel(view);
-        let (versions_sender, versions) = watch::channel(SyncVersions::default());
+        // Set before the first tick: the log may hold orders that were acknowledged before a restart.
+        let evacuation_pending = core.has_unapplied_evacuation();
+        let (versions_sender, versions) =
+            watch::channel(SyncVersions { evacuation_pending, ..SyncVersions::default() });
         let handle = ReplicaHandle {
             requests: request_sender,
             view: view_receiver,
@@ -432,6 +439,8 @@
                 routes_version: state.routes_version(),
                 routes_applied: self.routes_applied,
                 deregistered_version: state.deregistered_version(),
+                evacuations_version: state.evacuations().version(),
+                evacuation_pending: self.core.has_unapplied_evacuation(),
                 led_term: next.led_term,
                 leads: next.leads,
                 leader_term: next.leader.as_ref().map(|_| next.term),
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -100,6 +100,7 @@
                 || answer.stops.is_some()
                 || answer.registry.is_some()
                 || answer.departures.is_some()
+                || answer.evacuations.is_some()
                 || answer.routes.is_some()
                 || answer.leader.is_some() && answer.term > request.leader_term;
             if has_changes || !answer.in_contact || Instant::now() >= end {
@@ -131,6 +132,8 @@
             .leader
             .as_ref()
             .and_then(|leader| view.members.get(leader.id)?.address.parse::<SocketAddr>().ok());
+        // Read before the state, so that an order is seen as pending or applied.
+        let evacuation_pending = self.replica.watch_versions().borrow().evacuation_pending;
         let state = self.replica.state();
         let revision = state.history().revision();
         let table =
@@ -148,6 +151,7 @@
             .filter(|record| record.table.version > request.routes_version)
             .map(|record| std::sync::Arc::clone(&record.table));
         let departures = state.departures_since(request.departures_version);
+        let evacuations = state.evacuations().list_since(request.evacuations_version);
         drop(state);
         let registry = match view.leads {
             true => self.registry.newer_view(view.term, request.registry_version),
@@ -171,7 +175,8 @@
             routes,
             routes_age_ms: routes_age.map_or(0, millis),
             controllers,
-            evacuations: None,
+            evacuations,
+            evacuation_pending,
         }
     }
 
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -78,6 +78,30 @@
         name: "document_refused",
         meaning: "A configuration was invalid and was rejected without effect.",
     },
+    LogEvent {
+        name: "evacuated_zone_unknown",
+        meaning: "A zone was evacuated that no live upstream names; its name may be wrong.",
+    },
+    LogEvent {
+        name: "evacuation_accepted",
+        meaning: "An order to evacuate a zone (`evacuated`) or to readmit it was acknowledged after `waited_ms`; `version` is that of the set of evacuated zones.",
+    },
+    LogEvent {
+        name: "evacuation_not_accepted",
+        meaning: "An order about a zone could not be committed by this controller; `reason` is the error code. The same order may be sent again, to any controller.",
+    },
+    LogEvent {
+        name: "evacuation_ordered",
+        meaning: "This controller received an order to evacuate a zone (`evacuated`) or to readmit it.",
+    },
+    LogEvent {
+        name: "evacuation_refused",
+        meaning: "An order named a zone by characters that no zone has, or by too many; it was rejected without effect.",
+    },
+    LogEvent {
+        name: "evacuations_in_force",
+        meaning: "The router put a newer set of evacuated `zones` in force; upstreams of these zones get no more requests from it.",
+    },
     LogEvent {
         name: "event_loop_delayed",
         meaning: "The event loop ran a due task late: it was overloaded, short of processor time, or the process was paused.",
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -25,6 +25,9 @@
 pub const FORWARD_PATH: &str = "/control/v1/announce";
 /// `POST` sends a [`RouteChange`] from a follower to the leader.
 pub const ROUTES_PATH: &str = "/control/v1/routes";
+/// `POST` sends an [`baobabfall_core::zone_evacuations::EvacuationOrder`] from a follower to the
+/// leader.
+pub const EVACUATIONS_PATH: &str = "/control/v1/evacuations";
 /// `POST` sends an [`UpstreamAnnouncement`] in JSON, from an upstream.
 pub const ANNOUNCE_PATH: &str = "/upstreams/v1/announce";
 /// `POST` sends an [`UpstreamWithdrawal`] in JSON, from an upstream.
@@ -122,6 +125,10 @@
     /// Evacuated zones, when the node's version is older; from any controller.
     #[serde(default)]
     pub evacuations: Option<EvacuationList>,
+    /// True if the controller's log holds an order about a zone that it has not applied, so that
+    /// `evacuations` may lack an order that was acknowledged.
+    #[serde(default)]
+    pub evacuation_pending: bool,
     /// Time since the controller applied its route table, in milliseconds.
     #[serde(default)]
     pub routes_age_ms: u64,
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics that all roles share, exported in the Prometheus text format.
 
 use crate::units::wall_clock_ms;
+use baobabfall_core::zone_evacuations::EvacuationList;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -90,6 +91,12 @@
     pub closed_unread: Counter<u64>,
     /// Bytes of messages exchanged with controllers, by direction.
     pub control_bytes: Counter<u64>,
+    /// Granted requests that were not sent to their upstream, by reason.
+    pub withheld: Counter<u64>,
+    /// Number of evacuated availability zones that this process knows of.
+    pub evacuated_zones: Gauge<u64>,
+    /// Version of the set of evacuated zones in force in this process.
+    pub evacuations_version: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -149,6 +156,9 @@
             connections: meter.u64_gauge("baobabfall_connections").build(),
             closed_unread: meter.u64_counter("baobabfall_connections_closed_unread").build(),
             control_bytes: meter.u64_counter("baobabfall_control_bytes").build(),
+            withheld: meter.u64_counter("baobabfall_requests_withheld").build(),
+            evacuated_zones: meter.u64_gauge("baobabfall_evacuated_zones").build(),
+            evacuations_version: meter.u64_gauge("baobabfall_evacuations_version").build(),
             provider: Arc::new(provider),
         };
         Ok(metrics)
@@ -164,6 +174,17 @@
         self.refusals.add(1, &[KeyValue::new("code", code)]);
     }
 
+    /// Counts a request that was granted a slot and withheld from its upstream.
+    pub fn count_withheld(&self, reason: &'static str) {
+        self.withheld.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records the evacuated zones in force.
+    pub fn record_evacuations(&self, list: &EvacuationList) {
+        self.evacuated_zones.record(u64::try_from(list.zones.len()).unwrap_or(u64::MAX), &[]);
+        self.evacuations_version.record(list.version, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn scrape(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/node/src/operator_messages.rs
+++ b/crates/node/src/operator_messages.rs
@@ -26,6 +26,8 @@
 pub const ACTIONS_PATH: &str = "/operator/v1/actions";
 /// `GET` reads a [`MembersView`], `POST` sends a [`MemberEdit`].
 pub const MEMBERS_PATH: &str = "/operator/v1/members";
+/// `GET` reads an [`EvacuationsView`], `POST` sends a [`ZoneEdit`].
+pub const ZONES_PATH: &str = "/operator/v1/zones";
 /// `POST` sends a [`NodeRemoval`].
 pub const NODES_PATH: &str = "/operator/v1/nodes";
 
@@ -315,3 +317,35 @@
     /// Incarnation to remove; older ones stay removed as well.
     pub incarnation: u64,
 }
+
+/// Evacuates an availability zone, or readmits it. Sending it again has no further effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneEdit {
+    /// Name of the operator who orders the change.
+    pub operator: String,
+    /// Name of the zone.
+    pub name: String,
+    /// True to evacuate the zone, false to readmit it.
+    pub evacuated: bool,
+}
+
+/// The evacuated zones as the answering controller knows them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationsView {
+    /// Version of the set of evacuated zones; increases with each change.
+    pub version: u64,
+    /// Every zone that is evacuated or has live upstreams, sorted by name.
+    pub zones: Vec<ZoneView>,
+}
+
+/// An availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneView {
+    /// Name of the zone.
+    pub name: String,
+    /// True if its upstreams get no requests.
+    pub evacuated: bool,
+    /// Number of its live upstreams that the controller knows.
+    pub upstreams: usize,
+}
--- a/crates/router/src/caller_api.rs
+++ b/crates/router/src/caller_api.rs
@@ -207,6 +207,10 @@
 
     fn find_target(&mut self, kind: UpstreamKind, name: String) -> Result<WorkTarget, Rejection> {
         let target = WorkTarget::new(kind, name);
+        if self.state.fleet.directory().is_served_evacuated_only(&target) {
+            let message = "Every upstream that serves the request is in an evacuated zone.";
+            return Err(Rejection::after(ErrorKind::NoUpstream, message, RETRY_AFTER));
+        }
         if self.state.fleet.directory().is_served(&target) {
             self.record.set_model(&target.name);
             return Ok(target);
--- a/crates/router/src/direct_slots.rs
+++ b/crates/router/src/direct_slots.rs
@@ -27,7 +27,7 @@
         self.placement.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a slot of an announced upstream other than `avoid` for which `permits`, which
+    /// Takes a slot of an announced upstream outside evacuated zones, other than `avoid`, for which `permits`, which
     /// gets the name and the incarnation, is true. Returns `None` if the
     /// request must be queued for the dispatcher instead: the service is contended or
     /// no upstream has a free slot for this router.
@@ -47,6 +47,7 @@
                 && Some(upstream.name.as_str()) != avoid
                 && permits(&upstream.name, upstream.incarnation)
                 && !fleet.is_stopping(StopKind::Upstream, &upstream.name)
+                && !fleet.directory().is_zone_evacuated(&upstream.zone)
         });
         let candidates: Vec<DirectCandidate<'_>> = upstreams
             .iter()
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -526,6 +526,10 @@
         let call = &self.call;
         let target = self.target();
         let is_bound = target.software.is_some();
+        if self.state.router.fleet.directory().is_served_evacuated_only(&target) {
+            // It would wait in vain.
+            return Err((ErrorKind::NoUpstream, None));
+        }
         if self.avoid.is_some() || is_bound {
             let serving = self.state.router.fleet.directory().serving_count(&target);
             if serving == 0 && is_bound {
--- a/crates/router/src/local_mode.rs
+++ b/crates/router/src/local_mode.rs
@@ -111,11 +111,13 @@
         usable: &mut Vec<UpstreamAnnouncement>,
     ) {
         let (queued_targets, used) = self.demand();
-        let mut candidates = self.state.fleet.directory().upstreams();
+        let directory = self.state.fleet.directory();
+        let mut candidates = directory.upstreams();
         candidates.retain(|upstream| {
             let needed = queued_targets.iter().any(|target| upstream.can_serve(target));
             (needed || used.contains(&upstream.name))
                 && !self.state.fleet.is_stopping(StopKind::Upstream, &upstream.name)
+                && !directory.is_zone_evacuated(&upstream.zone)
         });
         {
             let book = self.state.queue.book();
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -14,6 +14,7 @@
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::request_life::LifecycleEvent;
+use baobabfall_core::send_barrier::SendBarrier;
 use baobabfall_core::upstream_notices::{UpstreamNotice, read_delay};
 use baobabfall_node::http_server::{
     LEAVING_HEADER, NOT_RUN_HEADER, RATE_LIMIT_HEADER, REQUEST_ID_HEADER, error_response_with,
@@ -141,10 +142,12 @@
                 Err(rejection) => return rejection.respond(&mut self.record),
             };
             let route = lease.route().clone();
-            if self.state.fleet.directory().has_left(&route.name, route.incarnation) {
+            let barrier = self.state.send_barrier(&route);
+            if matches!(barrier, Some(SendBarrier::Left | SendBarrier::Evacuated)) {
                 returned_slots += 1;
                 if returned_slots > RETURNED_SLOT_LIMIT {
-                    let message = "Every upstream offered for the request is shutting down.";
+                    let message =
+                        "Every upstream offered for the request is shutting down or evacuated.";
                     let rejection = Rejection::after(ErrorKind::NoUpstream, message, RETRY_AFTER);
                     return rejection.respond(&mut self.record);
                 }
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -87,10 +87,13 @@
         })
     }
 
-    /// True unless the upstream has left. One that came back under its name and address may resume
+    /// True unless the upstream has left or its zone is evacuated. One that came back under its name and address may resume
     /// the stream.
     fn may_resume(&self) -> bool {
         let directory = self.fleet.directory();
+        if directory.is_evacuated(&self.route.name) {
+            return false;
+        }
         !directory.has_left(&self.route.name, self.route.incarnation)
             || directory.upstreams().iter().any(|upstream| {
                 upstream.name == self.route.name && upstream.address == self.route.address
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -85,12 +85,19 @@
     pub fn send_barrier(&self, route: &UpstreamRoute) -> Option<SendBarrier> {
         let directory = self.fleet.directory();
         let left = directory.has_left(&route.name, route.incarnation).then_some(SendBarrier::Left);
-        left.or_else(|| self.queue.book().barrier(&route.name, route.incarnation))
+        let evacuated = directory.is_evacuated(&route.name).then_some(SendBarrier::Evacuated);
+        let stated = self.queue.book().barrier(&route.name, route.incarnation);
+        [left, evacuated, stated].into_iter().flatten().min()
     }
 
-    /// True if this incarnation of an upstream may get a request now.
+    /// True if this incarnation of an upstream may get a request now. Otherwise counts the request
+    /// as withheld.
     pub fn may_send(&self, route: &UpstreamRoute) -> bool {
-        self.send_barrier(route).is_none()
+        let barrier = self.send_barrier(route);
+        if let Some(barrier) = barrier {
+            self.metrics.count_withheld(barrier.code());
+        }
+        barrier.is_none()
     }
 
     /// True if a load balancer should send requests to this router.
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -8,6 +8,7 @@
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::workspace_table::WorkspaceTable;
+use baobabfall_core::zone_evacuations::EvacuationList;
 use baobabfall_node::messages::{
     NodeKind, RegistryView, SYNC_PATH, SyncAnswer, SyncRequest, TableUpdate,
 };
@@ -208,7 +209,7 @@
             departures_version: self.fleet.directory().departures_version(),
             leader_term: self.link.leader_term(),
             wait_ms,
-            evacuations_version: 0,
+            evacuations_version: self.fleet.directory().evacuations().version,
         };
         let timeout = answer_timeout + Duration::from_millis(wait_ms.into());
         match self.link.call::<_, SyncAnswer>(address, SYNC_PATH, &request, timeout).await {
@@ -230,7 +231,15 @@
         let answers = addresses.iter().copied().zip(join_all(calls).await);
         let answers: Vec<(SocketAddr, SyncAnswer)> =
             answers.filter_map(|(address, answer)| Some((address, answer?))).collect();
-        let majority = answers.len() * 2 > addresses.len();
+        let majority = answers.len() * 2 > addresses.len() && knows_evacuations(&answers);
+        if majority {
+            // The controller with the newest tables may lag behind in these.
+            for (address, answer) in &answers {
+                answer.evacuations.iter().for_each(|list| {
+                    self.apply_evacuations(*address, list.clone());
+                });
+            }
+        }
         let version = |answer: &SyncAnswer| answer.routes.as_ref().map_or(0, |held| held.version);
         let newest = answers
             .into_iter()
@@ -258,6 +267,9 @@
         if let Some(departures) = answer.departures {
             updated |= self.apply_departures(address, &departures);
         }
+        if let Some(evacuations) = answer.evacuations {
+            updated |= self.apply_evacuations(address, evacuations);
+        }
         if let Some(registry) = answer.registry {
             updated |= self.apply_registry(address, registry);
         }
@@ -272,6 +284,17 @@
         !added.is_empty()
     }
 
+    fn apply_evacuations(&self, address: SocketAddr, list: EvacuationList) -> bool {
+        let directory = self.fleet.directory();
+        let newer = directory.set_evacuations(list);
+        if newer {
+            let list = directory.evacuations();
+            self.metrics.record_evacuations(&list);
+            log::info!(event = "evacuations_in_force", zones = list.zones.join(" "), version = list.version, controller = address.to_string(); "upstreams of these zones get no more requests");
+        }
+        newer
+    }
+
     /// Puts a registry in force. Logs the upstreams that it no longer lists, so that the time at
     /// which each router stopped using an upstream can be compared with its departure.
     fn apply_registry(&self, address: SocketAddr, registry: RegistryView) -> bool {
@@ -322,3 +345,16 @@
         newer
     }
 }
+
+/// True if a majority of the group answered that its logs hold no order about a zone that is not
+/// applied. A committed order is in the log of at least one of them, so the newest of their lists
+/// contains it. Controllers that have lost their disk name no members and don't count.
+fn knows_evacuations(answers: &[(SocketAddr, SyncAnswer)]) -> bool {
+    let named = answers.iter().filter(|(_, answer)| !answer.controllers.is_empty());
+    let Some((_, latest)) = named.max_by_key(|(_, answer)| answer.term) else { return true };
+    let members = &latest.controllers;
+    let settled = answers.iter().filter(|(address, answer)| {
+        members.contains(address) && !answer.controllers.is_empty() && !answer.evacuation_pending
+    });
+    settled.count() * 2 > members.len()
+}
--- a/crates/router/src/upstream_directory.rs
+++ b/crates/router/src/upstream_directory.rs
@@ -6,6 +6,7 @@
 use baobabfall_core::upstream_registry::{
     AnnouncementRefusal, UpstreamAnnouncement, UpstreamKind, UpstreamRegistry, WorkTarget,
 };
+use baobabfall_core::zone_evacuations::EvacuationList;
 use baobabfall_node::messages::{RegistryView, UpstreamWithdrawal};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::time::Instant;
@@ -19,6 +20,8 @@
     /// are used.
     previous: ArcSwap<(Vec<UpstreamAnnouncement>, Instant)>,
     departures: ArcSwap<DepartureSet>,
+    /// The newest list that any controller has sent. It stays in force while none is reachable.
+    evacuations: ArcSwap<EvacuationList>,
     /// Upstreams that announced themselves to this router.
     local: Mutex<UpstreamRegistry>,
     started: Instant,
@@ -40,6 +43,7 @@
             }),
             previous: ArcSwap::from_pointee((Vec::new(), Instant::now())),
             departures: ArcSwap::default(),
+            evacuations: ArcSwap::default(),
             local: Mutex::new(UpstreamRegistry::default()),
             started: Instant::now(),
         }
@@ -99,6 +103,59 @@
         added
     }
 
+    /// The evacuated zones that this router knows of.
+    pub fn evacuations(&self) -> Arc<EvacuationList> {
+        self.evacuations.load_full()
+    }
+
+    /// Replaces the list of evacuated zones if `list` has a higher version; returns whether it did.
+    pub fn set_evacuations(&self, list: EvacuationList) -> bool {
+        let newer = list.version > self.evacuations.load().version;
+        if newer {
+            self.evacuations.store(Arc::new(list));
+        }
+        newer
+    }
+
+    /// True if operators have evacuated the zone that an upstream announces.
+    pub fn is_zone_evacuated(&self, zone: &str) -> bool {
+        self.evacuations.load().contains(zone)
+    }
+
+    /// True if the upstream is in an evacuated zone. While any zone is evacuated, this also holds
+    /// for an upstream whose zone is not known.
+    pub fn is_evacuated(&self, name: &str) -> bool {
+        let evacuations = self.evacuations.load();
+        if evacuations.zones.is_empty() {
+            return false;
+        }
+        let zone = self.zone_of(name);
+        zone.is_none_or(|zone| evacuations.contains(&zone))
+    }
+
+    /// Zone that the upstream announces, or announced last. The announcements have the precedence
+    /// that they have in [`Self::upstreams`].
+    fn zone_of(&self, name: &str) -> Option<String> {
+        let local = self.local();
+        let entry = local.entries().get(name);
+        let direct = entry.filter(|entry| entry.live).map(|entry| &entry.announcement);
+        let registry = self.registry_view.load();
+        let previous = self.previous.load();
+        let listed = || {
+            let mut known = registry.upstreams.iter().chain(&previous.0);
+            known.find(|held| held.name == name)
+        };
+        let lapsed = || entry.map(|entry| &entry.announcement);
+        direct.or_else(listed).or_else(lapsed).map(|held| held.zone.clone())
+    }
+
+    /// True if only upstreams in evacuated zones can serve the target.
+    pub fn is_served_evacuated_only(&self, target: &WorkTarget) -> bool {
+        !self.evacuations.load().zones.is_empty()
+            && self.is_served(target)
+            && self.serving_count(target) == 0
+    }
+
     fn local(&self) -> MutexGuard<'_, UpstreamRegistry> {
         let mut local = self.local.lock().unwrap_or_else(PoisonError::into_inner);
         local.expire(self.started.elapsed());
@@ -147,9 +204,15 @@
             || self.local().live().any(|entry| entry.announcement.can_serve(target))
     }
 
-    /// Number of live upstreams that can serve the target.
+    /// Number of live upstreams outside evacuated zones that can serve the target.
     pub fn serving_count(&self, target: &WorkTarget) -> usize {
-        self.upstreams().iter().filter(|upstream| upstream.can_serve(target)).count()
+        let upstreams = self.upstreams();
+        let serving = upstreams.iter().filter(|upstream| upstream.can_serve(target));
+        let evacuations = self.evacuations.load();
+        match evacuations.zones.is_empty() {
+            true => serving.count(),
+            false => serving.filter(|upstream| !evacuations.contains(&upstream.zone)).count(),
+        }
     }
 
     /// All live upstreams. An announcement that this router received directly takes
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -11,6 +11,7 @@
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{WorkspaceTable, hash_key};
+use baobabfall_core::zone_evacuations::EvacuationList;
 use baobabfall_node::http_server::{
     FullResponse, ServerLimits, error_response, message_response, read_message, serve,
 };
@@ -35,6 +36,11 @@
     pub stops_version: u64,
     /// Departures in sync answers.
     pub departures: Option<DepartureList>,
+    /// Evacuated zones in sync answers.
+    pub evacuations: EvacuationList,
+    /// Value of `evacuation_pending` in sync answers: whether the log holds an order that is not
+    /// applied.
+    pub evacuation_pending: bool,
     /// Route table in sync answers.
     pub routes: Option<Arc<RouteTable>>,
     pub registry_version: u64,
@@ -50,6 +56,8 @@
     /// Value of `in_contact` in sync answers: whether a follower hears from its group.
     pub in_contact: bool,
     pub leader: Option<SocketAddr>,
+    /// Members of the group in sync answers.
+    pub members: Vec<SocketAddr>,
     pub term: u64,
     /// Number of grants that it may still make.
     pub free_slots: usize,
@@ -97,6 +105,8 @@
             stops: Vec::new(),
             stops_version: 0,
             departures: None,
+            evacuations: EvacuationList::default(),
+            evacuation_pending: false,
             routes: None,
             registry_version: 1,
             confirmed: true,
@@ -106,6 +116,7 @@
             leads: true,
             in_contact: false,
             leader: Some(address),
+            members: Vec::new(),
             term: 3,
             free_slots: usize::MAX,
             refusals: Vec::new(),
@@ -211,7 +222,7 @@
                 .filter(|list| list.version > request.departures_version),
             routes: script.routes.clone().filter(|routes| routes.version > request.routes_version),
             routes_age_ms: 0,
-            controllers: Vec::new(),
+            controllers: script.members.clone(),
             confirmed: script.confirmed,
             leads: script.leads,
             in_contact: script.in_contact,
@@ -221,7 +232,9 @@
             table,
             stops: (request.stops_version < script.stops_version).then_some(stops),
             registry: (request.registry_version != version).then_some(view),
-            evacuations: None,
+            evacuations: Some(script.evacuations.clone())
+                .filter(|list| list.version > request.evacuations_version),
+            evacuation_pending: script.evacuation_pending,
         }
     };
     script.lock().unwrap().sync_count += 1;
@@ -234,6 +247,7 @@
         let has_update = answer.table.is_some()
             || answer.stops.is_some()
             || answer.departures.is_some()
+            || answer.evacuations.is_some()
             || answer.registry.is_some()
             || answer.routes.is_some();
         if has_update || !answer.leads || remaining_wait_ms == 0 {
