baobabctl zone: evacuate, readmit and list

Cause: operators had no command for evacuations. Change: zone evacuate NAME, zone readmit NAME, zone list; the order is a positional argument because the parser needs unique names of subcommands and stop list exists.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -90,6 +90,14 @@
             /// Lists announced stops with their progress. Example: baobabctl stop list
             cmd list {}
         }
+        /// Evacuates an availability zone, so that its upstreams get no new requests, or readmits it.
+        /// Examples: baobabctl zone evacuate east-1; baobabctl zone readmit east-1; baobabctl zone list
+        cmd zone {
+            /// `evacuate`, `readmit` or `list`.
+            required order: String
+            /// Name of the zone, unless the zones are listed.
+            optional name: String
+        }
         /// Manages protected actions.
         cmd actions {
             /// Lists actions whose outcome is unknown. Example: baobabctl actions unresolved
@@ -144,6 +152,7 @@
     Upstreams(Upstreams),
     Fairness(Fairness),
     Stop(Stop),
+    Zone(Zone),
     Actions(Actions),
     Explain(Explain),
     Controllers(Controllers),
@@ -258,6 +267,12 @@
 #[derive(Debug)]
 pub struct List;
 
+#[derive(Debug)]
+pub struct Zone {
+    pub order: String,
+    pub name: Option<String>,
+}
+
 #[derive(Debug)]
 pub struct Actions {
     pub subcommand: ActionsCmd,
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod progress;
 pub mod table_commands;
 pub mod view_commands;
+pub mod zone_commands;
 
 use crate::cli::{Baobabctl, BaobabctlCmd};
 use crate::error::CtlError;
@@ -30,6 +31,7 @@
         BaobabctlCmd::Upstreams(_) => view_commands::upstreams(&options).await,
         BaobabctlCmd::Fairness(_) => view_commands::fairness(&options).await,
         BaobabctlCmd::Stop(stop) => change_commands::stop(&options, stop).await,
+        BaobabctlCmd::Zone(zone) => zone_commands::run(&options, zone).await,
         BaobabctlCmd::Actions(actions) => change_commands::actions(&options, actions).await,
         BaobabctlCmd::Explain(explain) => explain::run(&explain.id, &explain.file),
         BaobabctlCmd::Controllers(_) => change_commands::controllers(&options).await,
