Neighbours with room: reported, named to crowded routers, chosen in proportion

Change: routers report room, address and whether they ask (RouterLoad); the dispatcher names routers with room to those that ask, those of the own zone first (dispatch_neighbours); NeighbourBook chooses one for each connection and leaves out those that refuse. AdmissionLimit takes a pace: LimitPace::OWN_WORK is reduced sooner than the limit of all requests. Conclusion: nothing uses it yet.

--- a/crates/core/src/admission_limit.rs
+++ b/crates/core/src/admission_limit.rs
@@ -12,15 +12,10 @@
 
 /// Limit of an idle router, in requests.
 const MAX_LIMIT: u32 = 4096;
-/// Smallest limit. A crowded router still takes some requests.
-const MIN_LIMIT: u32 = 16;
 /// Delay of the event loop that counts as congestion. A request takes about six turns
 /// of the loop until it is sent, and may wait 120 ms for a slot on the sites with the
 /// shortest objectives.
 const CONGESTED_DELAY: Duration = Duration::from_millis(8);
-/// Time for which every observation must be late before the limit is reduced. A host
-/// whose processor quota is used up delays its event loop for shorter spans.
-const REDUCTION_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two increases of the limit. They follow the clock, not the number of
 /// observations: a router at its limit admits nobody and so has few of them.
 const INCREASE_INTERVAL: Duration = Duration::from_millis(100);
@@ -30,6 +25,27 @@
 const UNUSED_INCREASE_DIVISOR: u32 = 4;
 /// Time without congestion after which the router counts as relieved.
 const CONGESTION_TIME: Duration = Duration::from_secs(1);
+
+/// When a limit is reduced, and how far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitPace {
+    /// Time for which every observation must be late before the limit is reduced. A host
+    /// whose processor quota is used up delays its event loop for shorter spans.
+    pub reduction_interval: Duration,
+    /// Smallest limit.
+    pub min_limit: u32,
+}
+
+impl LimitPace {
+    /// For all requests of a router. A crowded one still takes some.
+    pub const ADMISSION: Self =
+        Self { reduction_interval: Duration::from_millis(250), min_limit: 16 };
+    /// For the requests that a router serves itself while its neighbours take others. Sooner
+    /// reduced than the limit of all requests, so that handing over comes before shedding.
+    pub const OWN_WORK: Self =
+        Self { reduction_interval: Duration::from_millis(150), min_limit: 4 };
+}
+
 /// Adaptive limit of the requests that a router has accepted and not finished.
 ///
 /// ```
@@ -46,6 +62,7 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct AdmissionLimit {
+    pace: LimitPace,
     limit: u32,
     /// Time of the first of the late observations without a timely one since.
     late_since: Option<Duration>,
@@ -55,11 +72,21 @@
 
 impl Default for AdmissionLimit {
     fn default() -> Self {
-        Self { limit: MAX_LIMIT, late_since: None, reduced_at: None, increased_at: None }
+        Self::new(LimitPace::ADMISSION)
     }
 }
 
 impl AdmissionLimit {
+    /// The limit of an idle router.
+    pub fn new(pace: LimitPace) -> Self {
+        Self { pace, limit: MAX_LIMIT, late_since: None, reduced_at: None, increased_at: None }
+    }
+
+    /// True unless the limit was reduced and has not recovered.
+    pub fn is_unbounded(&self) -> bool {
+        self.limit == MAX_LIMIT
+    }
+
     /// True when a router with `in_progress` requests may take another one.
     pub fn admits(&self, in_progress: u32) -> bool {
         in_progress < self.limit
@@ -73,11 +100,11 @@
             self.increase(now, in_progress);
             return;
         }
-        if now >= *self.late_since.get_or_insert(now) + REDUCTION_INTERVAL {
+        if now >= *self.late_since.get_or_insert(now) + self.pace.reduction_interval {
             self.late_since = Some(now);
             self.reduced_at = Some(now);
             let occupied = self.limit.min(in_progress);
-            self.limit = (occupied - occupied / 4).max(MIN_LIMIT);
+            self.limit = (occupied - occupied / 4).max(self.pace.min_limit);
         }
     }
 
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -66,6 +66,7 @@
         self.apply_parts(now, id, &report.parts);
         self.apply_limits(now, id, &report.limits);
         self.apply_origins(now, id, &report.origins);
+        self.apply_load(now, id, report);
         self.record_statements(&report.statements);
         self.apply_usage(now, id, report, &mut affected);
         self.apply_charges(now, id, report, &mut affected);
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -335,9 +335,13 @@
     /// Requests that the router could take on now, by its processor time, memory and descriptors.
     #[serde(default, rename = "r")]
     pub room: u32,
-    /// Address at which the router takes requests that other routers hand over.
+    /// Address at which the router takes connections that other routers hand over. Absent when it
+    /// takes none or is unchanged.
     #[serde(default, rename = "a", skip_serializing_if = "Option::is_none")]
     pub address: Option<SocketAddr>,
+    /// True while the router is crowded and asks for neighbours.
+    #[serde(default, rename = "k", skip_serializing_if = "is_default")]
+    pub asks: bool,
     /// Counts that have changed.
     #[serde(default, rename = "t", skip_serializing_if = "Vec::is_empty")]
     pub turned_away: Vec<TurnedAway>,
@@ -355,6 +359,9 @@
     /// Requests that this router may hand over to it at once.
     #[serde(rename = "r")]
     pub room: u32,
+    /// True for a router of another availability zone.
+    #[serde(default, rename = "d", skip_serializing_if = "is_default")]
+    pub distant: bool,
 }
 
 /// Report that a router sends to the dispatcher.
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -6,6 +6,7 @@
 use crate::dispatch_messages::{
     BacklogRefusal, CostUnits, LeaseId, NodeIdentity, SlotGrant, StreamKey, UpstreamRoute,
 };
+use crate::dispatch_neighbours::ReportedLoad;
 use crate::fair_order::{AccountValue, FairAccount, IndexedHeap, ServiceWindow};
 use crate::placement::{FreeSlots, UpstreamCapacity};
 use crate::rate_limit::WorkspaceLimit;
@@ -193,6 +194,8 @@
     pub unused_grants: u64,
     /// Streams whose origins the router asked for.
     pub lookups: SortedMap<StreamKey, ()>,
+    /// What the router reported about its own load.
+    pub load: ReportedLoad,
 }
 
 impl RouterState {
@@ -219,6 +222,7 @@
             limits_version: 0,
             unused_grants: 0,
             lookups: SortedMap::new(),
+            load: ReportedLoad::default(),
         }
     }
 }
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -581,6 +581,7 @@
         answer.limits = (!holds_limits && !answer.resync)
             .then(|| LimitList { version: self.limits.version(), limits: self.limits.list() });
         answer.origins = self.answer_lookups(now, id);
+        answer.neighbours = self.take_neighbours(now, id);
         if has_more_grants {
             self.request_answer(id);
         }
