Cold upstreams: one rate for the fleet while an upstream is cold

Cause: upstreams that had just started got 19 to 21 requests in a second where they tolerate 18.4 (8.9 x 1.5 + 5), because slots bound how many requests run and not how many begin. Change: announcements and services name cold times and rates; the dispatcher grants at that rate, routers without a dispatcher share a quarter of it, and a router asks last whether a slot was granted within it.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -385,12 +385,14 @@
         .iter()
         .flat_map(|name| operator_views::upstreams_of(&api.operators, name))
         .collect();
-    let live: Vec<_> = {
-        let registry = api.registry.lock();
-        registry.live().map(|entry| entry.announcement.clone()).collect()
+    let live = api.registry.live_announcements();
+    let services = {
+        let state = api.replica.state();
+        state.routes().map(|record| record.table.services.clone()).unwrap_or_default()
     };
     api.dispatch.update(|dispatcher, now| {
         dispatcher.set_table(now, &table);
+        dispatcher.set_cold_services(&services);
         dispatcher.set_upstreams(now, &live);
         dispatcher.set_stopping_upstreams(now, stopping.iter().map(String::as_str));
     });
@@ -430,6 +432,8 @@
     loop {
         ticks.tick().await;
         api.dispatch.log_load();
+        let cold = api.dispatch.read(|dispatcher, _| dispatcher.cold_count()).unwrap_or(0);
+        api.metrics.cold_upstreams.record(u64::try_from(cold).unwrap_or(u64::MAX), &[]);
         let revision = api.replica.state().history().revision();
         api.metrics.table_revision.record(revision, &[]);
         for view in operator_views::fairness(&api.operators) {
--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -247,6 +247,7 @@
             for router in dispatcher.expire(now) {
                 log::warn!(event = "router_silent", router = router; "router stopped reporting; reclaiming its slots");
             }
+            log_cold_changes(dispatcher);
             for found in dispatcher.quarantine_parts(now) {
                 let part = format!("{:016x}", found.part);
                 log::warn!(event = "prompt_part_found", part = part, whole_request = found.is_request, crashes = found.crashes; "upstreams crashed on this request, or on requests with this part of a prompt; routers refuse it");
@@ -353,6 +354,20 @@
     }
 }
 
+/// Logs which upstreams became cold or warm since the last call, in one line for all of them.
+fn log_cold_changes(dispatcher: &mut SlotDispatcher) {
+    let changes = dispatcher.take_cold_changes();
+    if changes.is_empty() {
+        return;
+    }
+    let names = |is_cold: bool| {
+        let changed = changes.iter().filter(|change| change.left.is_some() == is_cold);
+        changed.map(|change| change.upstream.as_str()).collect::<Vec<_>>().join(" ")
+    };
+    let longest = changes.iter().filter_map(|change| change.left).max().unwrap_or_default();
+    log::info!(event = "upstreams_cold", cold = names(true), warm = names(false), longest_ms = millis(longest), count = dispatcher.cold_count(); "upstreams became cold or warm; cold ones get requests at the rate that their service names");
+}
+
 impl DispatchInner {
     fn has_dispatcher_for(&self, term: u64) -> bool {
         let current = self.dispatcher.as_ref().map(SlotDispatcher::term);
--- a/crates/controller/src/operator_views.rs
+++ b/crates/controller/src/operator_views.rs
@@ -126,6 +126,10 @@
             })
             .collect::<Vec<_>>()
     });
+    let cold_left = |name: &str| {
+        let left = api.dispatch.read(|dispatcher, now| dispatcher.cold_left(now, name)).flatten();
+        left.map(|left| u64::try_from(left.as_millis()).unwrap_or(u64::MAX))
+    };
     let slots = slots.unwrap_or_default();
     let registry = api.registry.lock();
     let entries = registry.entries().values();
@@ -133,14 +137,17 @@
         .map(|entry| {
             let announcement = &entry.announcement;
             let slot_view = slots.iter().find(|(name, ..)| *name == announcement.name);
+            let cold_ms = cold_left(&announcement.name);
             let state = match slot_view {
                 _ if announcement.leaving => "leaving",
                 _ if !entry.live => "lapsed",
                 Some((_, _, _, _, true)) => "stopping",
                 Some((_, _, _, true, _)) => "ejected",
+                _ if cold_ms.is_some() => "cold",
                 _ => "live",
             };
             UpstreamView {
+                cold_ms,
                 name: announcement.name.clone(),
                 incarnation: announcement.incarnation,
                 pool: announcement.pool_name().to_owned(),
--- a/crates/controller/src/registry_service.rs
+++ b/crates/controller/src/registry_service.rs
@@ -22,8 +22,8 @@
     start: Instant,
     announcement_lapse: Duration,
     registry: Arc<Mutex<UpstreamRegistry>>,
-    /// The latest view of a leader, which a follower passes on unchanged.
-    copied: Arc<Mutex<Option<RegistryView>>>,
+    /// The latest view of a leader, which a follower passes on, and when it was received.
+    copied: Arc<Mutex<Option<(RegistryView, Instant)>>>,
     version: watch::Sender<u64>,
 }
 
@@ -110,23 +110,36 @@
         let version = (term, registry.version());
         (version > held).then(|| RegistryView {
             version,
-            upstreams: registry.live().map(|entry| entry.announcement.clone()).collect(),
+            upstreams: registry.live().map(|entry| entry.announcement_at(self.now())).collect(),
         })
     }
 
+    /// Live upstreams with the cold time that each has left.
+    pub fn live_announcements(&self) -> Vec<UpstreamAnnouncement> {
+        let now = self.now();
+        self.lock().live().map(|entry| entry.announcement_at(now)).collect()
+    }
+
     /// The latest view of a leader that this follower has copied; `None` unless it is newer than
     /// the version `held`.
     pub fn newer_copy(&self, held: (u64, u64)) -> Option<RegistryView> {
-        self.lock_copied().as_ref().filter(|view| view.version > held).cloned()
+        let copied = self.lock_copied();
+        let (view, copied_at) = copied.as_ref().filter(|(view, _)| view.version > held)?;
+        let age = u64::try_from(copied_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut view = view.clone();
+        for upstream in &mut view.upstreams {
+            upstream.cold_ms = upstream.cold_ms.map(|cold_ms| cold_ms.saturating_sub(age));
+        }
+        Some(view)
     }
 
-    fn lock_copied(&self) -> MutexGuard<'_, Option<RegistryView>> {
+    fn lock_copied(&self) -> MutexGuard<'_, Option<(RegistryView, Instant)>> {
         self.copied.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Replaces a follower's copy by the leader's view.
     pub fn copy_from(&self, view: RegistryView) {
-        *self.lock_copied() = Some(view.clone());
+        *self.lock_copied() = Some((view.clone(), Instant::now()));
         let mut registry = self.lock();
         registry.copy_live(self.now(), COPIED_ENTRY_TTL, view.upstreams);
         let version = registry.version();
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -408,6 +408,7 @@
             first_token: usage.first_token_ms.is_some(),
             prefill: 0,
             target_ms: 0,
+            paced: false,
         };
         self.add_lease(now, id, usage.lease, record);
         true
--- a/crates/core/src/dispatch_ledger.rs
+++ b/crates/core/src/dispatch_ledger.rs
@@ -266,6 +266,9 @@
         if end == Some(LeaseEnd::Unused) && is_granted_here {
             let name = &self.upstreams[record.upstream].name;
             self.limits.refund(now, name, record.incarnation);
+            if record.paced {
+                self.cold_rates.refund(now, name, record.incarnation);
+            }
         }
         if end == Some(LeaseEnd::Finished) {
             let pair = (record.workspace, record.target);
@@ -339,10 +342,12 @@
             return 0;
         }
         let slots = upstream.capacity.slots(now, &self.settings.placement);
-        match self.limits.wait(now, &upstream.name, upstream.incarnation) {
-            // The request rate allows no further request at present.
-            Some(_) => slots.min(upstream.running),
-            None => slots,
+        let (name, incarnation) = (&upstream.name, upstream.incarnation);
+        let rates = [&self.limits, &self.cold_rates];
+        match rates.iter().any(|rates| rates.wait(now, name, incarnation).is_some()) {
+            // A request rate allows no further request at present.
+            true => slots.min(upstream.running),
+            false => slots,
         }
     }
 
@@ -350,7 +355,8 @@
     pub(crate) fn next_slot_change(&self, now: Duration, id: usize) -> Option<Duration> {
         let upstream = &self.upstreams[id];
         let wait = self.limits.wait(now, &upstream.name, upstream.incarnation);
-        let allowed = wait.map(|wait| now + wait);
+        let allowed = wait.into_iter().chain(self.next_cold_change(now, id));
+        let allowed = allowed.map(|wait| now + wait);
         let change = upstream.capacity.next_change(now, &self.settings.placement);
         change.into_iter().chain(allowed).min()
     }
@@ -358,6 +364,7 @@
     /// Updates the free slots of an upstream after its state has changed.
     pub(crate) fn refresh_upstream(&mut self, now: Duration, id: usize) {
         let slots = self.usable_slots(now, id);
+        let is_paced = self.is_paced(id);
         let upstream = &self.upstreams[id];
         for location in &upstream.locations {
             let free = &mut self.pools[location.pool].targets[location.index].free;
@@ -366,6 +373,7 @@
                 slots,
                 prefill: upstream.prefill,
                 prefill_window: upstream.capacity.prefill_window(),
+                last_choice: is_paced,
             };
             free.set(upstream.zone, id, load);
         }
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -458,6 +458,10 @@
     /// Software version of the upstream; `None` when it is unknown.
     #[serde(default, rename = "v", skip_serializing_if = "Option::is_none")]
     pub software: Option<SoftwareVersion>,
+    /// True if the slot was granted within the rate that the upstream tolerates while it is cold.
+    /// Dispatchers of releases without this field leave it out.
+    #[serde(default, rename = "p", skip_serializing_if = "is_default")]
+    pub paced: bool,
 }
 
 /// Permission to run one request of a workspace on an upstream.
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -150,6 +150,7 @@
             resume: announcement.is_some_and(|known| known.resume),
             cancel: announcement.is_some_and(|known| known.cancel),
             software: announcement.and_then(|known| known.software.clone()),
+            paced: false,
         }
     }
 }
@@ -248,6 +249,8 @@
     pub prefill: u64,
     /// Target for the time to the first token, in milliseconds; zero means none.
     pub target_ms: u32,
+    /// True when the grant was taken from the rate that the upstream tolerates while cold.
+    pub paced: bool,
 }
 
 /// Service, backlog and running requests of a workspace in a pool.
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -24,7 +24,10 @@
             let id = self.upstream_id(&announcement.name, announcement.incarnation);
             listed.resize(self.upstreams.len(), false);
             listed[id] = true;
+            let upstream = &self.upstreams[id];
+            let was_in_use = upstream.live && !upstream.capacity.is_ejected();
             changed |= self.apply_announcement(now, id, announcement);
+            self.observe_cold(now, id, announcement, was_in_use);
         }
         for (upstream, listed) in self.upstreams.iter_mut().zip(listed) {
             if upstream.live && !listed {
@@ -37,6 +40,7 @@
         }
         let Self { limits, upstream_names, .. } = self;
         limits.retain(|name| upstream_names.contains_key(name));
+        self.retain_cold();
     }
 
     /// Sets the upstreams that are under a planned stop. They get no more grants;
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -19,6 +19,11 @@
 /// Term of leases that a router grants to itself. Terms of dispatchers start at 1.
 pub const LOCAL_TERM: u64 = 0;
 
+/// Routers in local mode together use one part in this many of the rate that a cold upstream
+/// tolerates. The dispatcher uses the whole rate, and the two may overlap during a change of the
+/// lead or a partition.
+const COLD_SHARE_DIVISOR: u32 = 4;
+
 /// State of a router at the moment it enters local mode.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LocalSettings {
@@ -154,6 +159,8 @@
     next_number: u64,
     /// This router's share of the request rates that upstreams have named.
     limits: UpstreamLimits,
+    /// This router's share of the rates that cold upstreams tolerate.
+    cold_rates: UpstreamLimits,
 }
 
 impl LocalDispatcher {
@@ -175,6 +182,10 @@
             ended: Vec::new(),
             next_number: settings.first_number,
             limits: UpstreamLimits::new(settings.routers, settings.seed),
+            cold_rates: UpstreamLimits::without_burst(
+                settings.routers.saturating_mul(COLD_SHARE_DIVISOR),
+                settings.seed,
+            ),
         };
         local.set_table(table);
         for usage in held_leases.into_iter().filter(|usage| usage.end.is_none()) {
@@ -215,6 +226,12 @@
         self.limits.replace(now, limits);
     }
 
+    /// Sets the rates that cold upstreams tolerate. The dispatcher may go on sending at the whole
+    /// rate while this router does not hear from it, so the routers use a part of it.
+    pub fn set_cold_rates(&mut self, now: Duration, rates: &[UpstreamLimit]) {
+        self.cold_rates.replace(now, rates);
+    }
+
     fn count_running(&self, key: &(String, u64)) -> u32 {
         let leases = self.leases.values().map(|lease| &lease.usage);
         let running = leases.filter(|usage| usage.upstream == key.0 && usage.incarnation == key.1);
@@ -269,6 +286,7 @@
         while let Some((key, upstream)) = self.next_request(now, &slots) {
             let grant = self.grant(&key, &upstream);
             self.limits.charge(now, &grant.upstream.name, grant.upstream.incarnation);
+            self.cold_rates.charge(now, &grant.upstream.name, grant.upstream.incarnation);
             grants.push(grant);
         }
         grants
@@ -336,19 +354,24 @@
             upstream.running < **slots
                 && upstream.announcement.can_serve(&entry.target)
                 && self.limits.wait(now, name, *incarnation).is_none()
+                && self.cold_rates.wait(now, name, *incarnation).is_none()
         });
         let chosen = free.min_by_key(|(upstream, slots)| {
             let avoided = entry.avoid.as_ref() == Some(&upstream.announcement.name);
             let load = u64::from(upstream.running) * 65_536 / u64::from(**slots);
-            (avoided, load)
+            (avoided, self.is_cold(&upstream.announcement), load)
         });
         chosen.map(|(upstream, _)| upstream)
     }
 
+    fn is_cold(&self, upstream: &UpstreamAnnouncement) -> bool {
+        self.cold_rates.is_limited(&upstream.name, upstream.incarnation)
+    }
+
     fn grant(&mut self, key: &(String, WorkTarget), upstream: &str) -> SlotGrant {
         let announcement =
             &self.upstreams.get(upstream).expect("the chosen upstream is known").announcement;
-        let route = route_of(announcement);
+        let route = UpstreamRoute { paced: self.is_cold(announcement), ..route_of(announcement) };
         let pool = pool_key(announcement);
         let lease = LeaseId { term: LOCAL_TERM, number: self.next_number };
         self.next_number += 1;
@@ -469,5 +492,6 @@
         resume: announcement.resume,
         cancel: announcement.cancel,
         software: announcement.software.clone(),
+        paced: false,
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -187,6 +187,13 @@
         self.slow_start = Some(now);
     }
 
+    /// Begins a slow start at the share of the slots that is in use.
+    pub fn begin_slow_start(&mut self, now: Duration, running: u32, settings: &PlacementSettings) {
+        let limit = self.concurrency_limit.max(1);
+        let used = settings.slow_start * running.min(limit) / limit;
+        self.slow_start = Some(now.saturating_sub(used));
+    }
+
     /// Ejects the upstream for a time that doubles with each ejection, up to
     /// `longest_ejection`.
     pub fn eject(&mut self, now: Duration, settings: &PlacementSettings) {
@@ -309,6 +316,8 @@
     pub prefill: u64,
     /// Prompt tokens that may await prefill at once.
     pub prefill_window: u64,
+    /// True when the upstream is chosen by its load only if no other one is free.
+    pub last_choice: bool,
 }
 
 impl SlotLoad {
@@ -317,10 +326,11 @@
     }
 
     /// Utilisation of the slots or of the prefill window, whichever is higher.
-    /// [`FRACTION`] means full.
+    /// [`FRACTION`] means full, or more for an upstream of last choice.
     fn fraction(&self) -> u64 {
         let slots = u64::from(self.running) * FRACTION / u64::from(self.slots.max(1));
-        slots.max(self.prefill * FRACTION / self.prefill_window.max(1))
+        let load = slots.max(self.prefill * FRACTION / self.prefill_window.max(1));
+        if self.last_choice { FRACTION + load } else { load }
     }
 }
 
--- a/crates/core/src/send_barrier.rs
+++ b/crates/core/src/send_barrier.rs
@@ -14,7 +14,7 @@
     Evacuated,
     /// It asked this router for no requests for a time.
     Quiet,
-    /// It is cold, and this router has used its share of the rate that it tolerates.
+    /// It is cold, and the slot was not granted within the rate that it tolerates.
     Cold,
     /// It limits its requests, and this router has used its share of that rate.
     Limited,
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -8,10 +8,12 @@
 
 use crate::account_carryover::RECEIVED_STATEMENT_LIMIT;
 use crate::account_statement::StatementStore;
+use crate::cold_tracker::ColdTracker;
 use crate::cost_estimate::CostEstimate;
 use crate::crash_tracker::{CrashTracker, FoundPart};
+use crate::dispatch_cold::{COLD_MARGIN, ColdChange};
 use crate::dispatch_messages::{
-    BacklogRefusal, DispatchAnswer, LeaseId, LimitList, OriginAnswer, SlotGrant,
+    BacklogRefusal, DispatchAnswer, LeaseId, LimitList, OriginAnswer, SlotGrant, UpstreamRoute,
 };
 use crate::dispatch_settings::DispatchSettings;
 use crate::dispatch_state::{
@@ -148,6 +150,12 @@
     pub(crate) crashes: CrashTracker,
     /// Request rates that upstreams have named.
     pub(crate) limits: UpstreamLimits,
+    /// Which upstreams are cold.
+    pub(crate) cold: ColdTracker,
+    /// Rates that cold upstreams tolerate.
+    pub(crate) cold_rates: UpstreamLimits,
+    /// Changes between cold and warm that are not logged yet.
+    pub(crate) cold_changes: Vec<ColdChange>,
     /// Origins of the streams that routers have begun.
     pub(crate) origins: OriginDirectory,
     /// Workspaces that wait because of their rate limits, ordered by the end of the wait.
@@ -203,6 +211,9 @@
             prefix_hints: PrefixHints::new(settings.placement.prefix_hint_limit),
             crashes: CrashTracker::default(),
             limits: UpstreamLimits::new(1, 0),
+            cold: ColdTracker::new(COLD_MARGIN),
+            cold_rates: UpstreamLimits::without_burst(1, 0),
+            cold_changes: Vec::new(),
             origins: OriginDirectory::new(FLEET_STREAM_LIMIT),
             rate_limited: IndexedHeap::new(),
             changing_upstreams: Vec::new(),
@@ -312,8 +323,11 @@
         }
         let placement = self.settings.placement;
         for id in std::mem::take(&mut self.changing_upstreams) {
+            self.update_cold(now, id, false);
+            let is_paced = self.is_paced(id);
             let upstream = &mut self.upstreams[id];
-            let is_limited = self.limits.is_limited(&upstream.name, upstream.incarnation);
+            let is_limited =
+                is_paced || self.limits.is_limited(&upstream.name, upstream.incarnation);
             if upstream.capacity.advance(now, &placement) || is_limited {
                 self.refresh_upstream(now, id);
             }
@@ -413,6 +427,7 @@
                 u64::from(prompt.own) + u64::from(uncached)
             }),
             target_ms: next.prompt.map_or(0, |prompt| prompt.target_ms),
+            paced: self.is_paced(upstream),
         };
         self.raise_virtual_time(pool, index, workspace);
         if let Some(policy) = &mut self.workspaces[workspace].policy {
@@ -426,11 +441,18 @@
         true
     }
 
-    /// Takes one request from the rate that the upstream has named, if any.
+    /// Takes one request from the rate that the upstream has named or tolerates while cold, if any.
     fn charge_upstream_rate(&mut self, now: Duration, id: usize) {
-        let upstream = &self.upstreams[id];
-        if self.limits.is_limited(&upstream.name, upstream.incarnation) {
-            self.limits.charge(now, &upstream.name, upstream.incarnation);
+        let Self { upstreams, limits, cold_rates, .. } = self;
+        let upstream = &upstreams[id];
+        let mut is_limited = false;
+        for rates in [limits, cold_rates] {
+            if rates.is_limited(&upstream.name, upstream.incarnation) {
+                rates.charge(now, &upstream.name, upstream.incarnation);
+                is_limited = true;
+            }
+        }
+        if is_limited {
             self.track_slot_changes(id);
         }
     }
@@ -520,7 +542,10 @@
             lease,
             target: self.targets[record.target].target.clone(),
             workspace: self.workspaces[record.workspace].name.clone(),
-            upstream: self.upstreams[record.upstream].route(),
+            upstream: UpstreamRoute {
+                paced: record.paced,
+                ..self.upstreams[record.upstream].route()
+            },
         };
         self.routers[router].pending_grants.push_back(grant);
         self.request_answer(router);
--- a/crates/core/src/upstream_limits.rs
+++ b/crates/core/src/upstream_limits.rs
@@ -79,6 +79,8 @@
     shares: u32,
     /// Units in a new bucket, below one request.
     first_units: u64,
+    /// Time whose unused requests an upstream may get at once, if that is one or more.
+    burst: Duration,
 }
 
 impl UpstreamLimits {
@@ -88,7 +90,17 @@
     pub fn new(shares: u32, seed: u64) -> Self {
         let shares = shares.max(1);
         let first_units = seed % u64::from(shares);
-        Self { records: SortedMap::new(), version: 0, shares, first_units }
+        Self { records: SortedMap::new(), version: 0, shares, first_units, burst: LIMIT_BURST }
+    }
+
+    /// Like [`UpstreamLimits::new`], but requests are never sent at once after a pause.
+    pub fn without_burst(shares: u32, seed: u64) -> Self {
+        Self { burst: Duration::ZERO, ..Self::new(shares, seed) }
+    }
+
+    /// Number of upstreams that have named a rate.
+    pub fn len(&self) -> usize {
+        self.records.len()
     }
 
     /// True when no upstream has named a rate.
@@ -178,6 +190,16 @@
         }
     }
 
+    /// Keeps requests from the upstream for `time`.
+    pub fn pause(&mut self, now: Duration, name: &str, incarnation: u64, time: Duration) {
+        let shares = u128::from(self.shares);
+        if let Some(record) = self.record_mut(name, incarnation) {
+            let per_minute = u128::from(record.rate.per_minute());
+            let units = per_minute * time.as_millis() / MINUTE.as_millis() + shares;
+            record.bucket.charge(now, u64::try_from(units).unwrap_or(u64::MAX));
+        }
+    }
+
     /// All rates, ordered by the names of the upstreams.
     pub fn list(&self) -> Vec<UpstreamLimit> {
         let limit = |(name, record): (&String, &LimitRecord)| UpstreamLimit {
@@ -201,9 +223,9 @@
         TokenBucket::with_level(now, per_minute, self.burst(rate), self.first_units)
     }
 
-    /// Time in which the bucket fills: [`LIMIT_BURST`], or that of one request.
+    /// Time in which the bucket fills: the configured one, or that of one request.
     fn burst(&self, rate: RequestRate) -> Duration {
         // A nanosecond more, because the division rounds down.
-        LIMIT_BURST.max(MINUTE * self.shares / rate.per_minute() + Duration::from_nanos(1))
+        self.burst.max(MINUTE * self.shares / rate.per_minute() + Duration::from_nanos(1))
     }
 }
--- a/crates/core/src/upstream_registry.rs
+++ b/crates/core/src/upstream_registry.rs
@@ -1,6 +1,7 @@
 //! Registry of announced upstreams. It is soft state: an entry expires unless its
 //! upstream renews the announcement.
 
+use crate::cold_tracker::COLD_LIMIT;
 use crate::error_kind::ErrorKind;
 use crate::software_version::SoftwareVersion;
 use crate::sorted_map::SortedMap;
@@ -111,6 +112,10 @@
 /// from that of an upstream that has started again: the start time that it names was read from a
 /// clock which may be wrong.
 pub const UNNAMED_DEPARTURE_HOLD: Duration = Duration::from_secs(6);
+/// Change of the end of a cold time that counts as a change of the registry. Every renewal of a
+/// cold upstream states a time that is shorter by about the interval since the last one, and a
+/// change sends the whole registry to all routers.
+const COLD_CHANGE: Duration = Duration::from_millis(500);
 /// Time since its last announcement in which no other incarnation of an upstream can have started
 /// and left. Upstreams announce themselves about every second.
 const ANNOUNCER_TIME: Duration = Duration::from_secs(2);
@@ -169,6 +174,12 @@
         Ok(())
     }
 
+    /// Time until which the upstream stays cold if it said so at `now`; `None` when it does not
+    /// say.
+    fn cold_until(&self, now: Duration) -> Option<Duration> {
+        self.cold_ms.map(|cold_ms| now + Duration::from_millis(cold_ms).min(COLD_LIMIT))
+    }
+
     /// Name of the capacity pool to which this upstream belongs.
     pub fn pool_name(&self) -> &str {
         match (&self.pool, self.kind) {
@@ -199,6 +210,8 @@
     pub live: bool,
     /// Time of the latest announcement; `None` in a copy of another registry.
     pub announced_at: Option<Duration>,
+    /// Time until which the upstream stays cold; `None` when it does not say.
+    pub cold_until: Option<Duration>,
 }
 
 /// Committed departure that named no incarnation.
@@ -229,7 +242,7 @@
 
 impl UpstreamRegistry {
     /// Version of the registry. It increases with each change except a renewal that
-    /// only updates the sequence number and the running requests.
+    /// only updates the sequence number, the running requests and the cold time as it passes.
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -287,7 +300,9 @@
         }
         let live = !announcement.leaving;
         let announced_at = Some(now);
-        let entry = UpstreamEntry { expires_at: now + lifetime, live, announcement, announced_at };
+        let cold_until = announcement.cold_until(now);
+        let expires_at = now + lifetime;
+        let entry = UpstreamEntry { expires_at, live, announcement, announced_at, cold_until };
         let name = entry.announcement.name.clone();
         let replaced = self.entries.insert(name.clone(), entry);
         let changed = replaced.is_none_or(|old| {
@@ -295,7 +310,10 @@
             let mut old_announcement = old.announcement;
             old_announcement.sequence = new.sequence;
             old_announcement.running = new.running;
-            old.live != live || old_announcement != *new
+            old_announcement.cold_ms = new.cold_ms;
+            old.live != live
+                || old_announcement != *new
+                || is_cold_changed(now, old.cold_until, cold_until)
         });
         self.version += u64::from(changed);
         Ok(())
@@ -399,7 +417,9 @@
                 let live = !announcement.leaving;
                 let name = announcement.name.clone();
                 let announced_at = None;
-                let entry = UpstreamEntry { announcement, expires_at, live, announced_at };
+                let cold_until = announcement.cold_until(now);
+                let entry =
+                    UpstreamEntry { announcement, expires_at, live, announced_at, cold_until };
                 self.entries.insert(name, entry);
                 changed = true;
             }
@@ -423,7 +443,22 @@
     }
 }
 
+/// True if the end of a cold time has moved by more than the delay of an announcement.
+fn is_cold_changed(now: Duration, old: Option<Duration>, new: Option<Duration>) -> bool {
+    match (old, new) {
+        (Some(old), Some(new)) => old.max(now).abs_diff(new.max(now)) > COLD_CHANGE,
+        (old, new) => old.is_some() != new.is_some(),
+    }
+}
+
 impl UpstreamEntry {
+    /// The latest announcement with the cold time that is left at `now`.
+    pub fn announcement_at(&self, now: Duration) -> UpstreamAnnouncement {
+        let left = self.cold_until.map(|until| until.saturating_sub(now).as_millis());
+        let cold_ms = left.map(|millis| u64::try_from(millis).unwrap_or(u64::MAX));
+        UpstreamAnnouncement { cold_ms, ..self.announcement.clone() }
+    }
+
     fn check_successor(&self, next: &UpstreamAnnouncement) -> Result<(), AnnouncementRefusal> {
         let current = &self.announcement;
         let stale = |message: String| {
--- a/crates/ctl/src/view_commands.rs
+++ b/crates/ctl/src/view_commands.rs
@@ -77,7 +77,10 @@
         .map(|view| {
             vec![
                 view.name.clone(),
-                view.state.clone(),
+                match view.cold_ms {
+                    Some(cold_ms) if view.state == "cold" => format!("cold {cold_ms} ms"),
+                    _ => view.state.clone(),
+                },
                 view.pool.clone(),
                 view.serves.join(" "),
                 view.zone.clone(),
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -20,6 +20,14 @@
         name: "attempt_failed",
         meaning: "An upstream gave no answer that can be forwarded; `again` says whether another upstream is tried; `fingerprint` is the same for requests with the same content.",
     },
+    LogEvent {
+        name: "cold_service_unreadable",
+        meaning: "A service in the operators' document has a value for its cold upstreams, `field`, that is not a number of at least 0; it is ignored.",
+    },
+    LogEvent {
+        name: "cold_time_unreadable",
+        meaning: "The heartbeat of an upstream states a cold time that is not a number of milliseconds up to an hour; it is not known whether the upstream is cold.",
+    },
     LogEvent {
         name: "connections_closed_unread",
         meaning: "The router could not serve new connections in time and closed `count` of them before it read anything; callers may try another router.",
@@ -167,6 +175,10 @@
         name: "routes_in_force",
         meaning: "A router applied a route table from `controller`, `age_ms` milliseconds after that controller applied it.",
     },
+    LogEvent {
+        name: "send_withheld",
+        meaning: "A request was not sent to the upstream of its slot, which was granted before the `reason` arose; it waits for another slot.",
+    },
     LogEvent {
         name: "settings_refused",
         meaning: "Changed settings are invalid; the previous settings stay in force.",
@@ -258,6 +270,10 @@
         name: "upstream_withdrawn",
         meaning: "The announcement of an upstream was withdrawn.",
     },
+    LogEvent {
+        name: "upstreams_cold",
+        meaning: "Upstreams became `cold` or `warm` at the dispatcher; cold ones, `count` now, get requests at the rate that their service names, for `longest_ms` at most.",
+    },
     LogEvent {
         name: "upstreams_removed",
         meaning: "The registry in force at the router no longer lists these `upstreams`; `previous_term` is the term of the registry before.",
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -90,6 +90,10 @@
     pub closed_unread: Counter<u64>,
     /// Bytes of messages exchanged with controllers, by direction.
     pub control_bytes: Counter<u64>,
+    /// Cold upstreams, as the leader knows them; zero at other processes.
+    pub cold_upstreams: Gauge<u64>,
+    /// Requests that were not sent to the upstream of their slot, by reason.
+    pub withheld_sends: Counter<u64>,
 }
 
 impl NodeMetrics {
@@ -149,6 +153,8 @@
             connections: meter.u64_gauge("baobabfall_connections").build(),
             closed_unread: meter.u64_counter("baobabfall_connections_closed_unread").build(),
             control_bytes: meter.u64_counter("baobabfall_control_bytes").build(),
+            cold_upstreams: meter.u64_gauge("baobabfall_cold_upstreams").build(),
+            withheld_sends: meter.u64_counter("baobabfall_withheld_sends").build(),
             provider: Arc::new(provider),
         };
         Ok(metrics)
@@ -164,6 +170,11 @@
         self.refusals.add(1, &[KeyValue::new("code", code)]);
     }
 
+    /// Counts a request that was not sent to the upstream of its slot, with the reason's code.
+    pub fn count_withheld(&self, code: &'static str) {
+        self.withheld_sends.add(1, &[KeyValue::new("reason", code)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn scrape(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/node/src/operator_messages.rs
+++ b/crates/node/src/operator_messages.rs
@@ -185,8 +185,9 @@
     pub zone: String,
     /// IP address and port to which routers connect.
     pub address: String,
-    /// `live`, `leaving` (takes no new work), `stopping` (planned stop), `ejected`
-    /// (after failures) or `lapsed` (announcement expired).
+    /// `live`, `cold` (gets requests at the rate that its service names), `leaving` (takes no new
+    /// work), `stopping` (planned stop), `ejected` (after failures) or `lapsed` (announcement
+    /// expired).
     pub state: String,
     /// Number of requests that the dispatcher lets run at once.
     pub slots: u32,
@@ -194,6 +195,9 @@
     pub running: u32,
     /// True when the upstream refuses requests with an outdated fencing token.
     pub honours_fencing: bool,
+    /// Time for which it stays cold, in milliseconds; absent when it is warm.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_ms: Option<u64>,
 }
 
 /// Fairness between the workspaces of one pool.
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -469,13 +469,16 @@
     /// dispatcher. Not while the dispatcher is unreachable, because the router then
     /// does not learn which upstreams have left, and not while an upstream of the
     /// service limits its requests, because only the dispatcher knows those of all
-    /// routers.
+    /// routers. Nor from a cold upstream, for the same reason.
     fn take_direct_slot(&self, target: &WorkTarget) -> Option<SlotLease> {
         let router = &self.state.router;
         if !self.call.plain || router.dispatch.is_lost() || self.has_limited_upstream(target) {
             return None;
         }
-        let permits = |name: &str, incarnation| router.queue.book().permits(name, incarnation);
+        let directory = router.fleet.directory();
+        let permits = |name: &str, incarnation| {
+            router.queue.book().permits(name, incarnation) && !directory.is_cold(name, incarnation)
+        };
         let slot = router.direct.take(&router.fleet, target, self.avoid.as_deref(), permits)?;
         Some(SlotLease::direct(&router.direct, &self.call.service, slot))
     }
--- a/crates/router/src/local_mode.rs
+++ b/crates/router/src/local_mode.rs
@@ -128,6 +128,7 @@
             // clearing them avoids updates without an effect.
             upstream.sequence = 0;
             upstream.running = None;
+            upstream.cold_ms = None;
         }
         if candidates != *usable {
             local.set_upstreams(&candidates);
@@ -158,6 +159,7 @@
         }
         let now = self.state.dispatch.elapsed();
         local.set_limits(now, &book.limits().limits());
+        local.set_cold_rates(now, &self.state.fleet.directory().cold_rates());
         let grants = local.dispatch(now);
         let decisions = book.apply_local_grants(grants);
         book.merge_local_leases();
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -84,13 +84,24 @@
     /// last, right before a request is written.
     pub fn send_barrier(&self, route: &UpstreamRoute) -> Option<SendBarrier> {
         let directory = self.fleet.directory();
-        let left = directory.has_left(&route.name, route.incarnation).then_some(SendBarrier::Left);
-        left.or_else(|| self.queue.book().barrier(&route.name, route.incarnation))
+        let (name, incarnation) = (route.name.as_str(), route.incarnation);
+        let has_left =
+            directory.has_left(name, incarnation) || directory.is_replaced(name, incarnation);
+        let left = has_left.then_some(SendBarrier::Left);
+        let stated = left.or_else(|| self.queue.book().barrier(name, incarnation));
+        stated.or_else(|| {
+            let is_cold = !route.paced && directory.has_stated_cold(name, incarnation);
+            is_cold.then_some(SendBarrier::Cold)
+        })
     }
 
-    /// True if this incarnation of an upstream may get a request now.
+    /// True if this incarnation of an upstream may get a request now. Counts and logs the requests
+    /// that may not be sent.
     pub fn may_send(&self, route: &UpstreamRoute) -> bool {
-        self.send_barrier(route).is_none()
+        let Some(barrier) = self.send_barrier(route) else { return true };
+        self.metrics.count_withheld(barrier.code());
+        log::info!(event = "send_withheld", upstream = route.name.as_str(), incarnation = route.incarnation, reason = barrier.code(); "the upstream of a granted slot may get no request now");
+        false
     }
 
     /// True if a load balancer should send requests to this router.
--- a/crates/router/src/table_view.rs
+++ b/crates/router/src/table_view.rs
@@ -105,6 +105,7 @@
     pub fn set_routes(&self, next: &Arc<RouteTable>) -> bool {
         let newer = next.version > self.routes_version();
         if newer {
+            self.directory.set_cold_services(&next.services);
             self.routes.store(Some(Arc::new(RouteIndex::new(RouteTable::clone(next)))));
         }
         newer
--- a/crates/router/src/upstream_directory.rs
+++ b/crates/router/src/upstream_directory.rs
@@ -2,7 +2,10 @@
 
 use crate::table_view::ANNOUNCEMENT_LIFETIME;
 use arc_swap::ArcSwap;
+use baobabfall_core::cold_tracker::ColdTracker;
 use baobabfall_core::departure_set::{DepartureList, DepartureSet};
+use baobabfall_core::dispatch_messages::UpstreamLimit;
+use baobabfall_core::route_table::ServiceRow;
 use baobabfall_core::upstream_registry::{
     AnnouncementRefusal, UpstreamAnnouncement, UpstreamKind, UpstreamRegistry, WorkTarget,
 };
@@ -21,6 +24,8 @@
     departures: ArcSwap<DepartureSet>,
     /// Upstreams that announced themselves to this router.
     local: Mutex<UpstreamRegistry>,
+    /// Which upstreams are cold; `None` while no service names a rate for them.
+    cold: Mutex<Option<ColdTracker>>,
     started: Instant,
 }
 
@@ -41,6 +46,7 @@
             previous: ArcSwap::from_pointee((Vec::new(), Instant::now())),
             departures: ArcSwap::default(),
             local: Mutex::new(UpstreamRegistry::default()),
+            cold: Mutex::new(None),
             started: Instant::now(),
         }
     }
@@ -70,6 +76,7 @@
             } else if Instant::now() < self.previous.load().1 {
                 self.forget_removed(&held, &view);
             }
+            self.observe_cold(&view.upstreams);
             self.registry_view.store(Arc::new(view));
         }
         newer
@@ -108,6 +115,7 @@
     /// Applies an announcement that an upstream sent to this router. Fails if the
     /// announcement is not valid or is out of date.
     pub fn announce(&self, announcement: UpstreamAnnouncement) -> Result<(), AnnouncementRefusal> {
+        self.observe_cold(std::slice::from_ref(&announcement));
         self.local().announce(self.started.elapsed(), ANNOUNCEMENT_LIFETIME, announcement)
     }
 
@@ -132,6 +140,60 @@
         })
     }
 
+    fn cold(&self) -> MutexGuard<'_, Option<ColdTracker>> {
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets the services, some of which name a rate for their cold upstreams.
+    pub fn set_cold_services(&self, services: &[ServiceRow]) {
+        let mut cold = self.cold();
+        if services.iter().all(|row| row.cold.is_none()) {
+            *cold = None;
+            return;
+        }
+        let is_new = cold.is_none();
+        cold.get_or_insert_default().set_services(services);
+        drop(cold);
+        if is_new {
+            self.observe_cold(&self.registry_view.load().upstreams);
+        }
+    }
+
+    fn observe_cold(&self, upstreams: &[UpstreamAnnouncement]) {
+        if let Some(cold) = self.cold().as_mut() {
+            let now = self.started.elapsed();
+            upstreams.iter().for_each(|upstream| cold.observe(now, upstream));
+        }
+    }
+
+    /// True if this incarnation of the upstream has stated that it is cold now.
+    pub fn has_stated_cold(&self, name: &str, incarnation: u64) -> bool {
+        let cold = self.cold();
+        cold.as_ref().is_some_and(|cold| cold.has_stated(self.started.elapsed(), name, incarnation))
+    }
+
+    /// True if this incarnation of the upstream is cold, or may be.
+    pub fn is_cold(&self, name: &str, incarnation: u64) -> bool {
+        let cold = self.cold();
+        cold.as_ref()
+            .is_some_and(|cold| cold.left(self.started.elapsed(), name, incarnation).is_some())
+    }
+
+    /// Rates that the cold upstreams tolerate from all routers together.
+    pub fn cold_rates(&self) -> Vec<UpstreamLimit> {
+        let cold = self.cold();
+        cold.as_ref().map_or_else(Vec::new, |cold| cold.limits(self.started.elapsed()))
+    }
+
+    /// True if the controllers' registry lists a later incarnation of the upstream. What is sent
+    /// to the earlier one would reach an upstream that has just started.
+    pub fn is_replaced(&self, name: &str, incarnation: u64) -> bool {
+        let registry = self.registry_view.load();
+        let upstreams = &registry.upstreams;
+        let found = upstreams.binary_search_by(|listed| listed.name.as_str().cmp(name));
+        found.is_ok_and(|index| upstreams[index].incarnation > incarnation)
+    }
+
     /// Upstreams from the previous leader's registry, or none after their lifetime.
     fn previous_upstreams(&self) -> Vec<UpstreamAnnouncement> {
         let previous = self.previous.load();
--- a/crates/router/tests/lease_book.rs
+++ b/crates/router/tests/lease_book.rs
@@ -45,6 +45,7 @@
         resume: false,
         cancel: false,
         software: None,
+        paced: false,
     };
     SlotGrant { lease: LeaseId { term, number }, target, workspace, upstream }
 }
