--- a/crates/core/tests/cold_upstreams.rs
+++ b/crates/core/tests/cold_upstreams.rs
@@ -16,6 +16,8 @@
 /// Most arrivals in a second at a rate of 8.9: the rate, half of it more, and 5.
 const WINDOW_BOUND: usize = 18;
 const STEP: Duration = ms(10);
+/// New requests in each step that keep every upstream of a small fleet full.
+const OVERLOAD: u32 = 16;
 
 fn services() -> Vec<ServiceRow> {
     let cold = ColdRow { start_ms: 3_000, rate: read_rate("8.9").unwrap() };
@@ -155,6 +157,8 @@
         });
     }
     assert!(fleet.queued < 50, "{} requests wait", fleet.queued);
+    let early = fleet.count("e07", returned + ms(150), returned + ms(3_000));
+    assert_eq!(early, 0, "warm upstreams with free slots go first");
     fleet.run(returned + ms(13_000), 11);
     assert!(fleet.most(0..30, returned, returned + ms(3_000)) <= WINDOW_BOUND);
     let share = |name: &str| fleet.count(name, returned + ms(9_000), returned + ms(13_000));
@@ -166,30 +170,34 @@
 /// When the warm upstreams are full, cold ones must be used at their rate, but not above it.
 #[test]
 fn dispatch_cold_used_at_rate_when_others_are_full() {
-    let mut fleet = ColdFleet::new(9, 8);
-    fleet.run(ms(6_000), 8);
+    let mut fleet = ColdFleet::new(9, 32);
+    fleet.run(ms(6_000), OVERLOAD);
     let returned = fleet.now;
     fleet.restart(0, 3, Some(3_000));
-    fleet.run(returned + ms(3_000), 8);
+    fleet.run(returned + ms(6_000), OVERLOAD);
     assert!(fleet.queued > 100, "the warm upstreams are full");
     assert!(fleet.most(0..3, returned, returned + ms(3_000)) <= WINDOW_BOUND);
     let used = fleet.count("e00", returned + SECOND, returned + ms(3_000));
     assert!((14..=20).contains(&used), "{used} requests in two seconds, 17.8 tolerated");
+    let warm_at = returned + ms(3_500);
+    let first = fleet.count("e00", warm_at, warm_at + SECOND);
+    assert!((10..50).contains(&first), "{first} requests in the first warm second; 32 slots");
 }
 
 /// A running upstream that becomes cold again is known to be cold up to an announcement interval
 /// later. What arrived meanwhile counts, so the first paced request must wait for a second.
 #[test]
 fn dispatch_upstream_becomes_cold_again() {
-    let mut fleet = ColdFleet::new(90, 64);
-    fleet.run(ms(8_000), 11);
-    fleet.announce(0, 30, |engine| engine.cold_ms = Some(2_500));
+    let mut fleet = ColdFleet::new(9, 5);
+    fleet.run(ms(8_000), OVERLOAD);
+    fleet.announce(0, 3, |engine| engine.cold_ms = Some(2_500));
     let announced = fleet.now;
-    fleet.run(announced + ms(3_000), 11);
-    assert!(fleet.most(0..30, announced - ms(700), announced + ms(2_500)) <= WINDOW_BOUND);
+    fleet.run(announced + ms(3_000), OVERLOAD);
+    assert!(fleet.most(0..3, announced - ms(700), announced + ms(2_500)) <= WINDOW_BOUND);
     let name = "e00";
     assert_eq!(fleet.count(name, announced + ms(150), announced + SECOND), 0);
-    fleet.announce(0, 30, |engine| engine.cold_ms = Some(2_000));
+    assert!(fleet.count(name, announced + SECOND, announced + ms(2_500)) > 8);
+    fleet.announce(0, 3, |engine| engine.cold_ms = Some(2_000));
     let left = fleet.dispatcher.cold_left(fleet.now, name).unwrap();
     assert_eq!(left, ms(2_500), "a longer time takes effect at once, with the margin");
 }
@@ -221,11 +229,11 @@
 /// incarnation counts as paced.
 #[test]
 fn dispatch_restart_under_same_name_pauses() {
-    let mut fleet = ColdFleet::new(90, 64);
-    fleet.run(ms(8_000), 11);
+    let mut fleet = ColdFleet::new(9, 5);
+    fleet.run(ms(8_000), OVERLOAD);
     fleet.restart(0, 1, Some(3_000));
     let restarted = fleet.now;
-    fleet.run(restarted + ms(3_000), 11);
+    fleet.run(restarted + ms(3_000), OVERLOAD);
     assert_eq!(fleet.count("e00", restarted + ms(150), restarted + SECOND), 0);
     assert!(fleet.most(0..1, restarted - ms(700), restarted + ms(3_000)) <= WINDOW_BOUND);
 }
@@ -234,20 +242,20 @@
 /// of before cannot tell. They must not get the load of the fleet at once when the zone returns.
 #[test]
 fn assume_cold_zone_paces_returning_zone() {
-    let mut fleet = ColdFleet::new(90, 64);
-    for engine in &mut fleet.engines[0..30] {
+    let mut fleet = ColdFleet::new(9, 32);
+    for engine in &mut fleet.engines[0..3] {
         engine.zone = "b".to_owned();
     }
-    fleet.announce(0, 30, |_| ());
-    fleet.run(ms(6_000), 11);
-    let names: Vec<String> = (0..30).map(|index| format!("e{index:02}")).collect();
-    fleet.dispatcher.set_stopping_upstreams(fleet.now, names.iter().map(String::as_str));
-    fleet.run(ms(8_000), 11);
+    fleet.announce(0, 3, |_| ());
+    fleet.run(ms(6_000), OVERLOAD);
+    fleet.dispatcher.set_stopping_upstreams(fleet.now, ["e00", "e01", "e02"]);
+    fleet.run(ms(8_000), OVERLOAD);
     fleet.dispatcher.set_stopping_upstreams(fleet.now, []);
     fleet.dispatcher.assume_cold_zone(fleet.now, "b");
-    fleet.run(ms(11_000), 11);
-    assert!(fleet.most(0..30, ms(8_150), ms(11_000)) <= WINDOW_BOUND);
-    assert!(fleet.most(30..90, ms(8_150), ms(11_000)) > 0);
+    fleet.announce(0, 3, |engine| engine.cold_ms = Some(0));
+    fleet.run(ms(11_000), OVERLOAD);
+    assert!(fleet.most(0..3, ms(8_000), ms(11_000)) <= WINDOW_BOUND);
+    assert!(fleet.most(3..9, ms(8_000), ms(11_000)) > WINDOW_BOUND, "others are not paced");
 }
 
 /// While the lead changes, an old dispatcher, 85 routers in local mode and the next dispatcher
@@ -324,6 +332,7 @@
     assert!(dispatcher.apply_report(Duration::ZERO, &report));
     assert_eq!(dispatcher.dispatch(Duration::ZERO), 0, "a new budget is empty");
     assert_eq!(dispatcher.next_wakeup(Duration::ZERO).unwrap().as_millis(), 112);
+    assert_eq!(dispatcher.clone().dispatch(ms(2_500)), 1, "unused requests do not add up");
     assert_eq!(dispatcher.dispatch(ms(113)), 1);
     let grant = router.receive(ms(113), &mut dispatcher).remove(0);
     assert!(grant.upstream.paced);
--- a/crates/router/src/upstream_directory.rs
+++ b/crates/router/src/upstream_directory.rs
@@ -166,6 +166,17 @@
         }
     }
 
+    /// Treats the upstreams of a zone as if they had just started, because they may have become
+    /// cold while the zone got no requests.
+    pub fn assume_cold_zone(&self, zone: &str) {
+        let upstreams = self.upstreams();
+        if let Some(cold) = self.cold().as_mut() {
+            let now = self.started.elapsed();
+            let listed = upstreams.iter().filter(|upstream| upstream.zone == zone);
+            listed.for_each(|upstream| cold.assume_cold(now, &upstream.name));
+        }
+    }
+
     /// True if this incarnation of the upstream has stated that it is cold now.
     pub fn has_stated_cold(&self, name: &str, incarnation: u64) -> bool {
         let cold = self.cold();
--- a/crates/router/tests/cold_upstreams.rs
+++ b/crates/router/tests/cold_upstreams.rs
@@ -94,6 +94,12 @@
     assert!(!directory.is_cold("u-1", incarnation), "the same announcement was repeated");
     directory.set_registry(view(4, 3, Some(2_000)));
     assert!(directory.has_stated_cold("u-1", incarnation));
+    tokio::time::advance(Duration::from_millis(2_000)).await;
+    assert!(!directory.is_cold("u-1", incarnation));
+    directory.assume_cold_zone("other");
+    assert!(!directory.is_cold("u-1", incarnation));
+    directory.assume_cold_zone(&known.zone);
+    assert!(directory.is_cold("u-1", incarnation), "the zone got no requests");
     assert!(!directory.is_cold("u-1", incarnation + 1));
     assert!(directory.is_replaced("u-1", incarnation - 1));
     assert!(!directory.is_replaced("u-1", incarnation));
