--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -106,6 +106,8 @@
     pub evacuated_zones: Gauge<u64>,
     /// Version of the set of evacuated zones in force in this process.
     pub evacuations_version: Gauge<u64>,
+    /// Cold upstreams, as the leader knows them; zero at other processes.
+    pub cold_upstreams: Gauge<u64>,
 }
 
 impl NodeMetrics {
@@ -172,6 +174,7 @@
             withheld: meter.u64_counter("baobabfall_requests_withheld").build(),
             evacuated_zones: meter.u64_gauge("baobabfall_evacuated_zones").build(),
             evacuations_version: meter.u64_gauge("baobabfall_evacuations_version").build(),
+            cold_upstreams: meter.u64_gauge("baobabfall_cold_upstreams").build(),
             provider: Arc::new(provider),
         };
         Ok(metrics)
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -95,20 +95,24 @@
     /// last, right before a request is written.
     pub fn send_barrier(&self, route: &UpstreamRoute) -> Option<SendBarrier> {
         let directory = self.fleet.directory();
-        let left = directory.has_left(&route.name, route.incarnation).then_some(SendBarrier::Left);
-        let evacuated = directory.is_evacuated(&route.name).then_some(SendBarrier::Evacuated);
-        let stated = self.queue.book().barrier(&route.name, route.incarnation);
-        [left, evacuated, stated].into_iter().flatten().min()
+        let (name, incarnation) = (route.name.as_str(), route.incarnation);
+        let has_left =
+            directory.has_left(name, incarnation) || directory.is_replaced(name, incarnation);
+        let left = has_left.then_some(SendBarrier::Left);
+        let evacuated = directory.is_evacuated(name).then_some(SendBarrier::Evacuated);
+        let stated = self.queue.book().barrier(name, incarnation);
+        let is_cold = !route.paced && directory.has_stated_cold(name, incarnation);
+        let cold = is_cold.then_some(SendBarrier::Cold);
+        [left, evacuated, stated, cold].into_iter().flatten().min()
     }
 
-    /// True if this incarnation of an upstream may get a request now. Otherwise counts the request
-    /// as withheld.
+    /// True if this incarnation of an upstream may get a request now. Counts and logs the requests
+    /// that may not be sent.
     pub fn may_send(&self, route: &UpstreamRoute) -> bool {
-        let barrier = self.send_barrier(route);
-        if let Some(barrier) = barrier {
-            self.metrics.count_withheld(barrier.code());
-        }
-        barrier.is_none()
+        let Some(barrier) = self.send_barrier(route) else { return true };
+        self.metrics.count_withheld(barrier.code());
+        log::info!(event = "send_withheld", upstream = route.name.as_str(), incarnation = route.incarnation, reason = barrier.code(); "the upstream of a granted slot may get no request now");
+        false
     }
 
     /// True if a load balancer should send requests to this router.
