--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -75,7 +75,8 @@
             let upstream = &mut self.upstreams[id];
             let zone = upstream.zone;
             if upstream.live && previous.contains(&zone) && !self.evacuated_zones.contains(&zone) {
-                upstream.capacity.begin_slow_start(now);
+                let running = upstream.running;
+                upstream.capacity.begin_slow_start(now, running, &self.settings.placement);
                 self.track_slot_changes(id);
             }
             self.refresh_upstream(now, id);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -180,11 +180,6 @@
             .map(|start| (now + settings.slow_start_step).min(start + settings.slow_start))
     }
 
-    /// Begins a slow start; an ejection goes on.
-    pub fn begin_slow_start(&mut self, now: Duration) {
-        self.slow_start = Some(now);
-    }
-
     /// Ends an ejection and begins a slow start.
     pub fn readmit(&mut self, now: Duration) {
         self.ejected_until = None;
@@ -192,7 +187,7 @@
         self.slow_start = Some(now);
     }
 
-    /// Begins a slow start at the share of the slots that is in use.
+    /// Begins a slow start at the share of the slots that is in use; an ejection goes on.
     pub fn begin_slow_start(&mut self, now: Duration, running: u32, settings: &PlacementSettings) {
         let limit = self.concurrency_limit.max(1);
         let used = settings.slow_start * running.min(limit) / limit;
