--- a/crates/core/tests/cold_upstreams.rs
+++ b/crates/core/tests/cold_upstreams.rs
@@ -1,5 +1,7 @@
 //! Tests of the rate at which the fleet sends requests to cold upstreams.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod dispatch_fleet;
 
 use baobabfall_core::dispatch_messages::*;
