Soak: evacuates zones in turn and checks that routers follow in time

Cause: the soak knew no evacuations. Change: an operator evacuates and readmits the zones in turn, resending orders; the status of a router names the version in force; a late or older version is a violation. The soak itself was not run, the machine was overloaded.

--- a/crates/router/src/fleet_api.rs
+++ b/crates/router/src/fleet_api.rs
@@ -40,6 +40,8 @@
     pub host: String,
     /// Revision of the workspace table in force; 0 before the first.
     pub revision: u64,
+    /// Version of the set of evacuated zones in force; 0 before the first.
+    pub evacuations_version: u64,
     /// Phase of the graceful shutdown, in lower case.
     pub phase: String,
     /// Highest dispatcher term seen.
@@ -154,6 +156,7 @@
         zone: state.options.settings.node.zone.clone(),
         host: state.options.settings.node.host.clone(),
         revision: state.fleet.table().map_or(0, |table| table.revision),
+        evacuations_version: state.fleet.directory().evacuations().version,
         phase: format!("{:?}", state.drain.phase()).to_lowercase(),
         term,
         leader: state.link.leader().to_string(),
--- a/crates/soak/src/invariant_check.rs
+++ b/crates/soak/src/invariant_check.rs
@@ -96,6 +96,10 @@
     pub isolated_stops: Vec<IsolatedStop>,
     /// Revisions that routers reported as in force.
     pub router_samples: Vec<RouterSample>,
+    /// Orders about zones that were acknowledged; the revision is the version of the set.
+    pub evacuations: Vec<EditRecord>,
+    /// Versions of the set of evacuated zones that routers reported as in force.
+    pub evacuation_samples: Vec<RouterSample>,
     /// Actual starts and ends of the faults.
     pub events: Vec<FaultEvent>,
     /// Number of controllers.
@@ -121,6 +125,8 @@
     Durability,
     /// Routers apply an acknowledged table edit in time.
     TableInForce,
+    /// Routers apply an acknowledged evacuation of a zone, or its end, in time and never lose it.
+    EvacuationInForce,
     /// A planned stop of a router interrupts no call.
     StopsGraceful,
     /// Processes exit only when they are told to, and then in time.
@@ -131,7 +137,7 @@
 
 impl SiteInvariant {
     /// Number of invariants, which the report prints.
-    pub const COUNT: usize = 9;
+    pub const COUNT: usize = 10;
 
     fn report_text(self) -> &'static str {
         match self {
@@ -141,6 +147,7 @@
             Self::AnswersExecuted => "a request that was answered ran",
             Self::Durability => "an accepted table never reverts",
             Self::TableInForce => "an accepted table is in force in time",
+            Self::EvacuationInForce => "an accepted evacuation is in force in time and stays so",
             Self::StopsGraceful => "a planned stop cuts nothing",
             Self::ExitsExpected => "processes end only when asked, and then in time",
             Self::SiteRecovers => "the site works again after the last fault",
@@ -228,6 +235,11 @@
     reverted_tables(router_samples, events)
         .into_iter()
         .for_each(|detail| report(SiteInvariant::Durability, detail));
+    let RunEvidence { evacuations, evacuation_samples: samples, .. } = evidence;
+    late_tables(evacuations, samples, events, *controllers)
+        .into_iter()
+        .chain(reverted_tables(samples, events))
+        .for_each(|detail| report(SiteInvariant::EvacuationInForce, detail));
     evidence
         .exit_failures
         .iter()
--- a/crates/soak/src/soak_load.rs
+++ b/crates/soak/src/soak_load.rs
@@ -3,13 +3,17 @@
 
 use crate::in_force_check::RouterSample;
 use crate::invariant_check::{CallRecord, CallType, EditRecord, RevisionSample};
-use crate::soak_site::{MODEL, SERVICE, WORKSPACES, credential, first_table};
+use crate::soak_site::{
+    MODEL, SERVICE, WORKSPACES, ZONE_COUNT, credential, first_table, zone_name,
+};
 use baobabfall_bench::answer_check::CallVerdict;
 use baobabfall_bench::caller::{CallKind, CallOrder, CallerClient, SilentObserver};
 use baobabfall_bench::load::today;
 use baobabfall_core::workspace_table::WorkspaceTable;
 use baobabfall_node::http_client::PeerClient;
-use baobabfall_node::operator_messages::{EditAnswer, TABLE_PATH, TableEdit, TableView};
+use baobabfall_node::operator_messages::{
+    EditAnswer, EvacuationsView, TABLE_PATH, TableEdit, TableView, ZONES_PATH, ZoneEdit,
+};
 use http::Method;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -28,6 +32,9 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 /// Maximum number of resends, with the same idempotency key, of an action whose outcome is unknown.
 const MAX_RESENDS: u32 = 2;
+/// Time for which a zone stays evacuated, and pause before the next evacuation. It exceeds the time
+/// within which an order must be in force.
+const EVACUATION_PAUSE: Duration = Duration::from_millis(2500);
 /// Pause of the operator between two edits.
 const EDIT_PAUSE: Duration = Duration::from_millis(300);
 /// Timeout of one request of an operator to a controller.
@@ -40,10 +47,14 @@
     pub calls: Vec<CallRecord>,
     /// Every table edit that was acknowledged.
     pub edits: Vec<EditRecord>,
+    /// Every order about a zone that was acknowledged; the revision is the version of the set.
+    pub evacuations: Vec<EditRecord>,
     /// Table revisions that operators read from controllers.
     pub revision_samples: Vec<RevisionSample>,
     /// Table revisions that routers reported as in force.
     pub router_samples: Vec<RouterSample>,
+    /// Versions of the set of evacuated zones that routers reported as in force.
+    pub evacuation_samples: Vec<RouterSample>,
 }
 
 /// Observations that all tasks of a run append to, and the time origin of their time stamps.
@@ -203,6 +214,38 @@
         }
     }
 
+    /// Evacuates the zones in turn, one at a time, until `stop` becomes true.
+    pub async fn evacuate_zones(self, stop: watch::Receiver<bool>) {
+        let mut index = 0;
+        while !*stop.borrow() {
+            for evacuated in [true, false] {
+                self.order_zone(&zone_name(index), evacuated).await;
+                tokio::time::sleep(EVACUATION_PAUSE).await;
+            }
+            index = (index + 1) % ZONE_COUNT;
+        }
+    }
+
+    /// Sends an order until a controller acknowledges it; every controller is tried twice at most.
+    async fn order_zone(&self, zone: &str, evacuated: bool) {
+        let token = credential("operator");
+        let order = ZoneEdit { operator: self.name.clone(), name: zone.to_owned(), evacuated };
+        for client in self.clients_round_robin().chain(self.clients_round_robin()) {
+            let answer: Result<EvacuationsView, _> =
+                client.call_json(ZONES_PATH, &token, Some(&order), OPERATOR_TIMEOUT).await;
+            if let Ok(view) = answer {
+                let record = EditRecord {
+                    edit_id: format!("{zone}-{}", view.version),
+                    revision: view.version,
+                    digest: String::new(),
+                    acknowledged: self.records.started.elapsed(),
+                };
+                self.records.with(|records| records.evacuations.push(record));
+                return;
+            }
+        }
+    }
+
     /// Returns all controllers, beginning with a different one at each call, so that
     /// an unreachable controller does not delay every edit by its timeout.
     fn clients_round_robin(&self) -> impl Iterator<Item = &PeerClient> {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -82,6 +82,7 @@
 struct RouterStatus {
     incarnation: u64,
     revision: u64,
+    evacuations_version: u64,
 }
 
 /// Executes one run. Fails if the processes cannot be started or do not become ready.
@@ -117,6 +118,8 @@
         evidence.edits = std::mem::take(&mut records.edits);
         evidence.revision_samples = std::mem::take(&mut records.revision_samples);
         evidence.router_samples = std::mem::take(&mut records.router_samples);
+        evidence.evacuations = std::mem::take(&mut records.evacuations);
+        evidence.evacuation_samples = std::mem::take(&mut records.evacuation_samples);
     });
     Ok(RunOutcome {
         seed: plan.seed,
@@ -156,6 +159,8 @@
         let operator = SoakOperator::new(&name, &site.controller_addresses, records.clone());
         tasks.spawn(operator.run(stop_signal.clone()));
     }
+    let operator = SoakOperator::new("cy", &site.controller_addresses, records.clone());
+    tasks.spawn(operator.evacuate_zones(stop_signal.clone()));
     tasks
 }
 
@@ -169,9 +174,14 @@
     let client = PeerClient::new(address);
     while !*stop.borrow() {
         let requested_at = records.started.elapsed();
-        if let Some(RouterStatus { incarnation, revision }) = router_status(&client).await {
-            let sample = RouterSample { router, requested_at, incarnation, revision };
-            records.with(|records| records.router_samples.push(sample));
+        if let Some(status) = router_status(&client).await {
+            let RouterStatus { incarnation, revision, evacuations_version } = status;
+            let table = RouterSample { router, requested_at, incarnation, revision };
+            let evacuations = RouterSample { revision: evacuations_version, ..table };
+            records.with(|records| {
+                records.router_samples.push(table);
+                records.evacuation_samples.push(evacuations);
+            });
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/crates/soak/src/soak_site.rs
+++ b/crates/soak/src/soak_site.rs
@@ -69,6 +69,14 @@
     pub fleet_addresses: Vec<SocketAddr>,
 }
 
+/// Number of availability zones over which the upstreams are spread.
+pub const ZONE_COUNT: usize = 3;
+
+/// Name of an availability zone of the upstreams, by its index from 0.
+pub fn zone_name(index: usize) -> String {
+    format!("zone-{}", index + 1)
+}
+
 /// Returns the credential of one kind, which is the same in every run.
 pub fn credential(kind: &str) -> String {
     format!("{kind}-credential-of-the-soak")
@@ -129,7 +137,7 @@
         let name = format!("upstream-{}", index + 1);
         let configure = |upstream: &mut UpstreamOptions| {
             upstream.incarnation = incarnation;
-            upstream.zone = format!("zone-{}", index % 3 + 1);
+            upstream.zone = zone_name(index % ZONE_COUNT);
             upstream.announce =
                 Some(AnnounceOptions::new(self.fleet_addresses.clone(), credential("upstream")));
         };
--- a/crates/soak/tests/invariant_check.rs
+++ b/crates/soak/tests/invariant_check.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use baobabfall_bench::answer_check::CallVerdict;
+use baobabfall_soak::in_force_check::RouterSample;
 use baobabfall_soak::invariant_check::*;
 use baobabfall_standin::upstream_state::ExecutionRecord;
 use std::time::Duration;
@@ -145,6 +146,30 @@
     );
 }
 
+/// Guards against a missed report when a router doesn't follow an acknowledged evacuation, or goes
+/// back to an older set of zones.
+#[test]
+fn invariants_late_or_reverted_evacuation_is_reported() {
+    let sample = |millis, revision| RouterSample {
+        router: 0,
+        requested_at: at(millis),
+        incarnation: 1,
+        revision,
+    };
+    let violated = |samples: Vec<RouterSample>| {
+        violated_invariants(|evidence| {
+            evidence.controllers = 3;
+            evidence.evacuations = vec![edit("zone-1-1", 1, 500), edit("zone-1-2", 2, 5_000)];
+            evidence.evacuation_samples = samples;
+        })
+    };
+    assert!(violated(vec![sample(600, 0), sample(3_000, 1), sample(8_000, 2)]).is_empty());
+    let late = violated(vec![sample(3_000, 0)]);
+    assert_eq!(late, [SiteInvariant::EvacuationInForce]);
+    let reverted = violated(vec![sample(5_100, 2), sample(5_200, 1)]);
+    assert_eq!(reverted, [SiteInvariant::EvacuationInForce]);
+}
+
 /// Guards against a missed report when the planned stop of a router interrupts one of its calls.
 #[test]
 fn invariants_call_interrupted_by_stop_is_reported() {
