Routers: the look for upstreams outside evacuated zones copies no announcements

Cause: it is asked for each request while a zone is evacuated, and copied every announcement. Change: it ends at the first listed upstream outside. The cost was not measured.

--- a/crates/router/src/upstream_directory.rs
+++ b/crates/router/src/upstream_directory.rs
@@ -149,11 +149,21 @@
         direct.or_else(listed).or_else(lapsed).map(|held| held.zone.clone())
     }
 
-    /// True if only upstreams in evacuated zones can serve the target.
+    /// True if only upstreams in evacuated zones can serve the target. Asked for each request
+    /// while a zone is evacuated, so it copies no announcements and ends at the first other one.
     pub fn is_served_evacuated_only(&self, target: &WorkTarget) -> bool {
-        !self.evacuations.load().zones.is_empty()
-            && self.is_served(target)
-            && self.serving_count(target) == 0
+        let evacuations = self.evacuations.load();
+        if evacuations.zones.is_empty() {
+            return false;
+        }
+        let is_open = |held: &UpstreamAnnouncement| {
+            held.can_serve(target)
+                && !evacuations.contains(&held.zone)
+                && !self.has_left(&held.name, held.incarnation)
+        };
+        let registry = self.registry_view.load();
+        let mut listed = registry.upstreams.iter();
+        !listed.any(is_open) && self.serving_count(target) == 0 && self.is_served(target)
     }
 
     fn local(&self) -> MutexGuard<'_, UpstreamRegistry> {
