Crowded routers: handing over comes before shedding

Change: while neighbours have room, the limit of all requests only falls once the own ones are at their floor, recovers faster (LimitPace::PASSED_ON), and nothing more than the floor is served here while the router sheds.

--- a/crates/core/src/admission_limit.rs
+++ b/crates/core/src/admission_limit.rs
@@ -19,8 +19,6 @@
 /// Shortest time between two increases of the limit. They follow the clock, not the number of
 /// observations: a router at its limit admits nobody and so has few of them.
 const INCREASE_INTERVAL: Duration = Duration::from_millis(100);
-/// Inverse of the part by which the limit grows while it is in use.
-const INCREASE_DIVISOR: u32 = 64;
 /// Inverse of the part by which it grows while less than half of it is in use.
 const UNUSED_INCREASE_DIVISOR: u32 = 4;
 /// Time without congestion after which the router counts as relieved.
@@ -34,16 +32,25 @@
     pub reduction_interval: Duration,
     /// Smallest limit.
     pub min_limit: u32,
+    /// Inverse of the part by which the limit grows while it is in use.
+    pub increase_divisor: u32,
 }
 
 impl LimitPace {
     /// For all requests of a router. A crowded one still takes some.
-    pub const ADMISSION: Self =
-        Self { reduction_interval: Duration::from_millis(250), min_limit: 16 };
+    pub const ADMISSION: Self = Self {
+        reduction_interval: Duration::from_millis(250),
+        min_limit: 16,
+        increase_divisor: 64,
+    };
     /// For the requests that a router serves itself while its neighbours take others. Sooner
     /// reduced than the limit of all requests, so that handing over comes before shedding.
     pub const OWN_WORK: Self =
-        Self { reduction_interval: Duration::from_millis(150), min_limit: 4 };
+        Self { reduction_interval: Duration::from_millis(150), min_limit: 4, increase_divisor: 64 };
+    /// For all requests while neighbours have room. Most are passed on, which takes little time, so
+    /// that a limit that fell too far is soon back.
+    pub const PASSED_ON: Self =
+        Self { reduction_interval: Duration::from_millis(250), min_limit: 16, increase_divisor: 8 };
 }
 
 /// Adaptive limit of the requests that a router has accepted and not finished.
@@ -82,6 +89,11 @@
         Self { pace, limit: MAX_LIMIT, late_since: None, reduced_at: None, increased_at: None }
     }
 
+    /// True if the limit is not reduced any further.
+    pub fn is_at_floor(&self) -> bool {
+        self.limit <= self.pace.min_limit
+    }
+
     /// True unless the limit was reduced and has not recovered.
     pub fn is_unbounded(&self) -> bool {
         self.limit == MAX_LIMIT
@@ -116,7 +128,7 @@
         // An unused limit bounds nothing, so it may grow before the next flood.
         let divisor = match in_progress < self.limit / 2 {
             true => UNUSED_INCREASE_DIVISOR,
-            false => INCREASE_DIVISOR,
+            false => self.pace.increase_divisor,
         };
         self.limit = (self.limit + (self.limit / divisor).max(1)).min(MAX_LIMIT);
     }
--- a/crates/node/src/accept_gate.rs
+++ b/crates/node/src/accept_gate.rs
@@ -28,11 +28,15 @@
     work_limit: u32,
     /// True while [`Self::own_work`] bounds anything.
     saturated: AtomicBool,
+    /// True while other processes have room for connections.
+    has_takers: AtomicBool,
     /// Limit of the requests that the process serves itself while others take the rest.
     own_work: Mutex<AdmissionLimit>,
     admitted: AtomicU64,
     closed: AtomicU64,
     limit: Mutex<AdmissionLimit>,
+    /// Takes the place of [`Self::limit`] while other processes have room.
+    passed_on: Mutex<AdmissionLimit>,
     leave: Mutex<RotationLeave>,
     started: Instant,
 }
@@ -82,17 +86,23 @@
             diverted: Arc::default(),
             work_limit,
             saturated: AtomicBool::new(false),
+            has_takers: AtomicBool::new(false),
             own_work: Mutex::new(AdmissionLimit::new(LimitPace::OWN_WORK)),
             admitted: AtomicU64::new(0),
             closed: AtomicU64::new(0),
             limit: Mutex::default(),
+            passed_on: Mutex::new(AdmissionLimit::new(LimitPace::PASSED_ON)),
             leave: Mutex::default(),
             started: Instant::now(),
         })
     }
 
     fn limit(&self) -> MutexGuard<'_, AdmissionLimit> {
-        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+        let limit = match self.has_takers.load(Ordering::Relaxed) {
+            true => &self.passed_on,
+            false => &self.limit,
+        };
+        limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// True while the event loop runs late, or did so lately.
@@ -146,16 +156,30 @@
     /// True if another process should serve the next connection.
     pub fn diverts(&self) -> bool {
         let own_work = self.own_work();
-        own_work >= self.work_limit || (self.is_saturated() && !self.own_limit().admits(own_work))
+        // A request that is served here takes the time of several that are handed over.
+        let sheds = || own_work >= LimitPace::OWN_WORK.min_limit && !self.limit().is_unbounded();
+        own_work >= self.work_limit
+            || (self.is_saturated() && (!self.own_limit().admits(own_work) || sheds()))
     }
 
     /// Records that the event loop ran a task `delay` after it was due.
     pub fn observe_delay(&self, delay: Duration) {
-        let (now, occupied) = (self.started.elapsed(), self.occupied());
-        self.limit().observe_delay(now, delay, occupied);
-        let mut own_limit = self.own_limit();
-        own_limit.observe_delay(now, delay, self.own_work());
-        self.saturated.store(!own_limit.is_unbounded(), Ordering::Relaxed);
+        let now = self.started.elapsed();
+        let sheds = {
+            let mut own_limit = self.own_limit();
+            own_limit.observe_delay(now, delay, self.own_work());
+            self.saturated.store(!own_limit.is_unbounded(), Ordering::Relaxed);
+            own_limit.is_at_floor() || !self.has_takers.load(Ordering::Relaxed)
+        };
+        // Handing over comes before shedding: a connection that was handed over costs a fraction
+        // of one that is served, so that a limit on both would close what others could serve.
+        let counted = if sheds { delay } else { Duration::ZERO };
+        self.limit().observe_delay(now, counted, self.occupied());
+    }
+
+    /// Records whether other processes have room for connections.
+    pub fn set_takers(&self, has_takers: bool) {
+        self.has_takers.store(has_takers, Ordering::Relaxed);
     }
 
     fn try_permit(&self) -> Option<OwnedSemaphorePermit> {
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -146,6 +146,7 @@
         if address.is_none() || routers < 2 || routers == u32::MAX {
             return;
         }
+        self.accept_gate.set_takers(self.queue.with_neighbours(|book, now| book.has_room(now)));
         let asks = self.accept_gate.is_saturated() || self.accept_gate.diverts();
         let load = RouterLoad { room: self.room(), address, asks, turned_away: Vec::new() };
         if self.queue.book().set_load(load) {
