Upstreams of a readmitted zone count as cold until they say that they are not

Change: the dispatcher and the directory of each router apply the rule when a zone leaves the list of evacuated ones.

--- a/crates/core/src/dispatch_cold.rs
+++ b/crates/core/src/dispatch_cold.rs
@@ -36,8 +36,7 @@
 
     /// Treats the upstreams of a zone as if they had just started, because they may have become
     /// cold while the zone got no requests.
-    pub fn assume_cold_zone(&mut self, now: Duration, zone: &str) {
-        let Some(zone) = self.zones.iter().position(|known| known == zone) else { return };
+    pub(crate) fn assume_cold_zone(&mut self, now: Duration, zone: usize) {
         for id in 0..self.upstreams.len() {
             if self.upstreams[id].live && self.upstreams[id].zone == zone {
                 self.cold.assume_cold(now, &self.upstreams[id].name);
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -81,6 +81,10 @@
             }
             self.refresh_upstream(now, id);
         }
+        let readmitted = previous.into_iter().filter(|zone| !self.evacuated_zones.contains(zone));
+        for zone in readmitted.collect::<Vec<_>>() {
+            self.assume_cold_zone(now, zone);
+        }
     }
 
     /// Returns the index of an upstream and adds the upstream if it is new.
--- a/crates/router/src/upstream_directory.rs
+++ b/crates/router/src/upstream_directory.rs
@@ -117,8 +117,11 @@
 
     /// Replaces the list of evacuated zones if `list` has a higher version; returns whether it did.
     pub fn set_evacuations(&self, list: EvacuationList) -> bool {
-        let newer = list.version > self.evacuations.load().version;
+        let held = self.evacuations.load_full();
+        let newer = list.version > held.version;
         if newer {
+            let readmitted = held.zones.iter().filter(|zone| !list.contains(zone));
+            readmitted.for_each(|zone| self.assume_cold_zone(zone));
             self.evacuations.store(Arc::new(list));
         }
         newer
@@ -235,7 +238,7 @@
 
     /// Treats the upstreams of a zone as if they had just started, because they may have become
     /// cold while the zone got no requests.
-    pub fn assume_cold_zone(&self, zone: &str) {
+    fn assume_cold_zone(&self, zone: &str) {
         let upstreams = self.upstreams();
         if let Some(cold) = self.cold().as_mut() {
             let now = self.started.elapsed();
