--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -66,6 +66,7 @@
         self.apply_parts(now, id, &report.parts);
         self.apply_limits(now, id, &report.limits);
         self.apply_origins(now, id, &report.origins);
+        self.apply_load(now, id, report);
         self.record_statements(&report.statements);
         self.apply_usage(now, id, report, &mut affected);
         self.apply_charges(now, id, report, &mut affected);
@@ -408,6 +409,7 @@
             first_token: usage.first_token_ms.is_some(),
             prefill: 0,
             target_ms: 0,
+            paced: false,
         };
         self.add_lease(now, id, usage.lease, record);
         true
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -6,6 +6,7 @@
 use crate::dispatch_messages::{
     BacklogRefusal, CostUnits, LeaseId, NodeIdentity, SlotGrant, StreamKey, UpstreamRoute,
 };
+use crate::dispatch_neighbours::ReportedLoad;
 use crate::fair_order::{AccountValue, FairAccount, IndexedHeap, ServiceWindow};
 use crate::placement::{FreeSlots, UpstreamCapacity};
 use crate::rate_limit::WorkspaceLimit;
@@ -150,6 +151,7 @@
             resume: announcement.is_some_and(|known| known.resume),
             cancel: announcement.is_some_and(|known| known.cancel),
             software: announcement.and_then(|known| known.software.clone()),
+            paced: false,
         }
     }
 }
@@ -193,6 +195,8 @@
     pub unused_grants: u64,
     /// Streams whose origins the router asked for.
     pub lookups: SortedMap<StreamKey, ()>,
+    /// What the router reported about its own load.
+    pub load: ReportedLoad,
 }
 
 impl RouterState {
@@ -219,6 +223,7 @@
             limits_version: 0,
             unused_grants: 0,
             lookups: SortedMap::new(),
+            load: ReportedLoad::default(),
         }
     }
 }
@@ -248,6 +253,8 @@
     pub prefill: u64,
     /// Target for the time to the first token, in milliseconds; zero means none.
     pub target_ms: u32,
+    /// True when the grant was taken from the rate that the upstream tolerates while cold.
+    pub paced: bool,
 }
 
 /// Service, backlog and running requests of a workspace in a pool.
--- a/crates/core/src/dispatch_upstreams.rs
+++ b/crates/core/src/dispatch_upstreams.rs
@@ -24,7 +24,10 @@
             let id = self.upstream_id(&announcement.name, announcement.incarnation);
             listed.resize(self.upstreams.len(), false);
             listed[id] = true;
+            let upstream = &self.upstreams[id];
+            let was_in_use = upstream.live && !upstream.capacity.is_ejected();
             changed |= self.apply_announcement(now, id, announcement);
+            self.observe_cold(now, id, announcement, was_in_use);
         }
         for (upstream, listed) in self.upstreams.iter_mut().zip(listed) {
             if upstream.live && !listed {
@@ -37,6 +40,7 @@
         }
         let Self { limits, upstream_names, .. } = self;
         limits.retain(|name| upstream_names.contains_key(name));
+        self.retain_cold();
     }
 
     /// Sets the upstreams that are under a planned stop. They get no more grants;
@@ -71,11 +75,16 @@
             let upstream = &mut self.upstreams[id];
             let zone = upstream.zone;
             if upstream.live && previous.contains(&zone) && !self.evacuated_zones.contains(&zone) {
-                upstream.capacity.begin_slow_start(now);
+                let running = upstream.running;
+                upstream.capacity.begin_slow_start(now, running, &self.settings.placement);
                 self.track_slot_changes(id);
             }
             self.refresh_upstream(now, id);
         }
+        let readmitted = previous.into_iter().filter(|zone| !self.evacuated_zones.contains(zone));
+        for zone in readmitted.collect::<Vec<_>>() {
+            self.assume_cold_zone(now, zone);
+        }
     }
 
     /// Returns the index of an upstream and adds the upstream if it is new.
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -20,6 +20,14 @@
         name: "attempt_failed",
         meaning: "An upstream gave no answer that can be forwarded; `again` says whether another upstream is tried; `fingerprint` is the same for requests with the same content.",
     },
+    LogEvent {
+        name: "cold_service_unreadable",
+        meaning: "A service in the operators' document has a value for its cold upstreams, `field`, that is not a number of at least 0; it is ignored.",
+    },
+    LogEvent {
+        name: "cold_time_unreadable",
+        meaning: "The heartbeat of an upstream states a cold time that is not a number of milliseconds up to an hour; it is not known whether the upstream is cold.",
+    },
     LogEvent {
         name: "connections_closed_unread",
         meaning: "The router could not serve new connections in time and closed `count` of them before it read anything; callers may try another router.",
@@ -114,6 +122,23 @@
         name: "group_joined",
         meaning: "This controller was added to the group of controllers.",
     },
+    LogEvent {
+        name: "handover_begun",
+        meaning: "The router is crowded and hands new connections of callers to neighbours with room; nothing is read from a connection before a neighbour has taken it.",
+    },
+    LogEvent {
+        name: "handover_broken",
+        meaning: "A neighbour that had taken the connection with number `connection` broke it off; `answered` says whether the caller got a part of an answer. Lines of the request at the neighbour have `via` `ROUTER#NUMBER`.",
+    },
+    LogEvent { name: "handover_ended", meaning: "No connection was handed over for two seconds." },
+    LogEvent {
+        name: "handover_load",
+        meaning: "At most once a second while connections are handed over: how many neighbours took (`handed_over`) and `refused`, how many broke off unanswered or midway (`broken`), and how many are `open`.",
+    },
+    LogEvent {
+        name: "handover_refused",
+        meaning: "A `neighbour` did not take a connection; it is left out for 0.25 s at first, for up to 4 s after repeated refusals.",
+    },
     LogEvent {
         name: "heartbeat_refused",
         meaning: "The heartbeat of an upstream was invalid and was rejected without effect.",
@@ -195,6 +220,10 @@
         name: "routes_in_force",
         meaning: "A router applied a route table from `controller`, `age_ms` milliseconds after that controller applied it.",
     },
+    LogEvent {
+        name: "send_withheld",
+        meaning: "A request was not sent to the upstream of its slot, which was granted before the `reason` arose; it waits for another slot.",
+    },
     LogEvent {
         name: "settings_refused",
         meaning: "Changed settings are invalid; the previous settings stay in force.",
@@ -286,6 +315,10 @@
         name: "upstream_withdrawn",
         meaning: "The announcement of an upstream was withdrawn.",
     },
+    LogEvent {
+        name: "upstreams_cold",
+        meaning: "Upstreams became `cold` or `warm` at the dispatcher; cold ones, `count` now, get requests at the rate that their service names, for `longest_ms` at most.",
+    },
     LogEvent {
         name: "upstreams_removed",
         meaning: "The registry in force at the router no longer lists these `upstreams`; `previous_term` is the term of the registry before.",
