Crowded routers close what neither they nor neighbours carry

Cause: a connection that no neighbour took was served at the crowded router whatever it had in progress, and the limit that is in force without neighbours learnt nothing while they had room. Change: connection_intake decides for the accept gate and for the play of handover_flood alike: a connection that no neighbour takes is served while the own limit allows, or up to 16 requests, and closed unread otherwise; the limit without neighbours follows the load at all times; the limit of all connections grows by a sixteenth instead of an eighth. Kept connections of callers close after each answer again while the router is late, also while neighbours have room. The room that a router offers is bounded by half of its connections, which follow from memory and descriptors.

--- a/crates/core/src/admission_limit.rs
+++ b/crates/core/src/admission_limit.rs
@@ -48,9 +48,13 @@
     pub const OWN_WORK: Self =
         Self { reduction_interval: Duration::from_millis(150), min_limit: 4, increase_divisor: 64 };
     /// For all requests while neighbours have room. Most are passed on, which takes little time, so
-    /// that a limit that fell too far is soon back.
-    pub const PASSED_ON: Self =
-        Self { reduction_interval: Duration::from_millis(250), min_limit: 16, increase_divisor: 8 };
+    /// that a limit that fell too far is soon back. At twice this pace a flood of twenty times what
+    /// the router serves makes a third of the events late.
+    pub const PASSED_ON: Self = Self {
+        reduction_interval: Duration::from_millis(250),
+        min_limit: 16,
+        increase_divisor: 16,
+    };
 }
 
 /// Adaptive limit of the requests that a router has accepted and not finished.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod backlog_queue;
 pub mod close_pace;
 pub mod cold_tracker;
+pub mod connection_intake;
 pub mod control_command;
 pub mod control_state;
 pub mod cost_estimate;
--- a/crates/core/tests/handover_flood.rs
+++ b/crates/core/tests/handover_flood.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::cast_possible_truncation)]
 
-use baobabfall_core::admission_limit::{AdmissionLimit, LimitPace};
+use baobabfall_core::connection_intake::{ConnectionIntake, IntakeLoad};
 use baobabfall_core::dispatch_messages::NeighbourRoom;
 use baobabfall_core::neighbour_book::NeighbourBook;
 use std::collections::VecDeque;
@@ -50,13 +50,14 @@
     events: u32,
 }
 
+fn load(streams: &VecDeque<Stream>) -> IntakeLoad {
+    let handed_over = streams.iter().filter(|stream| stream.neighbour.is_some()).count() as u32;
+    IntakeLoad { own: streams.len() as u32 - handed_over, handed_over }
+}
+
 /// A router and its neighbours. `absent` of these are named but refuse everything.
 fn play_flood(per_second: u32, neighbours: bool, absent: usize) -> FloodOutcome {
-    let mut limit = AdmissionLimit::new(LimitPace::OWN_WORK);
-    let mut admission = match neighbours {
-        true => AdmissionLimit::new(LimitPace::PASSED_ON),
-        false => AdmissionLimit::default(),
-    };
+    let mut intake = ConnectionIntake::new(u32::MAX);
     let mut book = NeighbourBook::default();
     let mut outcome = FloodOutcome { most_and_least: (0, usize::MAX), ..FloodOutcome::default() };
     let mut streams: VecDeque<Stream> = VecDeque::new();
@@ -94,12 +95,8 @@
                 None => outcome.finished += 1,
             }
         }
-        let own = streams.iter().filter(|stream| stream.neighbour.is_none()).count() as u32;
         if now >= watch_due {
-            limit.observe_delay(now, now - watch_due, own);
-            let sheds = limit.is_at_floor() || !neighbours;
-            let delay = if sheds { now - watch_due } else { Duration::ZERO };
-            admission.observe_delay(now, delay, streams.len() as u32);
+            intake.observe_delay(now, now - watch_due, load(&streams));
             watch_due = now + WATCH_INTERVAL;
             if neighbours {
                 let room = |index: usize| NeighbourRoom {
@@ -109,20 +106,22 @@
                     distant: false,
                 };
                 book.replace(now, (0..NEIGHBOURS).map(room).collect());
+                intake.set_takers(book.has_room(now));
             }
         }
-        let mut own = own;
         for arrived in std::mem::take(&mut waiting) {
-            if !admission.admits(streams.len() as u32) {
+            if !intake.admits(load(&streams)) {
+                now += CLOSING_TIME;
+                continue;
+            }
+            intake.observe_delay(now, now - arrived, load(&streams));
+            let own = load(&streams).own;
+            let diverts = intake.diverts(own);
+            let chosen = if diverts { book.choose(now) } else { None };
+            if diverts && chosen.is_none() && !intake.serves(own) {
                 now += CLOSING_TIME;
                 continue;
             }
-            limit.observe_delay(now, now - arrived, own);
-            let sheds = limit.is_at_floor() || !neighbours;
-            let delay = if sheds { now - arrived } else { Duration::ZERO };
-            admission.observe_delay(now, delay, streams.len() as u32);
-            let sheds = !admission.is_unbounded() && own >= LimitPace::OWN_WORK.min_limit;
-            let chosen = if limit.admits(own) && !sheds { None } else { book.choose(now) };
             let mut neighbour = None;
             if let Some(chosen) = chosen {
                 let index: usize = chosen.router.parse().unwrap();
@@ -138,7 +137,6 @@
                 }
             }
             if neighbour.is_none() {
-                own += 1;
                 now += TAKING_TIME;
             }
             streams.push_back(Stream { due: now + EVENT_GAP, sent: 0, neighbour });
--- a/crates/node/src/accept_gate.rs
+++ b/crates/node/src/accept_gate.rs
@@ -1,8 +1,8 @@
 //! Accepts connections, and tells which of them the process should serve itself, hand to another
 //! process or close unread.
 
-use baobabfall_core::admission_limit::{AdmissionLimit, LimitPace};
 use baobabfall_core::close_pace::{CLOSE_BATCH, close_pause};
+use baobabfall_core::connection_intake::{ConnectionIntake, IntakeLoad};
 use baobabfall_core::rotation_leave::RotationLeave;
 use rustix::net::accept;
 use std::io;
@@ -24,19 +24,11 @@
     unserved: Arc<AtomicU32>,
     /// Connections that are being handed over or were handed over, and have not ended.
     diverted: Arc<AtomicU32>,
-    /// Requests in progress from which on the memory of the process would not last.
-    work_limit: u32,
-    /// True while [`Self::own_work`] bounds anything.
+    /// True while the process serves fewer requests than callers ask for.
     saturated: AtomicBool,
-    /// True while other processes have room for connections.
-    has_takers: AtomicBool,
-    /// Limit of the requests that the process serves itself while others take the rest.
-    own_work: Mutex<AdmissionLimit>,
     admitted: AtomicU64,
     closed: AtomicU64,
-    limit: Mutex<AdmissionLimit>,
-    /// Takes the place of [`Self::limit`] while other processes have room.
-    passed_on: Mutex<AdmissionLimit>,
+    intake: Mutex<ConnectionIntake>,
     leave: Mutex<RotationLeave>,
     started: Instant,
 }
@@ -84,30 +76,22 @@
             in_progress,
             unserved: Arc::default(),
             diverted: Arc::default(),
-            work_limit,
             saturated: AtomicBool::new(false),
-            has_takers: AtomicBool::new(false),
-            own_work: Mutex::new(AdmissionLimit::new(LimitPace::OWN_WORK)),
             admitted: AtomicU64::new(0),
             closed: AtomicU64::new(0),
-            limit: Mutex::default(),
-            passed_on: Mutex::new(AdmissionLimit::new(LimitPace::PASSED_ON)),
+            intake: Mutex::new(ConnectionIntake::new(work_limit)),
             leave: Mutex::default(),
             started: Instant::now(),
         })
     }
 
-    fn limit(&self) -> MutexGuard<'_, AdmissionLimit> {
-        let limit = match self.has_takers.load(Ordering::Relaxed) {
-            true => &self.passed_on,
-            false => &self.limit,
-        };
-        limit.lock().unwrap_or_else(PoisonError::into_inner)
+    fn intake(&self) -> MutexGuard<'_, ConnectionIntake> {
+        self.intake.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// True while the event loop runs late, or did so lately.
     pub fn is_congested(&self) -> bool {
-        self.limit().is_congested(self.started.elapsed())
+        self.intake().is_congested(self.started.elapsed())
     }
 
     fn leave(&self) -> MutexGuard<'_, RotationLeave> {
@@ -140,12 +124,8 @@
         self.diverted.load(Ordering::Relaxed)
     }
 
-    fn occupied(&self) -> u32 {
-        self.own_work().saturating_add(self.diverted())
-    }
-
-    fn own_limit(&self) -> MutexGuard<'_, AdmissionLimit> {
-        self.own_work.lock().unwrap_or_else(PoisonError::into_inner)
+    fn load(&self) -> IntakeLoad {
+        IntakeLoad { own: self.own_work(), handed_over: self.diverted() }
     }
 
     /// True while the process serves fewer requests than callers ask for.
@@ -155,31 +135,41 @@
 
     /// True if another process should serve the next connection.
     pub fn diverts(&self) -> bool {
-        let own_work = self.own_work();
-        // A request that is served here takes the time of several that are handed over.
-        let sheds = || own_work >= LimitPace::OWN_WORK.min_limit && !self.limit().is_unbounded();
-        own_work >= self.work_limit
-            || (self.is_saturated() && (!self.own_limit().admits(own_work) || sheds()))
+        self.intake().diverts(self.own_work())
     }
 
     /// Records that the event loop ran a task `delay` after it was due.
     pub fn observe_delay(&self, delay: Duration) {
         let now = self.started.elapsed();
-        let sheds = {
-            let mut own_limit = self.own_limit();
-            own_limit.observe_delay(now, delay, self.own_work());
-            self.saturated.store(!own_limit.is_unbounded(), Ordering::Relaxed);
-            own_limit.is_at_floor() || !self.has_takers.load(Ordering::Relaxed)
-        };
-        // Handing over comes before shedding: a connection that was handed over costs a fraction
-        // of one that is served, so that a limit on both would close what others could serve.
-        let counted = if sheds { delay } else { Duration::ZERO };
-        self.limit().observe_delay(now, counted, self.occupied());
+        let mut intake = self.intake();
+        intake.observe_delay(now, delay, self.load());
+        self.saturated.store(intake.is_saturated(), Ordering::Relaxed);
     }
 
     /// Records whether other processes have room for connections.
     pub fn set_takers(&self, has_takers: bool) {
-        self.has_takers.store(has_takers, Ordering::Relaxed);
+        self.intake().set_takers(has_takers);
+    }
+
+    /// Returns a connection that no other process takes if this one serves it, and closes it
+    /// otherwise.
+    pub(crate) fn keep(&self, connection: AdmittedConnection) -> Option<AdmittedConnection> {
+        // The connection itself counts as one of the process.
+        let own_work = self.own_work().saturating_sub(1);
+        if self.intake().serves(own_work) {
+            return Some(connection);
+        }
+        drop(connection);
+        self.count_closed(1);
+        None
+    }
+
+    fn count_closed(&self, count: u32) {
+        self.closed.fetch_add(count.into(), Ordering::Relaxed);
+        if self.leave().record_closed(self.started.elapsed()) {
+            let in_progress = self.load().total();
+            log::warn!(event = "rotation_left", in_progress = in_progress; "new connections are closed unread; the load balancer is asked to use other routers for a time");
+        }
     }
 
     fn try_permit(&self) -> Option<OwnedSemaphorePermit> {
@@ -198,7 +188,7 @@
             let (stream, _) = listener.accept().await?;
             let accepted = Instant::now();
             held = held.or_else(|| self.try_permit());
-            if let Some(permit) = held.take_if(|_| self.limit().admits(self.occupied())) {
+            if let Some(permit) = held.take_if(|_| self.intake().admits(self.load())) {
                 self.admitted.fetch_add(1, Ordering::Relaxed);
                 let count = ConnectionCount::begin(&self.unserved);
                 let gate = Arc::clone(self);
@@ -206,11 +196,7 @@
             }
             drop(stream);
             let closed = 1 + close_waiting(listener, CLOSE_BATCH - 1);
-            self.closed.fetch_add(closed.into(), Ordering::Relaxed);
-            if self.leave().record_closed(self.started.elapsed()) {
-                let occupied = self.occupied();
-                log::warn!(event = "rotation_left", in_progress = occupied; "new connections are closed unread; the load balancer is asked to use other routers for a time");
-            }
+            self.count_closed(closed);
             tokio::time::sleep(close_pause(accepted.elapsed())).await;
         }
     }
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -195,12 +195,14 @@
     B::Error: std::error::Error + Send + Sync,
 {
     let accept = async move || loop {
-        let admitted = tokio::select! {
-            connection = diversion.returned() => return Ok(connection),
-            admitted = gate.accept(&listener) => admitted?,
+        let untaken = tokio::select! {
+            connection = diversion.returned() => Some(connection),
+            admitted = gate.accept(&listener) => match admitted? {
+                admitted if gate.diverts() => diversion.divert(admitted),
+                admitted => return Ok(admitted),
+            },
         };
-        let kept = if gate.diverts() { diversion.divert(admitted) } else { Some(admitted) };
-        if let Some(connection) = kept {
+        if let Some(connection) = untaken.and_then(|connection| gate.keep(connection)) {
             return Ok(connection);
         }
     };
--- a/crates/node/tests/accept_gate.rs
+++ b/crates/node/tests/accept_gate.rs
@@ -2,8 +2,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use baobabfall_node::accept_gate::AcceptGate;
-use baobabfall_node::http_server::{ServerLimits, serve_gated};
+use baobabfall_node::accept_gate::{AcceptGate, AdmittedConnection};
+use baobabfall_node::http_server::{
+    ConnectionDiversion, ServerLimits, serve_diverted, serve_gated,
+};
 use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -11,7 +13,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -79,3 +81,53 @@
     assert!(gate.is_out_of_rotation());
     stop.advance(StopPhase::Stopped);
 }
+
+/// Finds no process that takes a connection.
+struct UntakenDiversion;
+
+impl ConnectionDiversion for UntakenDiversion {
+    fn divert(&mut self, connection: AdmittedConnection) -> Option<AdmittedConnection> {
+        Some(connection)
+    }
+
+    async fn returned(&mut self) -> AdmittedConnection {
+        std::future::pending().await
+    }
+}
+
+/// Guards against a crowded router that serves every connection which its neighbours do not take,
+/// so that all its streams become late.
+#[tokio::test]
+async fn accept_untaken_beyond_limit_closes_unread() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let in_progress = Arc::new(AtomicU32::new(400));
+    let gate = AcceptGate::new(Arc::new(Semaphore::new(2000)), Arc::clone(&in_progress));
+    let service = tower::service_fn(|_: Request<Incoming>| async {
+        Ok::<_, Infallible>(Response::new(Full::new(bytes::Bytes::from_static(b"ok"))))
+    });
+    let (stop, signal) = stop_channel();
+    let serving = Arc::clone(&gate);
+    let limits = ServerLimits::default();
+    tokio::spawn(serve_diverted(
+        listener,
+        service,
+        limits,
+        signal,
+        serving,
+        UntakenDiversion,
+        || {},
+    ));
+    gate.set_takers(true);
+    assert!(!ask(address).await.1.is_empty(), "the event loop is not late");
+    for _ in 0..2 {
+        gate.observe_delay(Duration::from_millis(400));
+        tokio::time::sleep(Duration::from_millis(160)).await;
+        gate.observe_delay(Duration::from_millis(400));
+    }
+    assert!(gate.diverts());
+    assert_eq!((ask(address).await.1.as_str(), gate.closed()), ("", 1));
+    in_progress.store(10, Ordering::Relaxed);
+    assert!(!ask(address).await.1.is_empty(), "a crowded router still serves some");
+    stop.advance(StopPhase::Stopped);
+}
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -146,7 +146,13 @@
             return 0;
         }
         let core = self.options.core_thousandths.unwrap_or(ASSUMED_THOUSANDTHS);
-        (core / THOUSANDTHS_PER_REQUEST).max(LEAST_WORK).saturating_sub(self.in_progress())
+        let by_core = (core / THOUSANDTHS_PER_REQUEST).max(LEAST_WORK);
+        // The limit of connections follows from memory and descriptors. Above half of it the router
+        // closes its own callers' connections after each answer.
+        let places = self.options.settings.limits.connections / 2;
+        let places = places.saturating_sub(self.open_connections());
+        let by_places = u32::try_from(places).unwrap_or(u32::MAX);
+        by_core.saturating_sub(self.in_progress()).min(by_places)
     }
 
     /// Records the router's load for its next report, and asks for neighbours while the router is
