Crowded routers: neighbours take what the share of the core does not carry

Cause: a router of 0.09 core learns that it is crowded once its event loop has been late for 150 ms. Change: connections are offered to neighbours from the number of own requests on that the router's room is reckoned from (2 thousandths of a core each: 45 at 0.09, 60 at 0.12, 150 at 0.3) or half of its connections, whichever is less; neighbours are asked for from three quarters of it on. A connection that none takes is still served while the event loop is on time.

--- a/crates/core/src/admission_limit.rs
+++ b/crates/core/src/admission_limit.rs
@@ -93,11 +93,6 @@
         Self { pace, limit: MAX_LIMIT, late_since: None, reduced_at: None, increased_at: None }
     }
 
-    /// True if the limit is not reduced any further.
-    pub fn is_at_floor(&self) -> bool {
-        self.limit <= self.pace.min_limit
-    }
-
     /// True unless the limit was reduced and has not recovered.
     pub fn is_unbounded(&self) -> bool {
         self.limit == MAX_LIMIT
--- a/crates/core/src/connection_intake.rs
+++ b/crates/core/src/connection_intake.rs
@@ -45,7 +45,7 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionIntake {
-    /// Requests in progress from which on the memory of the process would not last.
+    /// Own requests from which on connections are offered to neighbours.
     work_limit: u32,
     /// True while neighbours have room for connections.
     has_takers: bool,
@@ -58,7 +58,7 @@
 }
 
 impl ConnectionIntake {
-    /// Creates the limits of an idle router.
+    /// Creates the limits of an idle router whose processor and memory carry `work_limit` requests.
     pub fn new(work_limit: u32) -> Self {
         Self {
             work_limit,
@@ -79,7 +79,10 @@
         self.own_work.observe_delay(now, delay, load.own);
         // Follows the load at all times, since neighbours may lose their room at any moment.
         self.alone.observe_delay(now, delay, load.own);
-        let counted = if self.own_work.is_at_floor() { delay } else { Duration::ZERO };
+        // Handing over comes before closing, so that lateness first lowers the own requests, down
+        // to the number that are served whatever neighbours take.
+        let is_least = self.own_work.limit() <= LimitPace::ADMISSION.min_limit;
+        let counted = if is_least { delay } else { Duration::ZERO };
         self.passed_on.observe_delay(now, counted, load.total());
     }
 
@@ -101,6 +104,11 @@
         }
     }
 
+    /// True if the router should know its neighbours, because it may soon need them.
+    pub fn nears_limit(&self, own: u32) -> bool {
+        self.is_saturated() || own >= self.work_limit - self.work_limit / 4
+    }
+
     /// True if an accepted connection should be offered to neighbours first.
     pub fn diverts(&self, own: u32) -> bool {
         // A request that is served here takes the time of several that are handed over.
--- a/crates/core/tests/handover_flood.rs
+++ b/crates/core/tests/handover_flood.rs
@@ -25,6 +25,8 @@
 const EVENT_GAP: Duration = us(60_000);
 /// Streams that the event loop can serve in a second.
 const CAPACITY: u32 = 1_000_000 / (1_700 + 600 * EVENTS);
+/// Requests that a router with 0.12 core offers to carry.
+const CARRIED: u32 = 60;
 const NEIGHBOURS: usize = 10;
 /// Streams that a neighbour takes.
 const ROOM: usize = 60;
@@ -57,7 +59,7 @@
 
 /// A router and its neighbours. `absent` of these are named but refuse everything.
 fn play_flood(per_second: u32, neighbours: bool, absent: usize) -> FloodOutcome {
-    let mut intake = ConnectionIntake::new(u32::MAX);
+    let mut intake = ConnectionIntake::new(CARRIED);
     let mut book = NeighbourBook::default();
     let mut outcome = FloodOutcome { most_and_least: (0, usize::MAX), ..FloodOutcome::default() };
     let mut streams: VecDeque<Stream> = VecDeque::new();
--- a/crates/node/src/accept_gate.rs
+++ b/crates/node/src/accept_gate.rs
@@ -68,9 +68,12 @@
 }
 
 impl AcceptGate {
-    /// Creates a gate that admits as many open connections as there are `permits`.
-    pub fn new(permits: Arc<Semaphore>, in_progress: Arc<AtomicU32>) -> Arc<Self> {
-        let work_limit = u32::try_from(permits.available_permits() / 2).unwrap_or(u32::MAX);
+    /// Creates a gate that admits as many open connections as there are `permits`, of a process
+    /// whose share of a core carries `carried` requests in progress.
+    pub fn new(permits: Arc<Semaphore>, in_progress: Arc<AtomicU32>, carried: u32) -> Arc<Self> {
+        // The permits follow from memory and descriptors.
+        let places = u32::try_from(permits.available_permits() / 2).unwrap_or(u32::MAX);
+        let work_limit = places.min(carried);
         Arc::new(Self {
             permits,
             in_progress,
@@ -133,6 +136,11 @@
         self.saturated.load(Ordering::Relaxed)
     }
 
+    /// True if other processes may soon have to serve connections.
+    pub fn nears_limit(&self) -> bool {
+        self.intake().nears_limit(self.own_work())
+    }
+
     /// True if another process should serve the next connection.
     pub fn diverts(&self) -> bool {
         self.intake().diverts(self.own_work())
--- a/crates/node/tests/accept_gate.rs
+++ b/crates/node/tests/accept_gate.rs
@@ -23,7 +23,8 @@
 async fn start_listener(permits: usize) -> (SocketAddr, Arc<AcceptGate>, StopSender) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let gate = AcceptGate::new(Arc::new(Semaphore::new(permits)), Arc::new(AtomicU32::new(400)));
+    let gate =
+        AcceptGate::new(Arc::new(Semaphore::new(permits)), Arc::new(AtomicU32::new(400)), 500);
     let service = tower::service_fn(|_: Request<Incoming>| async {
         Ok::<_, Infallible>(Response::new(Full::new(bytes::Bytes::from_static(b"ok"))))
     });
@@ -102,7 +103,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let in_progress = Arc::new(AtomicU32::new(400));
-    let gate = AcceptGate::new(Arc::new(Semaphore::new(2000)), Arc::clone(&in_progress));
+    let gate = AcceptGate::new(Arc::new(Semaphore::new(2000)), Arc::clone(&in_progress), 500);
     let service = tower::service_fn(|_: Request<Incoming>| async {
         Ok::<_, Infallible>(Response::new(Full::new(bytes::Bytes::from_static(b"ok"))))
     });
@@ -131,3 +132,18 @@
     assert!(!ask(address).await.1.is_empty(), "a crowded router still serves some");
     stop.advance(StopPhase::Stopped);
 }
+
+/// Guards against a small router that takes hundreds of requests before its event loop is found to
+/// be late, and works on them for seconds while its neighbours idle.
+#[tokio::test]
+async fn accept_beyond_share_diverts_on_time() {
+    let in_progress = Arc::new(AtomicU32::new(33));
+    let gate = AcceptGate::new(Arc::new(Semaphore::new(2000)), Arc::clone(&in_progress), 45);
+    assert!(!gate.nears_limit() && !gate.diverts());
+    in_progress.store(34, Ordering::Relaxed);
+    assert!(gate.nears_limit() && !gate.diverts());
+    in_progress.store(45, Ordering::Relaxed);
+    assert!(gate.diverts() && !gate.is_saturated());
+    let few = AcceptGate::new(Arc::new(Semaphore::new(40)), in_progress, 150);
+    assert!(few.diverts(), "its memory and descriptors carry fewer");
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -19,7 +19,7 @@
 use crate::relay_watch::RelayWatch;
 use crate::request_queue::SharedQueue;
 use crate::retry::RetryBudgets;
-use crate::router_state::RouterState;
+use crate::router_state::{RouterState, carried_requests};
 use crate::table_sync::TableSync;
 use crate::table_view::FleetView;
 use crate::takeover::take_connection;
@@ -293,7 +293,11 @@
         pool: UpstreamPool::new(settings.limits.connect_time.0, abort.clone()),
         actions: ActionClient::new(Arc::clone(&link), identity, claim_time),
         retries: RetryBudgets::default(),
-        accept_gate: AcceptGate::new(Arc::clone(&connection_permits), Arc::clone(&in_progress)),
+        accept_gate: AcceptGate::new(
+            Arc::clone(&connection_permits),
+            Arc::clone(&in_progress),
+            carried_requests(&options),
+        ),
         connection_permits,
         handovers: HandoverTally::default(),
         abort: abort.clone(),
--- a/crates/router/src/router_state.rs
+++ b/crates/router/src/router_state.rs
@@ -76,6 +76,12 @@
 /// Least number of requests in progress that a router offers to take, whatever its share.
 const LEAST_WORK: u32 = 16;
 
+/// Requests in progress that the processor of the host carries.
+pub(crate) fn carried_requests(options: &RouterOptions) -> u32 {
+    let core = options.core_thousandths.unwrap_or(ASSUMED_THOUSANDTHS);
+    (core / THOUSANDTHS_PER_REQUEST).max(LEAST_WORK)
+}
+
 impl RouterState {
     /// Creates the record of a new request and counts it as in progress.
     pub fn record(&self, id: String) -> RequestRecord {
@@ -145,8 +151,7 @@
         if !has_room {
             return 0;
         }
-        let core = self.options.core_thousandths.unwrap_or(ASSUMED_THOUSANDTHS);
-        let by_core = (core / THOUSANDTHS_PER_REQUEST).max(LEAST_WORK);
+        let by_core = carried_requests(&self.options);
         // The limit of connections follows from memory and descriptors. Above half of it the router
         // closes its own callers' connections after each answer.
         let places = self.options.settings.limits.connections / 2;
@@ -164,7 +169,7 @@
             return;
         }
         self.accept_gate.set_takers(self.queue.with_neighbours(|book, now| book.has_room(now)));
-        let asks = self.accept_gate.is_saturated() || self.accept_gate.diverts();
+        let asks = self.accept_gate.nears_limit();
         let load = RouterLoad { room: self.room(), address, asks, turned_away: Vec::new() };
         if self.queue.book().set_load(load) {
             self.queue.notify();
