Routers: the first tables may come from a leader that the settings do not name

Cause: a router without tables asked only the controllers that its settings name, three of eight. Since evacuations, answers of followers count only if a majority of the group gave them, so a router whose leader was another controller never got tables. Change: a router records leader and members from each first answer and asks all of them at its next attempt. Result: initial_table_comes_from_leader_that_settings_do_not_name passes; without the line it failed (no tables within 20 s).

--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -231,6 +231,9 @@
         let answers = addresses.iter().copied().zip(join_all(calls).await);
         let answers: Vec<(SocketAddr, SyncAnswer)> =
             answers.filter_map(|(address, answer)| Some((address, answer?))).collect();
+        // The settings may name a part of the group only, without its leader and without a
+        // majority. The next attempt asks all members.
+        answers.iter().for_each(|(_, answer)| self.record_group(answer));
         let majority = answers.len() * 2 > addresses.len() && knows_evacuations(&answers);
         if majority {
             // The controller with the newest tables may lag behind in these.
@@ -252,10 +255,7 @@
     /// Applies the parts of an answer that are newer than the held ones. Returns
     /// true if there were any.
     fn apply_newer(&self, address: SocketAddr, answer: SyncAnswer) -> bool {
-        if let Some(leader) = answer.leader {
-            self.link.set_leader(answer.term, leader);
-        }
-        self.link.set_members(answer.term, answer.controllers);
+        self.record_group(&answer);
         let age_ms = answer.routes_age_ms;
         let routes = answer.routes;
         let mut updated = routes.is_some_and(|routes| self.apply_routes(address, &routes, age_ms));
@@ -276,6 +276,14 @@
         updated
     }
 
+    /// Records the leader and the members of the group that an answer names.
+    fn record_group(&self, answer: &SyncAnswer) {
+        if let Some(leader) = answer.leader {
+            self.link.set_leader(answer.term, leader);
+        }
+        self.link.set_members(answer.term, answer.controllers.clone());
+    }
+
     fn apply_departures(&self, address: SocketAddr, list: &DepartureList) -> bool {
         let added = self.fleet.directory().add_departures(list);
         if !added.is_empty() {
--- a/crates/router/tests/zone_evacuations.rs
+++ b/crates/router/tests/zone_evacuations.rs
@@ -181,3 +181,28 @@
     wait_for("the tables", || fleet.table().is_some()).await;
     assert_eq!(*fleet.directory().evacuations(), list(4, &["z9"]));
 }
+
+/// Guards against a router that never becomes ready after a restart of the whole group: its
+/// settings name three of eight controllers, which are no majority, and another one leads.
+#[tokio::test]
+async fn initial_table_comes_from_leader_that_settings_do_not_name() {
+    let start = || FakeController::start(vec![]);
+    let controllers = [start().await, start().await, start().await, start().await];
+    let leader = controllers[3].address;
+    let mut members: Vec<_> = controllers.iter().map(|controller| controller.address).collect();
+    let silent = start().await;
+    silent.script().silent = true;
+    members.extend([silent.address; 4]);
+    for controller in &controllers {
+        let mut script = controller.script();
+        let leads = controller.address == leader;
+        (script.confirmed, script.leads, script.leader) = (leads, leads, Some(leader));
+        script.members = members.clone();
+        script.routes = Some(Arc::new(route_table(5)));
+        script.evacuations = list(4, &["z9"]);
+    }
+    let router = TestRouter::start(&members[..3], "").await;
+    let fleet = &router.handle.state().fleet;
+    wait_for("the tables", || fleet.table().is_some()).await;
+    assert_eq!(*fleet.directory().evacuations(), list(4, &["z9"]));
+}
