Answers of slow callers are read ahead within the account; large bodies in flight to one upstream are bounded

Cause: frames for a caller who reads slowly were bounded for each stream (16 frames of up to 64 KiB), not together, and the memory of buffered answers was given back when the HTTP server took them, not when the caller read them. An upstream was left unread as soon as 16 frames waited, so that it cut off its answer, which then counted as its crash. Bodies in flight to one upstream had no bound.

A stream on the own interface that sends comments but no event for four answer gaps is interrupted.

--- a/crates/bench/src/exchange_scene.rs
+++ b/crates/bench/src/exchange_scene.rs
@@ -75,6 +75,7 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 const CONNECTIONS: usize = 2_050;
 const HELD_BYTES: usize = 32 << 20;
+const UPSTREAM_BYTES: u64 = 16 << 20;
 const READY_LIMIT: Duration = Duration::from_secs(30);
 const READY_PAUSE: Duration = Duration::from_millis(50);
 /// The threads of a router for callers and for the controllers share its part of a core in
@@ -308,6 +309,7 @@
         let exchanges = ExchangeOptions {
             budget: FleetRetryBudget { ratio: 0.2, slack: 200.0, window: Duration::from_secs(10) },
             held_bytes: HELD_BYTES,
+            upstream_bytes: UPSTREAM_BYTES,
             hedges: HedgeLimit::NONE,
         };
         let start = async move {
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -5,6 +5,7 @@
 use crate::codec::{self, MESSAGE_LIMIT};
 use crate::message_body::MessageBody;
 use crate::stop_signal::{StopPhase, StopSignal};
+use crate::tcp_options::set_unread_timeout;
 use baobabfall_core::error_kind::ErrorKind;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, RETRY_AFTER};
@@ -52,6 +53,9 @@
     pub header_bytes: u32,
     /// Maximum number of concurrent streams of an HTTP/2 connection.
     pub streams: u32,
+    /// Time after which a connection is closed whose peer reads nothing of what was sent to it;
+    /// unlimited if `None`.
+    pub unread_timeout: Option<Duration>,
 }
 
 impl Default for ServerLimits {
@@ -62,6 +66,7 @@
             headers: 64,
             header_bytes: 32 << 10,
             streams: 1024,
+            unread_timeout: None,
         }
     }
 }
@@ -225,7 +230,7 @@
 {
     let mut builder = connection_builder(limits);
     builder.http1().keep_alive(false);
-    let _ = stream.set_nodelay(true);
+    prepare_stream(&stream, limits);
     let service = TowerToHyperService::new(service);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
@@ -291,8 +296,7 @@
         let on_parse_error = on_parse_error.clone();
         tokio::spawn(async move {
             let (stream, permit) = begin(accepted);
-            // Nagle's algorithm would delay small stream events.
-            let _ = stream.set_nodelay(true);
+            prepare_stream(&stream, limits);
             let stream = TokioIo::new(stream);
             let connection = async {
                 match upgrades {
@@ -328,6 +332,14 @@
     }
 }
 
+fn prepare_stream(stream: &TcpStream, limits: ServerLimits) {
+    // Nagle's algorithm would delay small stream events.
+    let _ = stream.set_nodelay(true);
+    if let Some(timeout) = limits.unread_timeout {
+        set_unread_timeout(stream, timeout);
+    }
+}
+
 fn is_parse_error(error: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
     error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse)
 }
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -14,7 +14,7 @@
 pub const LOG_EVENTS: &[LogEvent] = &[
     LogEvent {
         name: "answer_cut",
-        meaning: "An answer ended before it was complete: the caller disconnected, the deadline passed, or the upstream broke off.",
+        meaning: "An answer ended before it was complete: the caller disconnected or read nothing, the deadline passed, or the upstream broke off.",
     },
     LogEvent {
         name: "attempt_failed",
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -5,7 +5,7 @@
 use crate::exchange_protocol::{ExchangeHead, ExchangeProtocol};
 use crate::exchange_run::{ExchangeCall, ExchangeRun};
 use crate::exchange_state::ExchangeState;
-use crate::held_bytes::{CollectError, HeldBytes};
+use crate::held_bytes::CollectError;
 use crate::request_fingerprint::RequestContent;
 use crate::request_order::end_to_end_headers;
 use crate::stream_lookup::{StreamReference, find_origin};
@@ -92,7 +92,7 @@
         });
     }
     let deadline = head.deadline.unwrap_or(route.timeout()).min(route.timeout());
-    let (body, held) = receive_body(state, &routes, parts, body).await?;
+    let body = receive_body(state, &routes, parts, body).await?;
     if state.router.drain.cuts(arrival + deadline) {
         return Err(IntakeError {
             kind: ErrorKind::Stopping,
@@ -128,7 +128,6 @@
         target,
         headers: forwarded_headers(&parts.headers),
         body,
-        held,
         forward_workspace,
         workspace,
         service,
@@ -196,9 +195,9 @@
     routes: &RouteIndex,
     parts: &request::Parts,
     body: Incoming,
-) -> Result<(Bytes, HeldBytes), IntakeError> {
+) -> Result<Bytes, IntakeError> {
     if body.is_end_stream() {
-        return Ok((Bytes::new(), state.account.holder()));
+        return Ok(Bytes::new());
     }
     if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
         return Err(ErrorKind::MalformedRequest.into());
@@ -214,7 +213,7 @@
     let mut held = state.account.take(length.unwrap_or(0), HELD_BYTES_WAIT).await.ok_or(full)?;
     let timeout = Duration::from_millis(limits.idle_ms);
     match tokio::time::timeout(timeout, held.collect(body, limit)).await {
-        Ok(Ok(body)) => Ok((body, held)),
+        Ok(Ok(body)) => Ok(held.attach_counted(body)),
         Ok(Err(CollectError::AccountSpent)) => Err(full),
         Ok(Err(CollectError::Oversized(_))) => Err(ErrorKind::OversizedRequest.into()),
         Ok(Err(CollectError::Broken(_))) => Err(ErrorKind::MalformedRequest.into()),
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -1,6 +1,7 @@
 //! Executes one exchange on a route: waits for an upstream slot, sends the
 //! request, retries failed attempts and returns the response.
 
+use crate::caller_window::CallerWindow;
 use crate::drain::DrainPhase;
 use crate::exchange_api::SHUTDOWN_RETRY_AFTER;
 use crate::exchange_body::{ExchangeBody, frame_body};
@@ -9,7 +10,7 @@
 use crate::exchange_send::{OpenExchange, SendFailure, forwarded_head};
 use crate::exchange_state::{ExchangeState, ProgressGuard};
 use crate::exchange_stream::{pump_events, pump_frames};
-use crate::held_bytes::{CollectError, HeldBytes};
+use crate::held_bytes::CollectError;
 use crate::lease_book::QueueKey;
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
 use crate::stream_lookup::ANSWER_WAIT;
@@ -69,10 +70,8 @@
     /// End-to-end headers of the caller. The headers of the site's protocol are
     /// added for each attempt.
     pub headers: HeaderMap,
-    /// Complete request body, kept so that it can be sent again.
+    /// Complete request body, kept so that it can be sent again, with its memory.
     pub body: Bytes,
-    /// Memory of the body.
-    pub held: HeldBytes,
     /// What the site's protocol read from the request head.
     pub head: ExchangeHead,
     /// Route that matched the host and the path.
@@ -691,8 +690,9 @@
                     opened.evidence.record_end(&opened.parts, queue, self.call.suspects());
                 }
                 opened.complete(if failed { LeaseEnd::Failed } else { LeaseEnd::Finished });
-                let body = Full::new(collected);
-                return Ok(response.map(|()| ExchangeBody::Whole { body, held: Some(held) }));
+                // The HTTP server keeps the bytes until the caller has read them.
+                let body = Full::new(held.attach_counted(collected));
+                return Ok(response.map(|()| ExchangeBody::Whole(body)));
             }
             Ok(Err(error)) => {
                 if matches!(error, CollectError::Broken(_)) {
@@ -711,17 +711,19 @@
     /// Returns the head at once and relays body frames as they arrive.
     fn relay_frames(self, opened: OpenExchange) -> Response<ExchangeBody> {
         let length = content_length(&opened.parts).and_then(|length| u64::try_from(length).ok());
-        let (sender, body) = frame_body(length);
+        let (sender, frames, body) = frame_body(length);
+        let window = CallerWindow::new(sender, frames, self.state.account.clone());
         let response = forwarded_head(&opened.parts).map(|()| body);
-        tokio::spawn(pump_frames(self, opened, sender));
+        tokio::spawn(pump_frames(self, opened, window));
         response
     }
 
     /// Returns the head at once and relays server-sent events as they arrive.
     fn relay_events(self, opened: OpenExchange) -> Response<ExchangeBody> {
-        let (sender, body) = frame_body(None);
+        let (sender, frames, body) = frame_body(None);
+        let window = CallerWindow::new(sender, frames, self.state.account.clone());
         let response = forwarded_head(&opened.parts).map(|()| body);
-        tokio::spawn(pump_events(self, opened, sender));
+        tokio::spawn(pump_events(self, opened, window));
         response
     }
 }
--- a/crates/router/src/exchange_send.rs
+++ b/crates/router/src/exchange_send.rs
@@ -6,6 +6,7 @@
 use crate::exchange_run::ExchangeCall;
 use crate::exchange_state::ExchangeState;
 use crate::request_queue::SlotLease;
+use crate::upload_gate::UploadPass;
 use crate::upstream_pool::{ExchangeError, UpstreamConnection};
 use baobabfall_core::dispatch_messages::{LeaseEnd, UpstreamRoute};
 use baobabfall_core::error_kind::ErrorKind;
@@ -34,6 +35,8 @@
     /// How long the connection may stay idle in the pool after the response.
     pub(crate) idle_time: Duration,
     pub(crate) evidence: AnswerEvidence,
+    /// The upstream holds the request body until the exchange has ended.
+    _upload: UploadPass,
 }
 
 impl OpenExchange {
@@ -77,6 +80,11 @@
         lease.finish(LeaseEnd::Unused);
         return fail(ErrorKind::MalformedRequest, false, false, "the path is not valid".to_owned());
     };
+    let Some(upload) = state.admit_upload(&route, call.body.len()) else {
+        lease.finish(LeaseEnd::Unused);
+        let reason = "the upstream holds too many bytes of large requests".to_owned();
+        return fail(ErrorKind::LimitReached, false, false, reason);
+    };
     lease.mark_used(call.prompt_cost());
     let repeatable = call.route.kind.is_repeatable();
     let sent_at = Instant::now();
@@ -119,7 +127,7 @@
     }
     let idle_time = head.idle_time.unwrap_or(IDLE_DEFAULT).saturating_sub(IDLE_MARGIN);
     let evidence = AnswerEvidence::default();
-    Ok(OpenExchange { parts, body, connection, lease, idle_time, evidence })
+    Ok(OpenExchange { parts, body, connection, lease, idle_time, evidence, _upload: upload })
 }
 
 /// Returns `None` when a response may be forwarded. Otherwise returns the error for
--- a/crates/router/src/exchange_state.rs
+++ b/crates/router/src/exchange_state.rs
@@ -4,6 +4,8 @@
 use crate::exchange_protocol::ExchangeProtocol;
 use crate::held_bytes::ByteAccount;
 use crate::router_state::RouterState;
+use crate::upload_gate::{UploadGate, UploadPass};
+use baobabfall_core::dispatch_messages::UpstreamRoute;
 use baobabfall_core::hedge_policy::{HedgeLimit, HedgePolicy};
 use baobabfall_core::retry_window::{FleetRetryBudget, RetryWindow};
 use baobabfall_core::sorted_map::SortedMap;
@@ -26,8 +28,11 @@
     /// Retry budget of each service for the whole fleet.
     pub budget: FleetRetryBudget,
     /// Bytes that the router may hold at the same time for callers and upstreams: request
-    /// bodies, buffered answers and incomplete events; rounded down to whole KiB.
+    /// bodies, answers that are buffered or not read, and incomplete events; rounded down to whole
+    /// KiB.
     pub held_bytes: usize,
+    /// Bytes of large request bodies that all routers together may have in flight to one upstream.
+    pub upstream_bytes: u64,
     /// Limit of the second attempts for slow answers.
     pub hedges: HedgeLimit,
 }
@@ -45,6 +50,7 @@
     hedges_enabled: bool,
     /// Bytes that the router holds for callers and upstreams.
     pub account: ByteAccount,
+    uploads: Arc<UploadGate>,
     started: Instant,
 }
 
@@ -62,6 +68,7 @@
             hedges: Mutex::new(HedgePolicy::new(options.hedges)),
             hedges_enabled: options.hedges.is_enabled(),
             account: ByteAccount::new(options.held_bytes),
+            uploads: UploadGate::new(options.upstream_bytes),
             started: Instant::now(),
         })
     }
@@ -73,6 +80,21 @@
         window.record_request(self.started.elapsed(), &self.budget);
     }
 
+    /// Admits a request body to an upstream for as long as the returned pass exists. Returns `None`
+    /// if too many bytes of large bodies are in flight to the upstream.
+    pub(crate) fn admit_upload(&self, route: &UpstreamRoute, bytes: usize) -> Option<UploadPass> {
+        let routers = match self.router.queue.book().routers() {
+            u32::MAX => ASSUMED_ROUTERS,
+            routers => routers,
+        };
+        self.uploads.admit(route, u64::try_from(bytes).unwrap_or(u64::MAX), routers)
+    }
+
+    /// Time without any reading after which what a caller has not read is dropped.
+    pub fn caller_gap(&self) -> Duration {
+        self.router.options.settings.limits.caller_gap.0
+    }
+
     /// Takes a retry from this router's part of the budget of a service. Returns
     /// false when the budget is exhausted.
     pub fn take_retry(&self, service: &str) -> bool {
--- a/crates/router/src/exchange_stream.rs
+++ b/crates/router/src/exchange_stream.rs
@@ -2,8 +2,8 @@
 //! event with resumption at another upstream.
 
 use crate::answer_evidence::ends_with_connection;
+use crate::caller_window::CallerWindow;
 use crate::event_splitter::{EVENT_LIMIT, EventSplitter};
-use crate::exchange_body::FrameEvent;
 use crate::exchange_meter::ExchangeOutcome;
 use crate::exchange_protocol::ExchangeProtocol;
 use crate::exchange_run::{ExchangeCall, ExchangeRun};
@@ -16,8 +16,9 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, StatusCode};
+use http_body::Frame;
 use http_body_util::BodyExt;
-use tokio::sync::mpsc::Sender;
+use hyper::body::Incoming;
 use tokio::time::Instant;
 
 /// Most bytes without a complete event, with comments and empty lines. The largest
@@ -31,6 +32,8 @@
     Complete,
     /// The caller closed the connection.
     CallerGone,
+    /// The caller reads nothing and the router can hold no more of the answer.
+    CallerStalled,
     /// The deadline passed before the response was complete.
     Deadline,
     /// The upstream ended the response early.
@@ -39,32 +42,34 @@
     Invalid(&'static str),
 }
 
-/// Passes bytes on to the caller. Returns how the relay ends if the caller is gone or
-/// does not read them before the deadline.
-async fn relay_bytes(
-    sender: &Sender<FrameEvent>,
-    bytes: Bytes,
-    deadline: Instant,
-) -> Option<RelayEnd> {
-    match tokio::time::timeout_at(deadline, sender.send(FrameEvent::Data(bytes))).await {
-        Ok(Ok(())) => None,
-        Ok(Err(_)) => Some(RelayEnd::CallerGone),
-        Err(_) => Some(RelayEnd::Deadline),
+/// Waits until the caller leaves room for more, and reads the next frame of the upstream's answer.
+async fn next_frame(window: &CallerWindow, body: &mut Incoming) -> NextFrame {
+    match window.room().await {
+        true => NextFrame::Read(body.frame().await),
+        false => NextFrame::CallerStalled,
     }
 }
 
+/// What an upstream's answer goes on with.
+enum NextFrame {
+    Read(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The caller reads nothing and the router can hold no more for it.
+    CallerStalled,
+}
+
 /// Relays a body as it arrives, without interpreting it.
 pub(crate) async fn pump_frames<P: ExchangeProtocol>(
     mut run: ExchangeRun<P>,
     mut opened: OpenExchange,
-    sender: Sender<FrameEvent>,
+    window: CallerWindow,
 ) {
     let end = loop {
         let frame = tokio::select! {
-            frame = opened.body.frame() => frame,
-            () = sender.closed() => break RelayEnd::CallerGone,
+            frame = next_frame(&window, &mut opened.body) => frame,
+            () = window.closed() => break RelayEnd::CallerGone,
             () = tokio::time::sleep_until(run.call.deadline) => break RelayEnd::Deadline,
         };
+        let NextFrame::Read(frame) = frame else { break RelayEnd::CallerStalled };
         match frame {
             None => break RelayEnd::Complete,
             Some(Err(error)) => break RelayEnd::Broken(error.to_string()),
@@ -75,8 +80,8 @@
                     let queue = &run.state.router.queue;
                     opened.evidence.record_data(queue, run.call.suspects());
                 }
-                if let Some(end) = relay_bytes(&sender, bytes, run.call.deadline).await {
-                    break end;
+                if window.send(bytes).is_err() {
+                    break RelayEnd::CallerGone;
                 }
             }
         }
@@ -86,10 +91,10 @@
             let queue = &run.state.router.queue;
             opened.evidence.record_end(&opened.parts, queue, run.call.suspects());
         }
-        RelayEnd::Broken(_) => record_casualty(&run, &opened),
+        RelayEnd::Broken(_) => record_casualty(&run, &opened, &window),
         _ => {}
     }
-    finish_relay(&mut run, opened, &sender, end, 0).await;
+    finish_relay(&mut run, opened, &window, end, 0).await;
 }
 
 /// Relays an event stream. A resumable stream that is interrupted continues at
@@ -97,7 +102,7 @@
 pub(crate) async fn pump_events<P: ExchangeProtocol>(
     mut run: ExchangeRun<P>,
     mut opened: OpenExchange,
-    sender: Sender<FrameEvent>,
+    window: CallerWindow,
 ) {
     if run.call.head.last_event.is_some() {
         let resumes = run.call.head.resumes.as_deref().unwrap_or("");
@@ -110,14 +115,14 @@
     let mut is_continuation = false;
     loop {
         let end =
-            relay_events(&mut run, &mut opened, &mut splitter, &sender, is_continuation).await;
+            relay_events(&mut run, &mut opened, &mut splitter, &window, is_continuation).await;
         let reason = match &end {
             RelayEnd::Broken(reason) => {
-                record_casualty(&run, &opened);
+                record_casualty(&run, &opened, &window);
                 reason.as_str()
             }
             RelayEnd::Invalid(reason) => reason,
-            _ => return finish_relay(&mut run, opened, &sender, end, splitter.events()).await,
+            _ => return finish_relay(&mut run, opened, &window, end, splitter.events()).await,
         };
         let will_resume = run.is_resumable() && run.try_retry(true);
         log::info!(
@@ -130,21 +135,21 @@
         if !will_resume {
             run.meter.end(ExchangeOutcome::Unknown);
             run.meter.count_answer(AnswerCompleteness::BrokenWithError);
-            opened.lease.finish(LeaseEnd::Failed);
+            opened.lease.finish(broken_end(&window));
             return;
         }
         // Closing the connection stops the previous upstream before the next one
         // continues the stream.
         let previous = software_text(opened.lease.route()).to_owned();
         let content_type = opened.parts.headers.get(CONTENT_TYPE).cloned();
-        opened.lease.finish(LeaseEnd::Failed);
+        opened.lease.finish(broken_end(&window));
         drop((opened.body, opened.connection));
         let last = splitter.last_id();
         splitter = EventSplitter::resume_after(last);
         let next = tokio::select! {
             next = run.open_next(last) => next,
             // Drops the attempt, which closes its connection.
-            () = sender.closed() => {
+            () = window.closed() => {
                 return log_cut(&run.call, &RelayEnd::CallerGone, splitter.events());
             }
         };
@@ -175,12 +180,25 @@
     }
 }
 
-/// Reports that the upstream ended within its answer, most likely because it crashed.
-fn record_casualty<P: ExchangeProtocol>(run: &ExchangeRun<P>, opened: &OpenExchange) {
+/// Reports that the upstream ended within its answer, most likely because it crashed. Not if it may
+/// have cut off an answer that this router left unread.
+fn record_casualty<P: ExchangeProtocol>(
+    run: &ExchangeRun<P>,
+    opened: &OpenExchange,
+    window: &CallerWindow,
+) {
+    if window.was_left_unread() {
+        return;
+    }
     let (route, begun) = (opened.lease.route(), opened.evidence.is_begun());
     run.state.router.queue.record_casualty(route, run.call.suspects(), begun);
 }
 
+/// How the use of an upstream ended that broke off its answer.
+fn broken_end(window: &CallerWindow) -> LeaseEnd {
+    if window.was_left_unread() { LeaseEnd::Finished } else { LeaseEnd::Failed }
+}
+
 /// True if an answer is a stream of the same type as the one that it continues.
 fn continues_stream(next: &OpenExchange, content_type: Option<&HeaderValue>) -> bool {
     next.parts.status == StatusCode::OK && next.parts.headers.get(CONTENT_TYPE) == content_type
@@ -212,7 +230,7 @@
     run: &mut ExchangeRun<P>,
     opened: &mut OpenExchange,
     splitter: &mut EventSplitter,
-    sender: &Sender<FrameEvent>,
+    window: &CallerWindow,
     is_continuation: bool,
 ) -> RelayEnd {
     let event_cost = run.call.event_cost();
@@ -224,10 +242,11 @@
     let ends_unframed = ends_with_connection(&opened.parts);
     loop {
         let frame = tokio::select! {
-            frame = opened.body.frame() => frame,
-            () = sender.closed() => return RelayEnd::CallerGone,
+            frame = next_frame(window, &mut opened.body) => frame,
+            () = window.closed() => return RelayEnd::CallerGone,
             () = tokio::time::sleep_until(run.call.deadline) => return RelayEnd::Deadline,
         };
+        let NextFrame::Read(frame) = frame else { return RelayEnd::CallerStalled };
         let bytes = match frame {
             // An empty continuation is complete only if nothing but the end was missing, which a
             // caller finds out when it resumes the stream.
@@ -268,10 +287,8 @@
             opened.evidence.record_data(&run.state.router.queue, run.call.suspects());
         }
         meter.charge((splitter.events() - before) * event_cost);
-        if !ready.is_empty()
-            && let Some(end) = relay_bytes(sender, ready, run.call.deadline).await
-        {
-            return end;
+        if !ready.is_empty() && window.send(ready).is_err() {
+            return RelayEnd::CallerGone;
         }
     }
 }
@@ -279,7 +296,7 @@
 async fn finish_relay<P: ExchangeProtocol>(
     run: &mut ExchangeRun<P>,
     opened: OpenExchange,
-    sender: &Sender<FrameEvent>,
+    window: &CallerWindow,
     end: RelayEnd,
     events: u64,
 ) {
@@ -287,11 +304,11 @@
         RelayEnd::Complete => {
             run.record_answered(opened.parts.status.as_u16(), events);
             opened.complete(LeaseEnd::Finished);
-            let _ = sender.send(FrameEvent::End).await;
-            return;
+            window.finish();
+            return window.drained(run.state.caller_gap()).await;
         }
         RelayEnd::CallerGone => opened.lease.finish(LeaseEnd::Finished),
-        RelayEnd::Deadline => {
+        RelayEnd::Deadline | RelayEnd::CallerStalled => {
             run.meter.end(ExchangeOutcome::Unknown);
             run.meter.count_answer(AnswerCompleteness::BrokenWithError);
             opened.lease.finish(LeaseEnd::Finished);
@@ -299,10 +316,13 @@
         RelayEnd::Broken(_) | RelayEnd::Invalid(_) => {
             run.meter.end(ExchangeOutcome::Unknown);
             run.meter.count_answer(AnswerCompleteness::BrokenWithError);
-            opened.lease.finish(LeaseEnd::Failed);
+            opened.lease.finish(broken_end(window));
         }
     }
     log_cut(&run.call, &end, events);
+    if matches!(end, RelayEnd::CallerStalled) {
+        window.discard();
+    }
 }
 
 fn log_cut(call: &ExchangeCall, end: &RelayEnd, events: u64) {
--- a/crates/router/src/held_bytes.rs
+++ b/crates/router/src/held_bytes.rs
@@ -1,5 +1,5 @@
 //! Account of the bytes that a router holds for others: request bodies, answers that are
-//! buffered, and events that are not complete.
+//! buffered or not read by their callers, and events that are not complete.
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
@@ -25,6 +25,19 @@
     permit: Option<OwnedSemaphorePermit>,
 }
 
+/// Bytes with the holder of their memory.
+struct HeldBuffer<G> {
+    bytes: Bytes,
+    _held: HeldBytes,
+    _guard: G,
+}
+
+impl<G> AsRef<[u8]> for HeldBuffer<G> {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Why a body was not collected.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CollectError {
@@ -92,6 +105,37 @@
         true
     }
 
+    /// Like [`Self::resize`], for a holder that may keep nothing without the account.
+    pub fn resize_whole(&mut self, bytes: usize) -> bool {
+        self.resize(bytes + UNCOUNTED_BYTES)
+    }
+
+    /// Returns `bytes`, whose memory is given back when the last copy of them is dropped. `guard`
+    /// is dropped at that time as well.
+    ///
+    /// ```
+    /// use baobabfall_router::held_bytes::ByteAccount;
+    /// use bytes::Bytes;
+    /// let account = ByteAccount::new(64 << 10);
+    /// let mut held = account.holder();
+    /// assert!(held.resize(80 << 10));
+    /// let body = held.attach(Bytes::from(vec![0; 80 << 10]), ());
+    /// let copy = body.clone();
+    /// drop(body);
+    /// assert!(!account.holder().resize(80 << 10));
+    /// drop(copy);
+    /// assert!(account.holder().resize(80 << 10));
+    /// ```
+    pub fn attach<G: Send + 'static>(self, bytes: Bytes, guard: G) -> Bytes {
+        Bytes::from_owner(HeldBuffer { bytes, _held: self, _guard: guard })
+    }
+
+    /// Like [`Self::attach`], without a guard. Bytes that take nothing from the account are
+    /// returned as they are.
+    pub fn attach_counted(self, bytes: Bytes) -> Bytes {
+        if self.permit.is_some() { self.attach(bytes, ()) } else { bytes }
+    }
+
     /// Reads a body of at most `limit` bytes and takes from the account what it needs.
     pub async fn collect<B>(&mut self, mut body: B, limit: usize) -> Result<Bytes, CollectError>
     where
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod action_client;
 mod answer_evidence;
 pub mod caller_api;
+pub mod caller_window;
 pub mod cancel_guard;
 #[allow(missing_docs)]
 pub mod cli;
@@ -54,6 +55,7 @@
 pub mod table_sync;
 pub mod table_view;
 pub mod takeover;
+pub mod upload_gate;
 pub mod upstream_directory;
 pub mod upstream_pool;
 
--- a/crates/router/src/options.rs
+++ b/crates/router/src/options.rs
@@ -90,6 +90,7 @@
             // requests above the limit with a stable error code.
             headers: 2 * limits.headers,
             header_bytes: u32::try_from(limits.header_size.0).unwrap_or(u32::MAX),
+            unread_timeout: Some(limits.caller_gap.0),
             ..ServerLimits::default()
         }
     }
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -39,6 +39,10 @@
 /// Number of bytes of a service call that cost as much as one generated token.
 const SERVICE_BYTES_PER_TOKEN: u64 = 64 << 10;
 
+/// Multiple of the longest time without data within which a stream must bring an event. Upstreams
+/// may send comments while they read a long prompt, but not instead of events for ever.
+const EVENT_GAP_FACTOR: u32 = 4;
+
 /// Error that closes the caller's connection, so that the caller notices that the
 /// response is truncated.
 #[derive(Debug, Error)]
@@ -125,6 +129,8 @@
     answer_gap: Duration,
     waiting_since: Option<Instant>,
     last_token: Option<Instant>,
+    /// When the last event arrived, or when the upstream began to send.
+    event_at: Instant,
     timer: Option<Pin<Box<Sleep>>>,
     resume: Option<ResumePlan>,
     cancel: CancelGuard,
@@ -161,6 +167,7 @@
             answer_gap: parts.answer_gap,
             waiting_since: None,
             last_token: None,
+            event_at: Instant::now(),
             timer: None,
             resume: parts.resume,
             cancel: parts.cancel,
@@ -240,6 +247,9 @@
                 return self.fail(ErrorKind::DeadlineAfterDispatch, "the deadline passed");
             }
             self.count_events(result.events, now);
+            self.event_at = now;
+        } else if self.event_at.elapsed() >= self.answer_gap * EVENT_GAP_FACTOR {
+            return self.on_interrupted("the upstream sent no event in time");
         }
         if result.ready.is_empty() {
             return RelayStep::Again;
@@ -280,6 +290,7 @@
         self.record.advance(LifecycleEvent::Head);
         self.connection = Some(resumed.connection);
         self.source = RelaySource::Body(resumed.incoming);
+        self.event_at = Instant::now();
         RelayStep::Again
     }
 
--- a/crates/router/tests/exchanges.rs
+++ b/crates/router/tests/exchanges.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use support::exchange_site::{ExchangeSite, answer_with, marked_answer, route_table};
 use support::fake_upstream::{Step, header_of};
-use support::{Answer, send};
+use support::{Answer, send, wait_for};
 
 /// Guards against a request that the router changes, against a caller's key that is sent to an
 /// upstream, and against a workspace header that the caller forged.
@@ -230,3 +230,34 @@
     let expected = vec![("u0-plain".to_owned(), read_rate("2"))];
     assert!(site.controller.script().reports.iter().any(|report| reports(report) == expected));
 }
+
+/// Guards against running work that is started again elsewhere, or given up, because the machine
+/// that runs it is silent for a while: its registration lapses and comes back.
+#[tokio::test]
+async fn exchange_outlives_lapse_of_its_upstream() {
+    for path in ["/once/x", "/read/x", "/plain/x", "/plain-once/x"] {
+        let running = || vec![vec![Step::Gate, marked_answer("done").remove(0)]];
+        let site = ExchangeSite::start(vec![running(), running()]).await;
+        let call = site.call(Method::POST, path, &[]);
+        let lapse = async {
+            let count = || site.request_count(0) + site.request_count(1);
+            wait_for("the request to reach an upstream", || count() == 1).await;
+            let set_upstreams = |upstreams| {
+                let mut script = site.controller.script();
+                script.registry_version += 1;
+                std::mem::replace(&mut script.upstreams, upstreams)
+            };
+            let known = || site.handle.state().fleet.directory().registry().upstreams.len();
+            let lapsed = set_upstreams(Vec::new());
+            wait_for("the lapse", || known() == 0).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            set_upstreams(lapsed);
+            wait_for("the return", || known() == 4).await;
+            assert_eq!(count(), 1, "{path}");
+            site.upstreams.iter().for_each(|upstream| upstream.open_gate());
+        };
+        let (answer, ()) = tokio::join!(call, lapse);
+        assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "done"), "{path}");
+        assert_eq!(site.request_count(0) + site.request_count(1), 1, "{path}");
+    }
+}
--- a/crates/router/tests/hedged_requests.rs
+++ b/crates/router/tests/hedged_requests.rs
@@ -140,3 +140,42 @@
     }
     assert!(soon >= 6, "{soon} of 8 streams began soon");
 }
+
+/// Guards against a caller who gets the late answer of an attempt that another one overtook: its
+/// connection must not carry further requests. All requests have the same id, so that the id does
+/// not show it.
+#[tokio::test]
+async fn late_answer_of_the_other_attempt_reaches_nobody() {
+    let late = vec![Step::Gate, marked_answer("late").remove(0)];
+    let sound = vec![marked_answer("sound"); 64];
+    let first = [vec![late; 4], sound.clone()].concat();
+    let site = start_site(first, sound).await;
+    let mut overtaken = 0;
+    while overtaken < 4 {
+        let before = site.request_count(0);
+        let answer = site.call(Method::GET, "/lookup/x", &[]).await;
+        assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "sound"));
+        overtaken += site.request_count(0) - before;
+    }
+    for _ in 0..4 {
+        site.upstreams[0].open_gate();
+    }
+    for _ in 0..20 {
+        let answer = site.call(Method::GET, "/lookup/x", &[]).await;
+        assert_eq!((answer.status.as_u16(), answer.body.as_str()), (200, "sound"));
+    }
+}
+
+/// Guards against an answer that breaks off after its head has ended the wait for the other attempt,
+/// and reaches the caller as a complete success.
+#[tokio::test]
+async fn broken_answer_of_second_attempt_is_no_success() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 400000\r\nx-request: r1\r\nx-mark: m\r\n\r\n";
+    let broken = vec![Step::Write(format!("{head}{}", "x".repeat(300_000))), Step::Reset];
+    let site = start_site(hanging(8), vec![broken; 8]).await;
+    for _ in 0..4 {
+        let answer = site.call(Method::GET, "/lookup/x", &[("x-wait-ms", "2500")]).await;
+        let is_success = answer.complete && !answer.status.is_server_error();
+        assert!(!is_success, "{} with {} bytes", answer.status, answer.body.len());
+    }
+}
--- a/crates/router/tests/stream_relay.rs
+++ b/crates/router/tests/stream_relay.rs
@@ -6,12 +6,14 @@
 
 use baobabfall_core::dispatch_messages::LeaseEnd;
 use baobabfall_core::software_version::SoftwareVersion;
+use std::time::Duration;
 use support::fake_controller::FakeController;
 use support::fake_upstream::{
     END_EVENT, FakeUpstream, Step, chunk, complete_answer, event, event_chunks, header_of,
     stream_head,
 };
 use support::{Answer, STREAM_REQUEST, TestRouter, model_announcement, wait_for};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Guards against a stream that the router changes, a request id that is not passed on, a caller's
 /// key that is sent to the upstream, and a lease that ends without the cost of its events.
@@ -267,3 +269,62 @@
     }
     assert_eq!(router.metric("baobabfall_requests_total", "outcome=\"finished\""), 8);
 }
+
+/// A stream that sends a comment each 150 ms, and an event each `comments` of them.
+fn commented_stream(comments: usize, events: u64) -> String {
+    let mut text = String::new();
+    for position in 0..events {
+        text.push_str(&chunk(": busy\n\n").repeat(comments));
+        text.push_str(&chunk(&event(position)));
+    }
+    text
+}
+
+async fn start_paced_stream(text: String) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let text = text.clone();
+            tokio::spawn(async move {
+                let mut head = vec![0; 16 << 10];
+                let count = stream.read(&mut head).await.unwrap_or(0);
+                let head = String::from_utf8_lossy(&head[..count]).into_owned();
+                let id = header_of(&head, "baobabfall-request-id");
+                if head.starts_with("GET /health") {
+                    let answer = complete_answer(200, "{\"incarnation\":1,\"leaving\":false}");
+                    let _ = stream.write_all(answer.replace("{id}", &id).as_bytes()).await;
+                    return;
+                }
+                let _ = stream.write_all(stream_head().replace("{id}", &id).as_bytes()).await;
+                for part in text.split_inclusive("\n\n\r\n") {
+                    tokio::time::sleep(Duration::from_millis(150)).await;
+                    if stream.write_all(part.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a stalled stream that never ends because its upstream sends a comment now and
+/// then, and against a slow but sound stream that is cut.
+#[tokio::test]
+async fn stalled_stream_with_comments_ends_and_slow_stream_does_not() {
+    let slow = format!("{}{}0\r\n\r\n", commented_stream(12, 3), chunk(END_EVENT));
+    let stalled = commented_stream(200, 1);
+    for (text, is_complete) in [(slow, true), (stalled, false)] {
+        let upstream = start_paced_stream(text).await;
+        let controller =
+            FakeController::start(vec![model_announcement("engine-1", upstream)]).await;
+        let limits = "answer_gap = \"1s\"\nresumptions = 0\nattempts = 1";
+        let router = TestRouter::ready(&controller, limits).await;
+        let begun = std::time::Instant::now();
+        let answer = router.post("/v1/completions", &[], STREAM_REQUEST).await;
+        assert_eq!(answer.body.contains(END_EVENT), is_complete, "{}", answer.body);
+        assert_eq!(answer.body.contains("event: error"), !is_complete, "{}", answer.body);
+        assert!(begun.elapsed() < Duration::from_secs(15), "{:?}", begun.elapsed());
+    }
+}
--- a/crates/router/tests/support/exchange_site.rs
+++ b/crates/router/tests/support/exchange_site.rs
@@ -19,6 +19,7 @@
 use http_body_util::Full;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request");
@@ -221,13 +222,28 @@
         limits: &str,
         control: Option<Handle>,
         exchanges: ExchangeOptions,
+    ) -> Self {
+        Self::start_listening(controller, upstreams, limits, control, exchanges, None).await
+    }
+
+    /// Like [`Self::start_options`], with the listener for callers.
+    pub async fn start_listening(
+        controller: FakeController,
+        upstreams: Vec<FakeUpstream>,
+        limits: &str,
+        control: Option<Handle>,
+        exchanges: ExchangeOptions,
+        callers: Option<TcpListener>,
     ) -> Self {
         let directory = tempfile::TempDir::new().unwrap();
         let text = settings_text(directory.path(), &[controller.address], limits);
         let settings: RouterSettings =
             baobabfall_node::settings::parse_settings(std::path::Path::new("t.toml"), &text)
                 .unwrap();
-        let listeners = RouterListeners::bind(&settings).await.unwrap();
+        let mut listeners = RouterListeners::bind(&settings).await.unwrap();
+        if let Some(callers) = callers {
+            listeners.caller = callers;
+        }
         let mut options = RouterOptions::open(settings).unwrap();
         options.health_checks = false;
         options.control = control;
@@ -290,6 +306,7 @@
     ExchangeOptions {
         budget: FleetRetryBudget { ratio: 0.2, slack: 20.0, window },
         held_bytes: 1 << 20,
+        upstream_bytes: 1 << 30,
         hedges: HedgeLimit::NONE,
     }
 }
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -165,8 +165,10 @@
 pub fn test_workspace_table() -> WorkspaceTable {
     let header = "workspace,key_hash,weight,concurrency,requests_per_minute,tokens_per_minute,queue_length,request_kib,protected";
     let (a, b) = (hash_key(super::CALLER_KEY), hash_key("key-of-team-b"));
+    let large = hash_key(super::LARGE_CALLER_KEY);
     let text = format!(
-        "{header}\nteam-a,{a},1,8,600,100000,50,64,yes\nteam-b,{b},1,8,600,100000,50,64,no\n"
+        "{header}\nteam-a,{a},1,8,600,100000,50,64,yes\nteam-b,{b},1,8,600,100000,50,64,no\n\
+         team-large,{large},1,8,600,100000,50,16384,yes\n"
     );
     WorkspaceTable::parse_csv(text.as_bytes()).unwrap()
 }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -29,6 +29,8 @@
 pub const UPSTREAM_TOKEN: &str = "upstream-token-0123456789";
 pub const METRICS_TOKEN: &str = "metrics-token-0123456789";
 pub const CALLER_KEY: &str = "key-of-team-a";
+/// Key of a workspace that may send requests of 16 MiB.
+pub const LARGE_CALLER_KEY: &str = "key-of-team-large";
 
 /// Announcement of a model engine that serves the model `small`.
 pub fn model_announcement(name: &str, address: SocketAddr) -> UpstreamAnnouncement {
