--- a/crates/router/src/upload_gate.rs
+++ b/crates/router/src/upload_gate.rs
@@ -1,7 +1,7 @@
 //! Admits request bodies to upstreams, within the router's share of the bytes in flight.
 
 use baobabfall_core::dispatch_messages::UpstreamRoute;
-use baobabfall_core::upload_share::UploadShare;
+use baobabfall_core::upload_share::{SMALL_BODY_BYTES, UploadShare};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// The [`UploadShare`] of a router.
@@ -10,9 +10,16 @@
     share: Mutex<UploadShare>,
 }
 
-/// A body in flight to an upstream; dropping it ends the count.
+/// Permission to send a body to an upstream; dropping it ends the count.
 #[derive(Debug)]
 pub struct UploadPass {
+    /// `None` for a body that is not counted.
+    _counted: Option<CountedUpload>,
+}
+
+/// A large body in flight to an upstream.
+#[derive(Debug)]
+struct CountedUpload {
     gate: Arc<UploadGate>,
     upstream: String,
     incarnation: u64,
@@ -36,15 +43,19 @@
         bytes: u64,
         routers: u32,
     ) -> Option<UploadPass> {
+        if bytes <= SMALL_BODY_BYTES {
+            return Some(UploadPass { _counted: None });
+        }
         let (name, incarnation) = (&route.name, route.incarnation);
         if !self.share().admit(name, incarnation, bytes, routers) {
             return None;
         }
-        Some(UploadPass { gate: Arc::clone(self), upstream: name.clone(), incarnation, bytes })
+        let (gate, upstream) = (Arc::clone(self), name.clone());
+        Some(UploadPass { _counted: Some(CountedUpload { gate, upstream, incarnation, bytes }) })
     }
 }
 
-impl Drop for UploadPass {
+impl Drop for CountedUpload {
     fn drop(&mut self) {
         self.gate.share().release(&self.upstream, self.incarnation, self.bytes);
     }
