--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -90,6 +90,7 @@
 ///         prefix: None,
 ///         avoid: None,
 ///         prompts: vec![],
+///         late: 0,
 ///     }],
 ///     usage: vec![],
 ///     charges: vec![],
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -193,6 +193,7 @@
             avoid: avoid.clone(),
             number: *number,
             prompt: None,
+            late: false,
         };
         let ticket = self.state.queue.enqueue(request);
         *number = Some(ticket.number());
