Take back the order of late requests and the spread of Retry-After

No test that was there before is changed. Conclusion: late requests behind the others get nothing while a shortage lasts, and those ahead are late as often.

--- a/crates/core/src/backlog_queue.rs
+++ b/crates/core/src/backlog_queue.rs
@@ -1,10 +1,5 @@
 //! Queue of the waiting requests of one workspace for one target, over all
 //! routers.
-//!
-//! Requests whose answers can still be in time go before late ones: those of callers
-//! who were refused so long ago that their answer is late however fast it is. Without
-//! that order, a shortage that lasts makes every answer late, since those refused
-//! before it take the slots of those who arrive during it.
 
 use crate::dispatch_messages::{BacklogEntry, CostUnits, PromptSummary};
 use crate::sorted_map::SortedMap;
@@ -29,10 +24,6 @@
     unreceived: u32,
     /// Number of requests that wait without a grant.
     waiting: u32,
-    /// Number of late requests in the last report.
-    reported_late: u32,
-    /// Number of late requests among `waiting`. They are the last ones in the router's queue.
-    late: u32,
     cost_hint: CostUnits,
     prefix: Option<u64>,
     avoid: Option<String>,
@@ -63,8 +54,7 @@
     pub prompt: Option<PromptSummary>,
 }
 
-/// Queue of one workspace and target, ordered by arrival at the dispatcher, with the late
-/// requests of all routers behind the others.
+/// Queue of one workspace and target, ordered by arrival at the dispatcher.
 ///
 /// ```
 /// use baobabfall_core::backlog_queue::BacklogQueue;
@@ -77,56 +67,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct BacklogQueue {
     routers: SortedMap<usize, RouterBacklog>,
-    timely: ArrivalRuns,
-    late: ArrivalRuns,
+    runs: VecDeque<ArrivalRun>,
     waiting: u32,
 }
 
-/// Runs of the requests of one urgency, the oldest first.
-#[derive(Clone, Debug, Default)]
-struct ArrivalRuns(VecDeque<ArrivalRun>);
-
-impl ArrivalRuns {
-    /// Sets the number of requests of a router from `previous` to `count`.
-    fn update(&mut self, router: usize, previous: u32, count: u32, order: u64) {
-        if count > previous {
-            self.push(router, count - previous, order);
-        } else if count < previous {
-            self.shorten(router, previous - count);
-        }
-    }
-
-    fn push(&mut self, router: usize, count: u32, order: u64) {
-        let full = self.0.len() >= RUN_MERGE_THRESHOLD;
-        match self.0.back_mut() {
-            Some(run) if run.router == router && (run.order == order || full) => run.count += count,
-            _ => self.0.push_back(ArrivalRun { router, count, order }),
-        }
-    }
-
-    /// Removes `count` requests of a router that left without a grant, from its
-    /// oldest runs.
-    fn shorten(&mut self, router: usize, mut count: u32) {
-        for run in self.0.iter_mut().filter(|run| run.router == router) {
-            let taken = run.count.min(count);
-            run.count -= taken;
-            count -= taken;
-        }
-        self.0.retain(|run| run.count > 0);
-    }
-
-    /// Removes the oldest request and returns its router.
-    fn take_first(&mut self) -> Option<usize> {
-        let run = self.0.front_mut()?;
-        let router = run.router;
-        run.count -= 1;
-        if run.count == 0 {
-            self.0.pop_front();
-        }
-        Some(router)
-    }
-}
-
 impl BacklogQueue {
     /// Returns the number of requests that wait without a grant.
     pub fn waiting(&self) -> u32 {
@@ -152,16 +96,12 @@
     /// Returns the arrival number of the first request, or `None` if no request
     /// waits.
     pub fn first_arrival(&self) -> Option<u64> {
-        self.first_run().map(|run| run.order)
+        self.runs.front().map(|run| run.order)
     }
 
     /// Returns the router of the first request, or `None` if no request waits.
     pub fn first_router(&self) -> Option<usize> {
-        self.first_run().map(|run| run.router)
-    }
-
-    fn first_run(&self) -> Option<&ArrivalRun> {
-        self.timely.0.front().or_else(|| self.late.0.front())
+        self.runs.front().map(|run| run.router)
     }
 
     /// Applies the queue length that a router reported and, if given, the rest of
@@ -171,7 +111,6 @@
         let backlog = self.routers.get_or_insert_with(router, RouterBacklog::default);
         backlog.reported = queued.min(MAX_REPORTED_QUEUE_LENGTH);
         if let Some(entry) = entry {
-            backlog.reported_late = entry.late;
             backlog.cost_hint = entry.cost_hint;
             backlog.prefix = entry.prefix;
             backlog.avoid.clone_from(&entry.avoid);
@@ -195,22 +134,22 @@
     pub fn remove_router(&mut self, router: usize) {
         if let Some(backlog) = self.routers.remove(&router) {
             self.waiting -= backlog.waiting;
-            self.timely.0.retain(|run| run.router != router);
-            self.late.0.retain(|run| run.router != router);
+            self.runs.retain(|run| run.router != router);
         }
     }
 
-    /// Removes the request that arrived first, late ones last, and counts an unreceived
-    /// grant for its router. Returns `None` if no request waits.
+    /// Removes the request that arrived first and counts an unreceived grant for
+    /// its router. Returns `None` if no request waits.
     pub fn take_next(&mut self) -> Option<NextRequest> {
-        let (router, late) = match self.timely.take_first() {
-            Some(router) => (router, 0),
-            None => (self.late.take_first()?, 1),
-        };
+        let run = self.runs.front_mut()?;
+        let router = run.router;
+        run.count -= 1;
+        if run.count == 0 {
+            self.runs.pop_front();
+        }
         self.waiting -= 1;
         let backlog = self.routers.get_mut(&router).expect("a run belongs to a known router");
         backlog.waiting -= 1;
-        backlog.late -= late;
         backlog.unreceived += 1;
         let (prefix, avoid) = (backlog.prefix.take(), backlog.avoid.take());
         let prompt = backlog.prompts.pop_front();
@@ -224,15 +163,34 @@
     fn update_runs(&mut self, router: usize, order: u64) {
         let Some(backlog) = self.routers.get_mut(&router) else { return };
         let waiting = backlog.reported.saturating_sub(backlog.unreceived);
-        // The router uses grants that it has not received yet for its first requests.
-        let late = backlog.reported_late.min(waiting);
         let previous = std::mem::replace(&mut backlog.waiting, waiting);
-        let previous_late = std::mem::replace(&mut backlog.late, late);
         if backlog.reported == 0 && backlog.unreceived == 0 {
             self.routers.remove(&router);
         }
         self.waiting = self.waiting - previous + waiting;
-        self.timely.update(router, previous - previous_late, waiting - late, order);
-        self.late.update(router, previous_late, late, order);
+        if waiting > previous {
+            self.push_run(router, waiting - previous, order);
+        } else if waiting < previous {
+            self.shorten_runs(router, previous - waiting);
+        }
+    }
+
+    fn push_run(&mut self, router: usize, count: u32, order: u64) {
+        let full = self.runs.len() >= RUN_MERGE_THRESHOLD;
+        match self.runs.back_mut() {
+            Some(run) if run.router == router && (run.order == order || full) => run.count += count,
+            _ => self.runs.push_back(ArrivalRun { router, count, order }),
+        }
+    }
+
+    /// Removes `count` requests of a router that left without a grant, from its
+    /// oldest runs.
+    fn shorten_runs(&mut self, router: usize, mut count: u32) {
+        for run in self.runs.iter_mut().filter(|run| run.router == router) {
+            let taken = run.count.min(count);
+            run.count -= taken;
+            count -= taken;
+        }
+        self.runs.retain(|run| run.count > 0);
     }
 }
--- a/crates/core/src/decision_workload.rs
+++ b/crates/core/src/decision_workload.rs
@@ -56,7 +56,6 @@
             cost_hint: UNITS_PER_TOKEN * 100,
             prefix: None,
             avoid: None,
-            late: 0,
         });
         let backlog = backlog.collect();
         let mut workload = Self { dispatcher, sequence: 0 };
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -71,11 +71,6 @@
     /// [`MAX_PROMPTS_PER_ENTRY`].
     #[serde(default, rename = "d", skip_serializing_if = "Vec::is_empty")]
     pub prompts: Vec<PromptSummary>,
-    /// Number of late requests: those whose answer cannot be in time any more, because a
-    /// refusal has taken their caller's time. They are last in the queue. Routers of releases
-    /// without this field leave it out.
-    #[serde(default, rename = "l", skip_serializing_if = "is_default")]
-    pub late: u32,
 }
 
 /// What a router knows about the prompt of one request.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,8 +9,6 @@
 pub mod action_ledger;
 pub mod admission_limit;
 pub mod backlog_queue;
-pub mod caller_patience;
-pub mod caller_terms;
 pub mod close_pace;
 pub mod cold_tracker;
 pub mod control_command;
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -135,7 +135,6 @@
 ///     cost_hint: 0,
 ///     prefix: None,
 ///     prompts: Vec::new(), avoid: None,
-///     late: 0,
 /// });
 /// assert!(local.dispatch(now).is_empty(), "the held slot is in use");
 /// held.end = Some(LeaseEnd::Finished);
--- a/crates/core/src/queue_gate.rs
+++ b/crates/core/src/queue_gate.rs
@@ -22,9 +22,6 @@
 /// Time for which a queue counts as congested after a request timed out in it or was
 /// refused.
 const CONGESTION_TIME: Duration = Duration::from_millis(500);
-/// Time without a timeout or refusal after which a shortage is over. One router sees few requests
-/// of a workspace, and many of them are granted, so it must be longer than the time above.
-const SHORTAGE_GAP: Duration = Duration::from_secs(2);
 
 /// Admission control of one queue, based on the grants of the last second.
 ///
@@ -43,8 +40,6 @@
     /// Ring of bucket number and grants in that bucket.
     buckets: [(u128, u32); BUCKETS],
     congested_until: Duration,
-    /// Times of the first and of the last timeout or refusal of the current shortage.
-    shortage: Option<(Duration, Duration)>,
     last_use: Duration,
 }
 
@@ -65,17 +60,6 @@
     pub fn record_expiry(&mut self, now: Duration) {
         self.last_use = now;
         self.congested_until = now + CONGESTION_TIME;
-        let since = match self.shortage {
-            Some((since, last)) if now <= last + SHORTAGE_GAP => since,
-            _ => now,
-        };
-        self.shortage = Some((since, now));
-    }
-
-    /// Time for which requests have timed out or been refused without a long break.
-    pub fn shortage_time(&self, now: Duration) -> Duration {
-        let current = self.shortage.filter(|(_, last)| now <= *last + SHORTAGE_GAP);
-        current.map_or(Duration::ZERO, |(since, _)| now.saturating_sub(since))
     }
 
     /// True when a request that may wait for at most `limit` may join `waiting` others.
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -90,7 +90,6 @@
 ///         prefix: None,
 ///         avoid: None,
 ///         prompts: vec![],
-///         late: 0,
 ///     }],
 ///     usage: vec![],
 ///     charges: vec![],
--- a/crates/router/src/exchange_run.rs
+++ b/crates/router/src/exchange_run.rs
@@ -14,7 +14,6 @@
 use crate::request_queue::{QueueExit, QueueRequest, SlotLease};
 use crate::stream_lookup::ANSWER_WAIT;
 use crate::takeover::HandoverSource;
-use baobabfall_core::caller_terms::CallerTerms;
 use baobabfall_core::dispatch_messages::{
     CostUnits, LeaseEnd, PartId, PromptSummary, StreamOrigin, UNITS_PER_TOKEN,
 };
@@ -41,6 +40,9 @@
 const BUFFERED_BODY_LIMIT: usize = 256 << 10;
 /// Number of failed connection attempts after which a request is rejected.
 const CONNECT_FAILURE_LIMIT: u32 = 3;
+/// Share of a route's objective that a request may wait for a slot. The upstream
+/// needs the rest to answer on time.
+const QUEUE_WAIT_SHARE: f64 = 0.4;
 /// Share of a route's objective within which the first token should follow the
 /// grant of a slot.
 const FIRST_TOKEN_SHARE: f64 = 0.5;
@@ -51,6 +53,9 @@
 const DISPATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Of 256 exchanges that succeed at the first attempt, the number that is logged.
 const LOGGED_SAMPLE_OF_256: u8 = 16;
+/// Shortest `Retry-After` of a rejection. The actual value is spread evenly
+/// between this time and twice this time.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(300);
 
 /// A caller's request with everything that was decided before it is queued.
 #[derive(Debug)]
@@ -172,8 +177,6 @@
     may_have_run: bool,
     avoid: Option<String>,
     number: Option<u64>,
-    /// Time that the caller used for attempts before this one.
-    used: Duration,
     queued: Duration,
     binding: StreamBinding,
     /// Server error of an upstream, returned if every later attempt fails.
@@ -185,10 +188,6 @@
     /// the exchange ends.
     pub fn new(state: Arc<ExchangeState<P>>, call: ExchangeCall, progress: ProgressGuard) -> Self {
         let meter = ExchangeMeter::new(&state.router.metrics, &call);
-        let used = match (call.head.deadline, call.head.last_event) {
-            (Some(stated), None) => state.router.queue.time_used(&call.route.name, stated),
-            _ => Duration::ZERO,
-        };
         let binding = call.origin.clone().map_or(StreamBinding::Unbound, StreamBinding::Version);
         Self {
             binding,
@@ -201,7 +200,6 @@
             may_have_run: false,
             avoid: None,
             number: None,
-            used,
             queued: Duration::ZERO,
             fallback: None,
         }
@@ -376,20 +374,10 @@
             avoid: Some(first.to_owned()),
             number: None,
             prompt: call.prompt_note(),
-            late: self.terms().is_late(),
         };
         router.queue.enqueue(request).wait(Instant::now() + wait).await.ok()
     }
 
-    /// What the caller needs from now on.
-    fn terms(&self) -> CallerTerms {
-        CallerTerms {
-            objective: self.call.route.objective(),
-            used: self.used,
-            left: self.call.deadline.saturating_duration_since(Instant::now()),
-        }
-    }
-
     fn is_bound(&self) -> bool {
         matches!(self.binding, StreamBinding::Version(_))
     }
@@ -504,11 +492,13 @@
         retry_taken
     }
 
-    /// Waits for a slot as long as the answer is of use to the caller. While the
-    /// dispatcher does not answer, the wait says nothing about load, so it is
+    /// Waits for a slot as long as the request can still be answered on time. While
+    /// the dispatcher does not answer, the wait says nothing about load, so it is
     /// extended to half of the time between arrival and deadline.
     async fn wait_in_queue(&mut self, request: QueueRequest) -> Result<SlotLease, QueueExit> {
-        let mut limit = Instant::now() + self.terms().longest_wait();
+        let objective = self.call.route.objective();
+        let mut limit =
+            self.call.deadline.min(Instant::now() + objective.mul_f64(QUEUE_WAIT_SHARE));
         loop {
             let ticket = self
                 .state
@@ -522,7 +512,7 @@
             match granted {
                 Err(QueueExit::Deadline) if silent && Instant::now() < later => limit = later,
                 granted => {
-                    if matches!(granted, Err(QueueExit::Deadline)) && !silent && !request.late {
+                    if matches!(granted, Err(QueueExit::Deadline)) && !silent {
                         self.state.router.queue.record_expiry(&request.key);
                     }
                     return granted;
@@ -536,9 +526,8 @@
     /// request may queue.
     fn would_time_out(&self, key: &QueueKey) -> bool {
         let router = &self.state.router;
-        let terms = self.terms();
-        router.dispatch.silence() <= DISPATCHER_SILENCE
-            && !router.queue.admits(key, terms.is_late(), terms.longest_wait())
+        let limit = self.call.route.objective().mul_f64(QUEUE_WAIT_SHARE);
+        router.dispatch.silence() <= DISPATCHER_SILENCE && !router.queue.admits(key, limit)
     }
 
     /// Takes a slot of a service that is no model engine without asking the
@@ -591,7 +580,7 @@
             .map(|upstream| book.time_until_use(&upstream.name, upstream.incarnation))
             .min()?;
         // A leaving upstream is usually replaced, and its successor announces itself.
-        let limit = self.terms().longest_wait();
+        let limit = self.call.route.objective().mul_f64(QUEUE_WAIT_SHARE);
         (wait > limit && wait <= QUIET_LIMIT).then_some(wait)
     }
 
@@ -634,15 +623,11 @@
             avoid: self.avoid.clone(),
             number: self.number,
             prompt: call.prompt_note(),
-            late: self.terms().is_late(),
         };
         if self.number.is_none() && self.would_time_out(&request.key) {
             self.state.router.queue.tally().count_refused();
             return Err((ErrorKind::DeadlineBeforeDispatch, None));
         }
-        if self.number.is_none() && request.late {
-            self.state.router.queue.tally().count_late();
-        }
         let queued_since = Instant::now();
         let granted = self.wait_in_queue(request).await;
         self.queued += queued_since.elapsed();
@@ -654,13 +639,6 @@
         })
     }
 
-    /// Time after which a refused caller should return.
-    fn retry_after(&self) -> Duration {
-        let key = (self.target(), self.call.workspace.clone());
-        let shortage = self.state.router.queue.shortage_time(&key);
-        self.terms().retry_after(shortage, rand::random::<f64>())
-    }
-
     /// Ends the exchange with a rejection, or with the last server error of an
     /// upstream if there is one.
     fn reject(mut self, kind: ErrorKind, wait: Option<Duration>) -> Response<ExchangeBody> {
@@ -680,17 +658,16 @@
             true => ExchangeOutcome::RefusedNotRun,
             false => ExchangeOutcome::Unknown,
         });
-        let wait = answer.retry.then(|| wait.unwrap_or_else(|| self.retry_after()));
         self.state.router.metrics.count_refusal(answer.code);
         log::info!(
             event = "request_refused", request_id = call.head.request_id.as_str(),
             route = call.route.name.as_str(), workspace = call.workspace.as_str(),
             reason = answer.code, attempts = self.attempts, queued_ms = millis(self.queued),
-            elapsed_ms = millis(call.arrival.elapsed()), used_ms = millis(self.used),
-            retry_after_ms = millis(wait.unwrap_or_default()), routes_version = call.version,
+            elapsed_ms = millis(call.arrival.elapsed()), routes_version = call.version,
             via = call.source();
             "request ended without an upstream's response"
         );
+        let wait = answer.retry.then(|| wait.unwrap_or_else(jittered_retry_after));
         self.state.protocol.refusal(kind, wait).map(ExchangeBody::from)
     }
 
@@ -752,3 +729,9 @@
 fn content_length(parts: &response::Parts) -> Option<usize> {
     parts.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
+
+/// `Retry-After` with jitter, so that callers that were rejected at the same time
+/// do not all retry at the same time.
+fn jittered_retry_after() -> Duration {
+    RETRY_AFTER_MIN + RETRY_AFTER_MIN.mul_f64(rand::random::<f64>())
+}
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -151,13 +151,10 @@
     pub decision_sender: oneshot::Sender<QueueDecision>,
     /// Token counts and latency target of the prompt, if known.
     pub prompt: Option<PromptSummary>,
-    /// True if the answer cannot be in time any more. Such requests wait behind the others.
-    pub late: bool,
 }
 
 #[derive(Debug, Default)]
 struct RequestQueue {
-    /// Requests in the order of `late` and their numbers.
     requests: VecDeque<WaitingRequest>,
     /// Sequence number of the first report that carries the latest change.
     change_sequence: u64,
@@ -385,15 +382,7 @@
 
     /// Number of queued requests of one workspace for one target.
     pub fn queued_for(&self, key: &QueueKey) -> usize {
-        self.queued_before(key, true)
-    }
-
-    /// Number of queued requests of one workspace for one target that go before a new one.
-    pub fn queued_before(&self, key: &QueueKey, late: bool) -> usize {
-        self.queues.get(key).map_or(0, |queue| match late {
-            true => queue.requests.len(),
-            false => queue.timely(),
-        })
+        self.queues.get(key).map_or(0, |queue| queue.requests.len())
     }
 
     /// Number of leases that have not ended.
@@ -412,13 +401,11 @@
         self.term
     }
 
-    /// Inserts a request at the position given by its arrival number, behind those that can be
-    /// answered in time if it cannot.
+    /// Inserts a request at the position given by its arrival number.
     pub fn enqueue(&mut self, key: &QueueKey, request: WaitingRequest) {
         let change_sequence = self.sequence + 1;
         let queue = self.queues.get_or_insert_with(key.clone(), RequestQueue::default);
-        let place = (request.late, request.number);
-        let position = queue.requests.partition_point(|held| (held.late, held.number) < place);
+        let position = queue.requests.partition_point(|held| held.number < request.number);
         queue.requests.insert(position, request);
         queue.change_sequence = change_sequence;
         self.queued += 1;
@@ -428,10 +415,9 @@
     pub fn remove(&mut self, key: &QueueKey, number: u64) -> bool {
         let change_sequence = self.sequence + 1;
         let Some(queue) = self.queues.get_mut(key) else { return false };
-        let find = |late| {
-            queue.requests.binary_search_by_key(&(late, number), |held| (held.late, held.number))
+        let Ok(position) = queue.requests.binary_search_by_key(&number, |held| held.number) else {
+            return false;
         };
-        let Ok(position) = find(false).or_else(|_| find(true)) else { return false };
         queue.requests.remove(position);
         queue.change_sequence = change_sequence;
         self.queued -= 1;
@@ -746,11 +732,6 @@
 }
 
 impl RequestQueue {
-    /// Number of requests that can be answered in time.
-    fn timely(&self) -> usize {
-        self.requests.partition_point(|held| !held.late)
-    }
-
     fn entry(&self, (target, workspace): &QueueKey) -> BacklogEntry {
         let first = self.requests.front();
         BacklogEntry {
@@ -767,7 +748,6 @@
                 }
                 None => Vec::new(),
             },
-            late: u32::try_from(self.requests.len() - self.timely()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/router/src/load_tally.rs
+++ b/crates/router/src/load_tally.rs
@@ -14,7 +14,6 @@
     refused: AtomicU64,
     expired: AtomicU64,
     granted: AtomicU64,
-    late: AtomicU64,
     reports: AtomicU64,
     /// Longest time between a report and its answer since the last reading.
     longest_report_ms: AtomicU64,
@@ -29,8 +28,6 @@
     pub expired: u64,
     /// Requests that received a slot of the dispatcher.
     pub granted: u64,
-    /// Requests of refused callers that came back too late for an answer in time.
-    pub late: u64,
     /// Reports answered by the dispatcher, without long polls.
     pub reports: u64,
     /// Longest time between such a report and its answer since the last reading.
@@ -53,11 +50,6 @@
         self.granted.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Counts a request that cannot be answered in time any more.
-    pub fn count_late(&self) {
-        self.late.fetch_add(1, Ordering::Relaxed);
-    }
-
     /// Counts a report that the dispatcher answered after `elapsed`.
     pub fn count_report(&self, elapsed: Duration) {
         self.reports.fetch_add(1, Ordering::Relaxed);
@@ -79,7 +71,6 @@
             refused: self.refused.load(Ordering::Relaxed),
             expired: self.expired.load(Ordering::Relaxed),
             granted: self.granted.load(Ordering::Relaxed),
-            late: self.late.load(Ordering::Relaxed),
             reports: self.reports.load(Ordering::Relaxed),
             longest_report_ms: self.longest_report_ms.swap(0, Ordering::Relaxed),
         }
@@ -93,7 +84,6 @@
             refused: self.refused - earlier.refused,
             expired: self.expired - earlier.expired,
             granted: self.granted - earlier.granted,
-            late: self.late - earlier.late,
             reports: self.reports - earlier.reports,
             longest_report_ms: self.longest_report_ms,
         }
--- a/crates/router/src/load_watch.rs
+++ b/crates/router/src/load_watch.rs
@@ -105,7 +105,7 @@
         let queued = state.queue.book().queued();
         log::info!(
             event = "router_load", refused = counts.refused, expired = counts.expired,
-            granted = counts.granted, late = counts.late, reports = counts.reports,
+            granted = counts.granted, reports = counts.reports,
             longest_report_ms = counts.longest_report_ms, queued = queued,
             in_progress = state.in_progress(), open = state.open_connections(),
             connections = mark.admitted - before.admitted, closed_unread = closed,
--- a/crates/router/src/request_queue.rs
+++ b/crates/router/src/request_queue.rs
@@ -6,7 +6,6 @@
     DecisionList, GrantedSlot, LeaseBook, QueueDecision, QueueKey, WaitingRequest,
 };
 use crate::load_tally::LoadTally;
-use baobabfall_core::caller_patience::CallerPatience;
 use baobabfall_core::dispatch_messages::{CostUnits, LeaseEnd, PromptSummary, UpstreamRoute};
 use baobabfall_core::limit_book::RateStatement;
 use baobabfall_core::neighbour_book::NeighbourBook;
@@ -31,7 +30,6 @@
     book: Mutex<LeaseBook>,
     changed: Notify,
     gates: Mutex<SortedMap<QueueKey, QueueGate>>,
-    patience: Mutex<CallerPatience>,
     tally: LoadTally,
     neighbours: Mutex<NeighbourBook>,
     started: Instant,
@@ -53,8 +51,6 @@
     pub number: Option<u64>,
     /// Token counts and latency target of the prompt, if known.
     pub prompt: Option<PromptSummary>,
-    /// True if the answer cannot be in time any more.
-    pub late: bool,
 }
 
 /// Why a request left the queue without a slot.
@@ -75,7 +71,6 @@
             book: Mutex::new(LeaseBook::new()),
             changed: Notify::new(),
             gates: Mutex::default(),
-            patience: Mutex::default(),
             tally: LoadTally::default(),
             neighbours: Mutex::default(),
             started: Instant::now(),
@@ -104,8 +99,8 @@
 
     /// True if a request that may wait for `limit` can be expected to get a slot,
     /// judging by the recent grants to its queue.
-    pub fn admits(&self, key: &QueueKey, late: bool, limit: Duration) -> bool {
-        let waiting = self.book().queued_before(key, late);
+    pub fn admits(&self, key: &QueueKey, limit: Duration) -> bool {
+        let waiting = self.book().queued_for(key);
         self.with_gate(key, |gate, now| gate.admits(now, waiting, limit))
     }
 
@@ -115,18 +110,6 @@
         self.with_gate(key, QueueGate::record_expiry);
     }
 
-    /// Time for which requests of the queue have been refused without a long break.
-    pub fn shortage_time(&self, key: &QueueKey) -> Duration {
-        self.with_gate(key, |gate, now| gate.shortage_time(now))
-    }
-
-    /// Time that a caller of the route used before, given the time that it states.
-    pub fn time_used(&self, route: &str, stated: Duration) -> Duration {
-        let now = self.started.elapsed();
-        let mut patience = self.patience.lock().unwrap_or_else(PoisonError::into_inner);
-        patience.time_used(now, route, stated)
-    }
-
     /// Counts of refused, expired and granted requests and of reports.
     pub fn tally(&self) -> &LoadTally {
         &self.tally
@@ -223,7 +206,6 @@
             avoid: request.avoid,
             decision_sender,
             prompt: request.prompt,
-            late: request.late,
         };
         book.enqueue(&request.key, waiting);
         drop(book);
--- a/crates/router/src/request_run.rs
+++ b/crates/router/src/request_run.rs
@@ -193,7 +193,6 @@
             avoid: avoid.clone(),
             number: *number,
             prompt: None,
-            late: false,
         };
         let ticket = self.state.queue.enqueue(request);
         *number = Some(ticket.number());
