Counts where shared prefixes are placed and what engines hold in memory

Change: the dispatcher counts the tokens of shared prefixes by the outcome of their placement, and the tokens that leases hold at the upstream with most of them; line prefixes_placed once a second at the leader. Decisions are unchanged.

--- a/crates/controller/src/dispatch_service.rs
+++ b/crates/controller/src/dispatch_service.rs
@@ -1,6 +1,7 @@
 //! Runs the slot dispatcher on the leader: applies the routers' reports and answers with grants.
 
 use crate::replica_driver::ReplicaHandle;
+use baobabfall_core::dispatch_load::DispatchLoad;
 use baobabfall_core::dispatch_messages::{DispatchAnswer, DispatchReport, NodeIdentity};
 use baobabfall_core::dispatch_settings::DispatchSettings;
 use baobabfall_core::error_kind::ErrorKind;
@@ -269,6 +270,7 @@
         let delay = std::mem::take(&mut inner.longest_delay);
         let Some(dispatcher) = &mut inner.dispatcher else { return };
         let load = dispatcher.take_load(now);
+        log_prefixes(&load);
         if load.waiting == 0 && load.unused == 0 {
             return;
         }
@@ -354,6 +356,23 @@
     }
 }
 
+/// Logs where shared prefixes were placed since the last call, and which upstream held most tokens.
+fn log_prefixes(load: &DispatchLoad) {
+    let DispatchLoad { prefixes, memory, .. } = load;
+    if prefixes.read_again() == 0 && prefixes.unknown.requests == 0 {
+        return;
+    }
+    log::info!(
+        event = "prefixes_placed", held = prefixes.held.tokens, unknown = prefixes.unknown.tokens,
+        slots_full = prefixes.slots_full.tokens, window_full = prefixes.window_full.tokens,
+        unusable = prefixes.unusable.tokens, requests_held = prefixes.held.requests,
+        requests_unknown = prefixes.unknown.requests, memory_upstream = memory.upstream,
+        memory_tokens = memory.tokens, memory_shared = memory.shared,
+        memory_running = memory.running;
+        "upstreams read shared prefixes of prompts"
+    );
+}
+
 /// Logs which upstreams became cold or warm since the last call, in one line for all of them.
 fn log_cold_changes(dispatcher: &mut SlotDispatcher) {
     let changes = dispatcher.take_cold_changes();
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -410,6 +410,7 @@
             prefill: 0,
             target_ms: 0,
             paced: false,
+            prompt: None,
         };
         self.add_lease(now, id, usage.lease, record);
         true
--- a/crates/core/src/dispatch_load.rs
+++ b/crates/core/src/dispatch_load.rs
@@ -1,6 +1,8 @@
 //! Summary of what the dispatcher granted, to whom, and how much of it was not used.
 
 use crate::backlog_queue::BacklogQueue;
+use crate::engine_memory::MemoryPeak;
+use crate::prefix_placement::PrefixCounts;
 use crate::slot_dispatcher::SlotDispatcher;
 use std::time::Duration;
 
@@ -42,6 +44,10 @@
     pub prefill: u64,
     /// Prompt tokens that may be granted without a first token, summed over the upstreams.
     pub prefill_window: u64,
+    /// Placements of shared prefixes since the last reading.
+    pub prefixes: PrefixCounts,
+    /// Upstream whose requests held most tokens since the last reading.
+    pub memory: MemoryPeak,
 }
 
 impl SlotDispatcher {
@@ -49,6 +55,8 @@
     pub fn take_load(&mut self, now: Duration) -> DispatchLoad {
         let mut load = self.load(now);
         load.granted = self.decisions - std::mem::replace(&mut self.decisions_read, self.decisions);
+        load.prefixes = std::mem::take(&mut self.prefix_counts);
+        load.memory = std::mem::take(&mut self.memory_peak);
         for (name, id) in self.router_names.iter() {
             let router = &mut self.routers[*id];
             let running = u64::try_from(router.leases.len()).unwrap_or(u64::MAX);
--- a/crates/core/src/dispatch_state.rs
+++ b/crates/core/src/dispatch_state.rs
@@ -4,7 +4,8 @@
 
 use crate::backlog_queue::BacklogQueue;
 use crate::dispatch_messages::{
-    BacklogRefusal, CostUnits, LeaseId, NodeIdentity, SlotGrant, StreamKey, UpstreamRoute,
+    BacklogRefusal, CostUnits, LeaseId, NodeIdentity, PromptSummary, SlotGrant, StreamKey,
+    UpstreamRoute,
 };
 use crate::dispatch_neighbours::ReportedLoad;
 use crate::fair_order::{AccountValue, FairAccount, IndexedHeap, ServiceWindow};
@@ -255,6 +256,8 @@
     pub target_ms: u32,
     /// True when the grant was taken from the rate that the upstream tolerates while cold.
     pub paced: bool,
+    /// What the router reported about the prompt; `None` for adopted leases.
+    pub prompt: Option<PromptSummary>,
 }
 
 /// Service, backlog and running requests of a workspace in a pool.
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -20,8 +20,10 @@
     LeaseRecord, PoolState, RouterState, TargetLocation, TargetState, UpstreamState,
     WorkspacePolicy, WorkspaceState, refusal,
 };
+use crate::engine_memory::MemoryPeak;
 use crate::fair_order::{AccountValue, IndexedHeap, weighted_cost};
 use crate::placement::{PrefixHints, SlotPreference};
+use crate::prefix_placement::{PrefixCounts, PrefixOutcome};
 use crate::rate_limit::WorkspaceLimit;
 use crate::report_pace::report_hold;
 use crate::sorted_map::SortedMap;
@@ -148,6 +150,11 @@
     pub(crate) unwoken_routers: Vec<usize>,
     pub(crate) costs: CostEstimate,
     pub(crate) prefix_hints: PrefixHints,
+    /// Placements of shared prefixes since the last reading of the load.
+    pub(crate) prefix_counts: PrefixCounts,
+    /// Most tokens held at one upstream since then.
+    pub(crate) memory_peak: MemoryPeak,
+    pub(crate) memory_observed_at: Duration,
     /// Parts of prompts that crash upstreams.
     pub(crate) crashes: CrashTracker,
     /// Request rates that upstreams have named.
@@ -212,6 +219,9 @@
             unwoken_routers: Vec::new(),
             costs: CostEstimate::new(settings.estimate_limit),
             prefix_hints: PrefixHints::new(settings.placement.prefix_hint_limit),
+            prefix_counts: PrefixCounts::default(),
+            memory_peak: MemoryPeak::default(),
+            memory_observed_at: now,
             crashes: CrashTracker::default(),
             limits: UpstreamLimits::new(1, 0),
             cold: ColdTracker::new(COLD_MARGIN),
@@ -281,6 +291,7 @@
     /// grants.
     pub fn dispatch(&mut self, now: Duration) -> usize {
         self.advance(now);
+        self.observe_memory(now);
         if self.recovering {
             return 0;
         }
@@ -406,6 +417,13 @@
         let excluded = self.quiet_upstreams(now, next.router);
         let chosen = free.choose(&SlotPreference { zone, affine, avoid, excluded: &excluded });
         let upstream = chosen.expect("the target has a free slot");
+        if let Some(prompt) = next.prompt.filter(|prompt| prompt.prefix.is_some()) {
+            let outcome = match holders.contains(&upstream) {
+                true => PrefixOutcome::Held,
+                false => self.why_not_held(now, &holders),
+            };
+            self.prefix_counts.add(outcome, prompt.shared);
+        }
         if let Some(prefix) = next.prefix {
             self.prefix_hints.record(now, prefix, upstream);
         }
@@ -431,6 +449,7 @@
             }),
             target_ms: next.prompt.map_or(0, |prompt| prompt.target_ms),
             paced: self.is_paced(upstream),
+            prompt: next.prompt,
         };
         self.raise_virtual_time(pool, index, workspace);
         if let Some(policy) = &mut self.workspaces[workspace].policy {
@@ -494,11 +513,17 @@
             // The index of a removed upstream may have been reused for another one.
             upstream.locations.contains(&location)
                 && upstream.running < self.usable_slots(now, *id)
-                && upstream.prefill < HOLDER_PREFILL_WINDOWS * upstream.capacity.prefill_window()
+                && self.accepts_held(*id)
         });
         usable.min_by_key(|id| (self.upstreams[*id].prefill, self.upstreams[*id].running))
     }
 
+    /// True when a holder may get another prompt whose prefix it holds, by its unread tokens.
+    pub(crate) fn accepts_held(&self, id: usize) -> bool {
+        let upstream = &self.upstreams[id];
+        upstream.prefill < HOLDER_PREFILL_WINDOWS * upstream.capacity.prefill_window()
+    }
+
     /// Returns the workspace with the lowest account that a free slot of the pool
     /// can serve, and the index of its target. Among targets of the same workspace
     /// it chooses streams that have begun, which are older than requests that have
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -180,6 +180,10 @@
         name: "peer_unknown",
         meaning: "A message could not be sent because the address of the peer is unknown.",
     },
+    LogEvent {
+        name: "prefixes_placed",
+        meaning: "At most once a second at the leader while upstreams read shared prefixes: tokens of the prefixes of granted requests by outcome (`held`; `unknown`, no holder known; read again because the holders had no free slot, `slots_full`, too many unread tokens, `window_full`, or may not be used, `unusable`), and the upstream whose requests held most tokens of memory.",
+    },
     LogEvent { name: "process_failed", meaning: "The process is exiting with an error." },
     LogEvent {
         name: "process_started",
