--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -399,7 +399,13 @@
             self.backlog.remove(key);
             self.update_backlogged(&key.0);
         }
-        SlotGrant { lease, target: key.1.clone(), workspace: key.0.clone(), upstream: route }
+        SlotGrant {
+            lease,
+            target: key.1.clone(),
+            workspace: key.0.clone(),
+            upstream: route,
+            prefix: None,
+        }
     }
 
     fn add_lease(&mut self, usage: LeaseUsage, estimate: CostUnits) {
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -408,7 +408,9 @@
         let location = TargetLocation { pool, index };
         let affine =
             match next.prompt.and_then(|prompt| prompt.prefix).filter(|_| holders.is_empty()) {
-                Some(prefix) => self.rendezvous_upstream(now, location, prefix),
+                Some(prefix) => self
+                    .presumed_holder(now, location, prefix)
+                    .or_else(|| self.rendezvous_upstream(now, location, prefix)),
                 None => self.least_loaded_holder(now, location, &holders),
             };
         let avoid = next.avoid.as_ref().and_then(|name| self.upstream_names.get(name).copied());
@@ -499,6 +501,26 @@
         free.max_by_key(|id| rendezvous_weight(prefix, self.upstreams[*id].name_hash))
     }
 
+    /// Returns the first choice of rendezvous hashing for a prefix that no upstream is known to
+    /// hold, if it accepts prompts whose prefix it holds. After a change of dispatcher under load
+    /// few upstreams have room in their windows; a choice among these alone would have nearly
+    /// every prefix read again.
+    fn presumed_holder(
+        &self,
+        now: Duration,
+        location: TargetLocation,
+        prefix: u64,
+    ) -> Option<usize> {
+        let members = self.pools[location.pool].members.iter().copied();
+        let usable = members.filter(|id| {
+            let serves = self.upstreams[*id].locations.contains(&location);
+            serves && !self.is_paced(*id) && self.usable_slots(now, *id) > 0
+        });
+        let first =
+            usable.max_by_key(|id| rendezvous_weight(prefix, self.upstreams[*id].name_hash));
+        self.least_loaded_holder(now, location, first.as_slice())
+    }
+
     /// Returns the least loaded upstream that holds a prefix. It may have more
     /// unprocessed prompt tokens than others, because processing the prefix
     /// again elsewhere costs more than the longer wait.
@@ -574,6 +596,7 @@
                 paced: record.paced,
                 ..self.upstreams[record.upstream].route()
             },
+            prefix: record.prompt.and_then(|prompt| prompt.prefix),
         };
         self.routers[router].pending_grants.push_back(grant);
         self.request_answer(router);
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -326,6 +326,7 @@
             target: entry.target.clone(),
             workspace: entry.workspace.clone(),
             upstream: route_of(upstream),
+            prefix: None,
         });
     }
 }
