Takes back the matching of grants by prefix

Cause: apply_answer_grant_goes_to_its_prefix passes also without the matching: the grant of a caller who left takes the first request all the same, so the queue still shifts. Conclusion: grants of one answer must be matched by prefix first, the rest in order.

--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -486,9 +486,6 @@
     /// Upstream that runs the request.
     #[serde(rename = "u")]
     pub upstream: UpstreamRoute,
-    /// Shared prefix for which the upstream was chosen. The router prefers a request with it.
-    #[serde(default, rename = "p", skip_serializing_if = "Option::is_none")]
-    pub prefix: Option<u64>,
 }
 
 /// Instruction to a router to refuse waiting requests of a workspace.
--- a/crates/core/src/local_dispatcher.rs
+++ b/crates/core/src/local_dispatcher.rs
@@ -399,13 +399,7 @@
             self.backlog.remove(key);
             self.update_backlogged(&key.0);
         }
-        SlotGrant {
-            lease,
-            target: key.1.clone(),
-            workspace: key.0.clone(),
-            upstream: route,
-            prefix: None,
-        }
+        SlotGrant { lease, target: key.1.clone(), workspace: key.0.clone(), upstream: route }
     }
 
     fn add_lease(&mut self, usage: LeaseUsage, estimate: CostUnits) {
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -596,7 +596,6 @@
                 paced: record.paced,
                 ..self.upstreams[record.upstream].route()
             },
-            prefix: record.prompt.and_then(|prompt| prompt.prefix),
         };
         self.routers[router].pending_grants.push_back(grant);
         self.request_answer(router);
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -682,7 +682,7 @@
         };
         // The grant may have been on its way when the upstream stated that it is leaving.
         let request = match self.permits(&grant.upstream.name, grant.upstream.incarnation) {
-            true => self.pop_eligible(&key, &grant.upstream.name, grant.prefix),
+            true => self.pop_eligible(&key, &grant.upstream.name),
             false => None,
         };
         let end = request.is_none().then_some(LeaseEnd::Unused);
@@ -704,28 +704,12 @@
         request.map(|request| (request.decision_sender, QueueDecision::Granted(slot)))
     }
 
-    fn pop_eligible(
-        &mut self,
-        key: &QueueKey,
-        upstream: &str,
-        prefix: Option<u64>,
-    ) -> Option<WaitingRequest> {
+    fn pop_eligible(&mut self, key: &QueueKey, upstream: &str) -> Option<WaitingRequest> {
         let change_sequence = self.sequence + 1;
         let queue = self.queues.get_mut(key)?;
-        let mut eligible = queue.requests.iter().enumerate().filter(|(_, request)| {
+        let position = queue.requests.iter().position(|request| {
             request.avoid.as_deref() != Some(upstream) && !request.decision_sender.is_closed()
-        });
-        let (first, first_request) = eligible.next()?;
-        // The queue may have changed since the dispatcher chose the upstream for one of the
-        // prompts that it knew.
-        let position = match prefix {
-            Some(prefix) if first_request.prefix != Some(prefix) => {
-                let reported = eligible.take(MAX_PROMPTS_PER_ENTRY);
-                let mut matching = reported.filter(|(_, request)| request.prefix == Some(prefix));
-                matching.next().map_or(first, |(position, _)| position)
-            }
-            _ => first,
-        };
+        })?;
         queue.change_sequence = change_sequence;
         self.queued -= 1;
         queue.requests.remove(position)
