Presumed holders of prefixes only while a dispatcher is new

Cause: the first choice of rendezvous hashing got prompts beyond its window at all times, also for prefixes that no engine holds. Change: only in the first 10 s of a dispatcher.

--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -39,6 +39,9 @@
 /// cache. With 2, a quarter more prompt tokens were processed again on other upstreams.
 const HOLDER_PREFILL_WINDOWS: u64 = 3;
 
+/// Time after the start of a dispatcher in which it learns where most of the prefixes in use are.
+const PRESUMED_HOLDER_TIME: Duration = Duration::from_secs(10);
+
 /// Dispatcher of one term: the accounts, queues, leases and upstreams of the fleet.
 ///
 /// ```
@@ -504,13 +507,16 @@
     /// Returns the first choice of rendezvous hashing for a prefix that no upstream is known to
     /// hold, if it accepts prompts whose prefix it holds. After a change of dispatcher under load
     /// few upstreams have room in their windows; a choice among these alone would have nearly
-    /// every prefix read again.
+    /// every prefix read again. Later, a prefix without a known holder is most likely held nowhere.
     fn presumed_holder(
         &self,
         now: Duration,
         location: TargetLocation,
         prefix: u64,
     ) -> Option<usize> {
+        if now >= self.started_at + PRESUMED_HOLDER_TIME {
+            return None;
+        }
         let members = self.pools[location.pool].members.iter().copied();
         let usable = members.filter(|id| {
             let serves = self.upstreams[*id].locations.contains(&location);
