--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -223,7 +223,7 @@
         if let Some(connection) = &self.connection {
             connection.renew_allowance();
         }
-        self.waiting_since = None;
+        let was_awaited = self.waiting_since.take().is_some();
         self.bytes += u64::try_from(data.len()).unwrap_or(u64::MAX);
         if let Some(settlement) = &mut self.settlement {
             settlement.update(&data);
@@ -248,6 +248,9 @@
             }
             self.count_events(result.events, now);
             self.event_at = now;
+        } else if !was_awaited {
+            // The data lay unread because the caller paused, which says nothing of the upstream.
+            self.event_at = Instant::now();
         } else if self.event_at.elapsed() >= self.answer_gap * EVENT_GAP_FACTOR {
             return self.on_interrupted("the upstream sent no event in time");
         }
