--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # the scripts can be read by the Python of this machine (3.11 or newer, for tomllib).
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - kit-2/small_site.py [6-9]/case.py 10/case.py <<'P'
+python3 - kit-2/small_site.py kit-2/more/*.py [6-9]/case.py 10/case.py <<'P'
 import ast, os, sys, tomllib
 for name in sys.argv[1:]:
     if os.path.exists(name):
