Controllers without a disk name the group to processes that start

Cause: such a host only redirected operators. It did not listen at the address that routers and controllers derive from a seed, and it knew its seeds and nobody else. So neither the log nor the election is at fault: nobody who starts learns where the members are.

Change: members of an open group send the group (term, committed index, leader, members) once a second to the seeds of their current settings that are not members, and for 60 s to former seeds. A host without a disk listens for processes, keeps the notice with the longest committed log, and answers questions for members and tables with it. Routers ask the members that it names; its answers count neither as a confirmation nor towards a majority. Routers pause longer between attempts (50 to 400 ms), since a whole fleet may wait at three small hosts. Related paths: an empty controller joins through such seeds, and by any member that a seed names; one that lost its disk and is its own only seed joins by the members that still send to it. Log lines say which seeds were asked, what each answered and how old that was.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -3,6 +3,7 @@
 use crate::action_service::ActionService;
 use crate::dispatch_channel::serve_channel;
 use crate::dispatch_service::DispatchService;
+use crate::group_directory::{GroupDirectory, NOTICE_PATH};
 use crate::membership::{JOIN_PATH, JoinRequest, PRESENCE_PATH, ReplicaPresence, accept_join};
 use crate::node_tracker::NodeTracker;
 use crate::operator_api::OperatorApi;
@@ -79,6 +80,8 @@
     pub metrics: NodeMetrics,
     /// Addresses learned from the messages of other replicas.
     pub peer_addresses: PeerAddresses,
+    /// The group as its members describe it, for a replica that is not one of them.
+    pub directory: GroupDirectory,
     /// Client for the leader, used to forward announcements that arrive at a follower. Replaced
     /// when the leader's address changes.
     pub leader: Arc<Mutex<Option<Arc<PeerClient>>>>,
@@ -181,6 +184,13 @@
                 Err(refusal) => refusal.response(),
             },
             PRESENCE_PATH => message_response(&self.presence()),
+            NOTICE_PATH => match read_message(request).await {
+                Ok(notice) => {
+                    self.directory.record(notice);
+                    message_response(&())
+                }
+                Err(refusal) => refusal.response(),
+            },
             JOIN_PATH => match read_message::<JoinRequest>(request).await {
                 Ok(join) => {
                     let joined = accept_join(&self.options, &self.replica, join).await;
@@ -338,12 +348,16 @@
 
     fn presence(&self) -> ReplicaPresence {
         let view = self.replica.view();
+        if view.members.is_empty() {
+            return self.directory.presence();
+        }
         let leader = view.leader.as_ref().map(|leader| leader.id);
         let mut members: Vec<_> = view.members.iter().collect();
         members.sort_by_key(|member| Some(member.identity.id) != leader);
         ReplicaPresence {
-            in_group: !view.members.is_empty(),
+            in_group: true,
             members: members.iter().filter_map(|member| member.address.parse().ok()).collect(),
+            age_ms: 0,
         }
     }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -5,8 +5,11 @@
 use crate::disk_folder::DiskFolder;
 use crate::dispatch_service::DispatchService;
 use crate::error::ControllerError;
+use crate::group_directory::GroupDirectory;
 use crate::log_store::LogStore;
-use crate::membership::{initial_members, is_empty_folder, join_group, stay_in_group};
+use crate::membership::{
+    JoinRequest, inform_seeds, initial_members, is_empty_folder, join_group, stay_in_group,
+};
 use crate::node_tracker::NodeTracker;
 use crate::operator_api::OperatorApi;
 use crate::operator_views;
@@ -165,8 +168,14 @@
         tracker: tracker.clone(),
     };
     let (stop, signal) = stop_channel();
+    let directory = GroupDirectory::default();
     let api = ControlApi {
-        sync: SyncService::new(replica.clone(), registry.clone(), tracker.clone()),
+        sync: SyncService::new(
+            replica.clone(),
+            registry.clone(),
+            tracker.clone(),
+            directory.clone(),
+        ),
         actions: ActionService::new(replica.clone()),
         options: Arc::new(options),
         replica: replica.clone(),
@@ -177,6 +186,7 @@
         metrics,
         leader: Arc::default(),
         peer_addresses,
+        directory: directory.clone(),
         stop: signal.clone(),
     };
     let mut tasks = JoinSet::new();
@@ -184,7 +194,11 @@
     tasks.spawn_on(until_draining(driver.run(), signal.clone()), &group);
     if api.options.settings.group.is_some() {
         let options = ControllerOptions::clone(&api.options);
-        let membership_task = stay_in_group(options, replica.clone(), identity, advertised);
+        let notice_task = inform_seeds(options.clone(), replica.clone(), advertised);
+        tasks.spawn(until_draining(notice_task, signal.clone()));
+        let request = JoinRequest { identity, address: advertised };
+        let peers = api.peer_addresses.clone();
+        let membership_task = stay_in_group(options, replica.clone(), request, directory, peers);
         tasks.spawn(until_draining(membership_task, signal.clone()));
     } else if must_join {
         let options = ControllerOptions::clone(&api.options);
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -1,9 +1,12 @@
 //! Forms a group of controllers at first start and lets controllers join it later.
 
+use crate::group_directory::{GroupDirectory, GroupNotice, NOTICE_PATH, join_addresses};
 use crate::options::ControllerOptions;
+use crate::peer_links::PeerAddresses;
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::replica_members::{MemberChange, ReplicaIdentity, ReplicaMembers};
+use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_node::http_client::PeerClient;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -26,6 +29,12 @@
 /// Time without a leader after which a member of an open group assumes that it was removed and
 /// asks to join again.
 const LEADER_LOSS_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval at which a member tells the seeds that are not members about its group. A seed that
+/// restarts knows nothing until the next notice.
+const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a seed gets notices after the settings have ceased to name it. Other hosts may
+/// still start with the earlier settings.
+const FORMER_SEED_RETENTION: Duration = Duration::from_secs(60);
 
 /// Request to the leader to add a replica to the group.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -44,6 +53,9 @@
     /// Addresses of the known members. The leader's address comes first if the leader is known.
     #[serde(default)]
     pub members: Vec<SocketAddr>,
+    /// Time since a member told this process of the group, in milliseconds; 0 from a member.
+    #[serde(default)]
+    pub age_ms: u64,
 }
 
 /// True when the folder has no files with content, so that no replica has used it yet.
@@ -174,18 +186,22 @@
 
 /// Keeps a controller in an open group: asks to be added whenever it is not a member or has been
 /// without a leader for too long.
+///
+/// A replica that has no log finds the group by its seeds, by the notices in `directory`, or by
+/// `peers`, the replicas that still send to the one which lost its disk at this address.
 pub async fn stay_in_group(
     options: ControllerOptions,
     replica: ReplicaHandle,
-    identity: ReplicaIdentity,
-    address: SocketAddr,
+    request: JoinRequest,
+    directory: GroupDirectory,
+    peers: PeerAddresses,
 ) {
-    let request = JoinRequest { identity: identity.clone(), address };
     let mut last_contact = Instant::now();
+    let mut attempts = 0;
     loop {
         tokio::time::sleep(RETRY_DELAY).await;
         let view = replica.view();
-        let member = view.members.get(identity.id).is_some();
+        let member = view.members.get(request.identity.id).is_some();
         let has_leader = member && (view.leads || view.leader.is_some());
         if has_leader {
             last_contact = Instant::now();
@@ -195,38 +211,115 @@
         if has_leader || (member && last_contact.elapsed() < LEADER_LOSS_TIMEOUT) {
             continue;
         }
-        if ask_to_join(&options, &replica, &request).await {
-            log::info!(event = "group_joined"; "added to the group of controllers");
-            last_contact = Instant::now();
+        let mut known = options.seeds.addresses();
+        known.extend(group_notice(&replica, request.address).members);
+        known.extend(directory.members());
+        known.extend(peers.addresses());
+        match ask_to_join(known, &options.process.token(), &request).await {
+            Ok(()) => {
+                log::info!(event = "group_joined"; "added to the group of controllers");
+                last_contact = Instant::now();
+                attempts = 0;
+            }
+            Err(answers) => {
+                if attempts % ATTEMPTS_PER_LOG == 0 {
+                    log::info!(event = "join_awaited", answers = answers; "no controller has added this one to its group yet");
+                }
+                attempts += 1;
+            }
         }
     }
 }
 
+/// Asks the controllers at `addresses`, and those that they name as members, to add a replica.
+/// On failure, returns for the log what each of `addresses` answered.
 async fn ask_to_join(
-    options: &ControllerOptions,
-    replica: &ReplicaHandle,
+    mut addresses: Vec<SocketAddr>,
+    token: &str,
     request: &JoinRequest,
-) -> bool {
-    let token = options.process.token();
-    let members = replica.view().members;
-    let known = members.iter().filter_map(|member| member.address.parse().ok());
-    let mut addresses: Vec<SocketAddr> =
-        options.seeds.addresses().into_iter().chain(known).collect();
+) -> Result<(), String> {
     addresses.sort_unstable();
     addresses.dedup();
     addresses.retain(|address| *address != request.address);
-    let queries = addresses.iter().map(|address| ask_member(*address, &token));
-    let leaders: Vec<SocketAddr> =
-        futures_util::future::join_all(queries).await.into_iter().flatten().collect();
-    for address in leaders.into_iter().chain(addresses) {
+    let queries = addresses.iter().map(|address| ask_presence_of(*address, token));
+    let presences = futures_util::future::join_all(queries).await;
+    let named = presences.iter().flatten();
+    let leaders = named.clone().filter_map(|presence| presence.members.first().copied());
+    let others = named.flat_map(|presence| presence.members.iter().skip(1).copied());
+    let mut candidates: Vec<SocketAddr> = vec![request.address];
+    for address in leaders.chain(others).chain(addresses.iter().copied()) {
+        if candidates.contains(&address) {
+            continue;
+        }
+        candidates.push(address);
         let client = PeerClient::new(address);
-        let joined: Result<(), _> = client.call(JOIN_PATH, &token, request, ATTEMPT_TIMEOUT).await;
+        let joined: Result<(), _> = client.call(JOIN_PATH, token, request, ATTEMPT_TIMEOUT).await;
         match joined {
-            Ok(()) => return true,
+            Ok(()) => return Ok(()),
             Err(error) => log::debug!(controller = address.to_string(); "join failed: {error}"),
         }
     }
-    false
+    let describe = |(address, presence): (&SocketAddr, &Option<ReplicaPresence>)| match presence {
+        None => format!("{address} unreachable"),
+        Some(known) => {
+            format!("{address} {} members {} ms ago", known.members.len(), known.age_ms)
+        }
+    };
+    Err(addresses.iter().zip(&presences).map(describe).collect::<Vec<_>>().join(", "))
+}
+
+/// Tells seeds that are not members about the group, for as long as this replica is a member. Such
+/// seeds cannot learn of it otherwise, and processes that start know nobody else.
+pub async fn inform_seeds(options: ControllerOptions, replica: ReplicaHandle, address: SocketAddr) {
+    let mut named: SortedMap<SocketAddr, Instant> = SortedMap::new();
+    let mut clients: SortedMap<SocketAddr, PeerClient> = SortedMap::new();
+    let mut informed: Vec<SocketAddr> = Vec::new();
+    loop {
+        for seed in options.seeds.addresses() {
+            named.insert(seed, Instant::now());
+        }
+        named.retain(|_, last| last.elapsed() < FORMER_SEED_RETENTION);
+        let notice = group_notice(&replica, address);
+        let is_outside = |seed: &SocketAddr| *seed != address && !notice.members.contains(seed);
+        clients.retain(|seed, _| named.contains_key(seed) && is_outside(seed));
+        if !notice.members.is_empty() {
+            for seed in named.keys().filter(|seed| is_outside(seed)) {
+                clients.get_or_insert_with(*seed, || PeerClient::new(*seed));
+            }
+            let token = options.process.token();
+            let sent = clients.values().map(|client| send_notice(client, &token, &notice));
+            let heard = futures_util::future::join_all(sent).await.into_iter().flatten().collect();
+            if informed != heard {
+                informed = heard;
+                log::info!(event = "seeds_informed", seeds = join_addresses(&informed), asked = clients.len(), members = notice.members.len(); "seeds that are not members were told of the group");
+            }
+        }
+        tokio::time::sleep(NOTICE_INTERVAL).await;
+    }
+}
+
+/// Returns the address of the seed if it has received the notice.
+async fn send_notice(client: &PeerClient, token: &str, notice: &GroupNotice) -> Option<SocketAddr> {
+    let sent: Result<(), _> = client.call(NOTICE_PATH, token, notice, ATTEMPT_TIMEOUT).await;
+    match sent {
+        Ok(()) => Some(client.address()),
+        Err(error) => {
+            log::debug!(seed = client.address().to_string(); "notice not delivered: {error}");
+            None
+        }
+    }
+}
+
+fn group_notice(replica: &ReplicaHandle, sender: SocketAddr) -> GroupNotice {
+    let view = replica.view();
+    let leader = view.leader.as_ref().and_then(|leader| view.members.get(leader.id));
+    GroupNotice {
+        sender,
+        term: view.term,
+        committed: view.committed,
+        leader: leader.and_then(|member| member.address.parse().ok()),
+        members: view.members.iter().filter_map(|member| member.address.parse().ok()).collect(),
+    }
 }
 
 /// Returns the first member address of whichever controller answers first; the leader's, if that
@@ -243,8 +336,9 @@
 }
 
 async fn ask_member(address: SocketAddr, token: &str) -> Option<SocketAddr> {
-    let client = PeerClient::new(address);
-    let presence: ReplicaPresence =
-        client.call(PRESENCE_PATH, token, &(), ATTEMPT_TIMEOUT).await.ok()?;
-    presence.members.first().copied()
+    ask_presence_of(address, token).await?.members.first().copied()
+}
+
+async fn ask_presence_of(address: SocketAddr, token: &str) -> Option<ReplicaPresence> {
+    PeerClient::new(address).call(PRESENCE_PATH, token, &(), ATTEMPT_TIMEOUT).await.ok()
 }
--- a/crates/controller/src/peer_links.rs
+++ b/crates/controller/src/peer_links.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// All recorded addresses.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).values().copied().collect()
+    }
+
     fn find(&self, peer: &ReplicaIdentity) -> Option<SocketAddr> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).get(&peer.id).copied()
     }
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -1,6 +1,7 @@
 //! Answers sync requests, by which nodes receive the latest workspace table, route table, planned
 //! stops and registry.
 
+use crate::group_directory::GroupDirectory;
 use crate::node_tracker::NodeTracker;
 use crate::registry_service::RegistryService;
 use crate::replica_driver::ReplicaHandle;
@@ -31,15 +32,22 @@
     replica: ReplicaHandle,
     registry: RegistryService,
     tracker: NodeTracker,
+    directory: GroupDirectory,
     /// Version and encoding of the latest route table that was sent.
     encoded_routes: Arc<Mutex<Option<(u64, Bytes)>>>,
 }
 
 impl SyncService {
     /// Creates a service that reads the replica's applied state and the registry, and records each
-    /// requesting node in `tracker`.
-    pub fn new(replica: ReplicaHandle, registry: RegistryService, tracker: NodeTracker) -> Self {
-        Self { replica, registry, tracker, encoded_routes: Arc::default() }
+    /// requesting node in `tracker`. While the replica is not a member, it names the group of
+    /// `directory`.
+    pub fn new(
+        replica: ReplicaHandle,
+        registry: RegistryService,
+        tracker: NodeTracker,
+        directory: GroupDirectory,
+    ) -> Self {
+        Self { replica, registry, tracker, directory, encoded_routes: Arc::default() }
     }
 
     /// Answers a request like [`Self::sync`] and encodes the answer. All answers share one encoding
@@ -128,6 +136,9 @@
 
     fn answer(&self, request: &SyncRequest) -> SyncAnswer {
         let view = self.replica.view();
+        if view.members.is_empty() {
+            return self.directory.sync_answer();
+        }
         let leader = view
             .leader
             .as_ref()
@@ -175,6 +186,7 @@
             routes,
             routes_age_ms: routes_age.map_or(0, millis),
             controllers,
+            group_age_ms: None,
             evacuations,
             evacuation_pending,
         }
--- a/crates/controller/tests/group_fixture/mod.rs
+++ b/crates/controller/tests/group_fixture/mod.rs
@@ -33,6 +33,8 @@
     addresses: Vec<SocketAddr>,
     /// Number of seeds of an open group; 0 for a group of fixed peers.
     seeds: usize,
+    /// Seeds that the settings of the next starts name in place of the first controllers.
+    pub named_seeds: Option<Vec<SocketAddr>>,
     /// Controllers by index; `None` while one is stopped.
     pub controllers: Vec<Option<ControllerHandle>>,
 }
@@ -63,7 +65,8 @@
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
         }
         let addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
-        let mut group = Self { directory, addresses, seeds, controllers: Vec::new() };
+        let controllers = Vec::new();
+        let mut group = Self { directory, addresses, seeds, named_seeds: None, controllers };
         let mut start_tasks = Vec::new();
         for (index, listener) in listeners.into_iter().enumerate() {
             group.create_data_folder(index);
@@ -108,7 +111,9 @@
             text.push_str(&format!("[group]\nfound = {first_start}\ntolerated = 1\n"));
         }
         let peers = if self.seeds > 0 { self.seeds } else { self.addresses.len() };
-        for (peer, address) in self.addresses.iter().take(peers).enumerate() {
+        let first = self.addresses.iter().take(peers).copied().collect();
+        let named = self.named_seeds.clone().unwrap_or(first);
+        for (peer, address) in named.iter().enumerate() {
             text.push_str(&format!("[[peers]]\nname = \"c{peer}\"\naddress = \"{address}\"\n"));
         }
         let settings: ControllerSettings = parse_settings(Path::new("test.toml"), &text).unwrap();
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -114,6 +114,10 @@
         name: "event_loop_delayed",
         meaning: "The event loop ran a due task late: it was overloaded, short of processor time, or the process was paused.",
     },
+    LogEvent {
+        name: "first_tables_awaited",
+        meaning: "A router that started has no tables yet; `answers` says what each controller that it asked answered, and how old the knowledge of a seed that is not a member is.",
+    },
     LogEvent {
         name: "group_awaited",
         meaning: "The first controller waits for answers from the other controllers before it bootstraps a new group.",
@@ -122,6 +126,10 @@
         name: "group_joined",
         meaning: "This controller was added to the group of controllers.",
     },
+    LogEvent {
+        name: "group_learned",
+        meaning: "A process that is not a member of the group was told by the member `sender` who belongs to it; `silence_ms` is the time since the last notice.",
+    },
     LogEvent {
         name: "handover_begun",
         meaning: "The router is crowded and hands new connections of callers to neighbours with room; nothing is read from a connection before a neighbour has taken it.",
@@ -147,6 +155,10 @@
         name: "hedge_ended",
         meaning: "A repeatable request without an answer after `delay_ms` was sent to a second upstream as well; `answered` says which of them answered first, or that both failed.",
     },
+    LogEvent {
+        name: "join_awaited",
+        meaning: "No controller has added this one to its group yet; `answers` says what each of those asked knows of the group, and how old that is.",
+    },
     LogEvent {
         name: "leadership_changed",
         meaning: "This controller learned of a new leader or term.",
@@ -224,6 +236,10 @@
         name: "routes_in_force",
         meaning: "A router applied a route table from `controller`, `age_ms` milliseconds after that controller applied it.",
     },
+    LogEvent {
+        name: "seeds_informed",
+        meaning: "A member told the seeds that are not members about its group; `seeds` are those that received it, `asked` is the number of all. Logged when that changes.",
+    },
     LogEvent {
         name: "send_withheld",
         meaning: "A request was not sent to the upstream of its slot, which was granted before the `reason` arose; it waits for another slot.",
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -135,6 +135,10 @@
     /// Addresses of all controllers in the group.
     #[serde(default)]
     pub controllers: Vec<std::net::SocketAddr>,
+    /// From a process that is not a member of the group: the time since a member told it of the
+    /// group, in milliseconds. Such an answer names the group at most.
+    #[serde(default)]
+    pub group_age_ms: Option<u64>,
     /// The whole route table, when it is newer than the node's. The last field, so that
     /// an encoded table can be appended to an answer that is encoded without one.
     #[serde(default)]
--- a/crates/router/src/leader_link.rs
+++ b/crates/router/src/leader_link.rs
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Records the group members and the leader that a process named which is not a member. Its
+    /// knowledge may be old, so it counts only while this link knows no member, or a lower term.
+    pub fn learn_group(&self, term: u64, leader: Option<SocketAddr>, members: Vec<SocketAddr>) {
+        let is_news = {
+            let state = self.state();
+            state.members.is_empty() || term > state.term
+        };
+        if is_news {
+            self.set_members(term, members);
+            leader.into_iter().for_each(|leader| self.set_leader(term, leader));
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, LinkState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -44,8 +44,14 @@
 const MAX_ROUND_INTERVAL: Duration = Duration::from_millis(1000);
 /// How long a router polls another controller than its own before it tries its own again.
 const SUBSTITUTE_TIME: Duration = Duration::from_secs(5);
-/// Pause between attempts to fetch the initial table.
+/// Pause after the first failed attempt to fetch the initial table; it doubles with each further
+/// one.
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+/// Upper bound to which that pause grows. A whole fleet that starts at once would otherwise keep
+/// three seeds busy with questions that they cannot answer yet.
+const MAX_FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Interval between log lines about the initial table that is missing.
+const AWAITED_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Long-polls a controller for updates, and searches for another one if that fails.
 ///
@@ -70,11 +76,18 @@
 impl TableSync {
     /// Runs until the task is dropped.
     pub async fn run(&self) {
-        while self.fleet.table().is_none() {
-            self.fetch_initial_table().await;
-            if self.fleet.table().is_none() {
-                tokio::time::sleep(FAILURE_PAUSE).await;
+        let (mut pause, mut logged) = (FAILURE_PAUSE, None::<Instant>);
+        loop {
+            let answers = self.fetch_initial_table().await;
+            if self.fleet.table().is_some() {
+                break;
+            }
+            if logged.is_none_or(|at| at.elapsed() >= AWAITED_LOG_INTERVAL) {
+                logged = Some(Instant::now());
+                log::info!(event = "first_tables_awaited", answers = answers; "no controller has given this router its first tables yet");
             }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(MAX_FAILURE_PAUSE);
         }
         let (mut last_heard, mut answer_timeout) = (Instant::now(), ANSWER_TIMEOUT);
         let mut source = self.own_controller();
@@ -223,18 +236,23 @@
 
     /// Takes the initial table from a confirmed answer, or otherwise the highest
     /// revision among the answers of a majority, so that a restarted router cannot
-    /// fall back to a stale table.
-    async fn fetch_initial_table(&self) {
+    /// fall back to a stale table. Returns for the log what each controller answered.
+    async fn fetch_initial_table(&self) -> String {
         let addresses = self.link.addresses();
         let calls =
             addresses.iter().map(|address| self.request_sync(*address, 0, INITIAL_TABLE_TIMEOUT));
-        let answers = addresses.iter().copied().zip(join_all(calls).await);
-        let answers: Vec<(SocketAddr, SyncAnswer)> =
-            answers.filter_map(|(address, answer)| Some((address, answer?))).collect();
+        let answers: Vec<(SocketAddr, Option<SyncAnswer>)> =
+            addresses.iter().copied().zip(join_all(calls).await).collect();
+        let description = describe_answers(&answers);
+        let mut answers: Vec<(SocketAddr, SyncAnswer)> =
+            answers.into_iter().filter_map(|(address, answer)| Some((address, answer?))).collect();
         // The settings may name a part of the group only, without its leader and without a
-        // majority. The next attempt asks all members.
+        // majority, or nobody but processes that know the group. The next attempt asks all members.
         answers.iter().for_each(|(_, answer)| self.record_group(answer));
-        let majority = answers.len() * 2 > addresses.len() && knows_evacuations(&answers);
+        let answered = answers.len();
+        answers.retain(|(_, answer)| answer.group_age_ms.is_none());
+        let asked = addresses.len() - (answered - answers.len());
+        let majority = answers.len() * 2 > asked && knows_evacuations(&answers);
         if majority {
             // The controller with the newest tables may lag behind in these.
             for (address, answer) in &answers {
@@ -250,6 +268,7 @@
         if let Some((address, answer)) = newest.filter(|(_, answer)| answer.confirmed || majority) {
             self.apply_newer(address, answer);
         }
+        description
     }
 
     /// Applies the parts of an answer that are newer than the held ones. Returns
@@ -278,6 +297,10 @@
 
     /// Records the leader and the members of the group that an answer names.
     fn record_group(&self, answer: &SyncAnswer) {
+        if answer.group_age_ms.is_some() {
+            self.link.learn_group(answer.term, answer.leader, answer.controllers.clone());
+            return;
+        }
         if let Some(leader) = answer.leader {
             self.link.set_leader(answer.term, leader);
         }
@@ -354,6 +377,23 @@
     }
 }
 
+/// What each controller answered, for a log line.
+fn describe_answers(answers: &[(SocketAddr, Option<SyncAnswer>)]) -> String {
+    let describe = |(address, answer): &(SocketAddr, Option<SyncAnswer>)| match answer {
+        None => format!("{address} no answer"),
+        Some(answer) => match answer.group_age_ms {
+            Some(age) => {
+                format!("{address} names {} members {age} ms old", answer.controllers.len())
+            }
+            None => format!(
+                "{address} term {} confirmed {} revision {}",
+                answer.term, answer.confirmed, answer.revision
+            ),
+        },
+    };
+    answers.iter().map(describe).collect::<Vec<_>>().join(", ")
+}
+
 /// True if a majority of the group answered that its logs hold no order about a zone that is not
 /// applied. A committed order is in the log of at least one of them, so the newest of their lists
 /// contains it. Controllers that have lost their disk name no members and don't count.
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -56,6 +56,8 @@
     /// Value of `in_contact` in sync answers: whether a follower hears from its group.
     pub in_contact: bool,
     pub leader: Option<SocketAddr>,
+    /// If set, sync answers come from a process that is no member and names the group only.
+    pub group_age_ms: Option<u64>,
     /// Members of the group in sync answers.
     pub members: Vec<SocketAddr>,
     pub term: u64,
@@ -116,6 +118,7 @@
             leads: true,
             in_contact: false,
             leader: Some(address),
+            group_age_ms: None,
             members: Vec::new(),
             term: 3,
             free_slots: usize::MAX,
@@ -217,6 +220,15 @@
         let version = (script.term, script.registry_version);
         let view = RegistryView { version, upstreams: script.upstreams.clone() };
         let stops = StopList { version: script.stops_version, stops: script.stops.clone() };
+        if script.group_age_ms.is_some() {
+            return SyncAnswer {
+                group_age_ms: script.group_age_ms,
+                term: script.term,
+                leader: script.leader,
+                controllers: script.members.clone(),
+                ..SyncAnswer::default()
+            };
+        }
         SyncAnswer {
             departures: script
                 .departures
@@ -225,6 +237,7 @@
             routes: script.routes.clone().filter(|routes| routes.version > request.routes_version),
             routes_age_ms: 0,
             controllers: script.members.clone(),
+            group_age_ms: None,
             confirmed: script.confirmed,
             leads: script.leads,
             in_contact: script.in_contact,
--- a/crates/router/tests/table_sources.rs
+++ b/crates/router/tests/table_sources.rs
@@ -111,3 +111,63 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Starts three seeds that are not members and name the members given, with their leader.
+async fn start_seeds(members: &[FakeController], term: u64) -> [FakeController; 3] {
+    let start = || FakeController::start(vec![]);
+    let seeds = [start().await, start().await, start().await];
+    for seed in &seeds {
+        let mut script = seed.script();
+        (script.leads, script.not_leader, script.term) = (false, true, term);
+        (script.leader, script.group_age_ms) = (Some(members[0].address), Some(10));
+        script.members = members.iter().map(|member| member.address).collect();
+    }
+    seeds
+}
+
+/// Guards against a router that never gets tables because its settings name only hosts that are no
+/// members of the group.
+#[tokio::test]
+async fn initial_table_is_found_through_seeds_that_are_no_members() {
+    let leader = FakeController::start(vec![]).await;
+    leader.script().routes = Some(Arc::new(route_table(7)));
+    let seeds = start_seeds(std::slice::from_ref(&leader), 2).await;
+    let router = TestRouter::start(&seeds.each_ref().map(|seed| seed.address), "").await;
+    wait_for("the table", || router.handle.state().fleet.routes_version() == 7).await;
+    assert_eq!(router.handle.state().link.leader_term(), 3);
+}
+
+/// Guards against old tables in force: processes that only know the group are no majority of it.
+#[tokio::test]
+async fn initial_table_of_one_member_is_not_confirmed_by_seeds() {
+    let start = || FakeController::start(vec![]);
+    let members = [start().await, start().await, start().await];
+    for member in &members {
+        let mut script = member.script();
+        (script.confirmed, script.leads, script.leader) = (false, false, None);
+        script.members = members.iter().map(|member| member.address).collect();
+        script.routes = Some(Arc::new(route_table(7)));
+    }
+    for silent in &members[1..] {
+        silent.script().silent = true;
+    }
+    let seeds = start_seeds(&members, 2).await;
+    let router = TestRouter::start(&seeds.each_ref().map(|seed| seed.address), "").await;
+    wait_for("questions to the member", || members[0].script().sync_count > 2).await;
+    assert!(router.handle.state().fleet.table().is_none());
+    members[1].script().silent = false;
+    wait_for("the table", || router.handle.state().fleet.routes_version() == 7).await;
+}
+
+/// Guards against a router that forgets members because a seed named an older list of them.
+#[tokio::test]
+async fn learn_group_of_known_term_is_ignored() {
+    let (_controllers, router) = start_with_second_as_leader().await;
+    let link = &router.handle.state().link;
+    let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    link.set_members(3, vec![address(7)]);
+    link.learn_group(3, Some(address(8)), vec![address(8)]);
+    assert_eq!(link.members(), [address(7)]);
+    link.learn_group(4, Some(address(9)), vec![address(9)]);
+    assert_eq!((link.members(), link.leader()), (vec![address(9)], address(9)));
+}
