Streams of a router that is lost together with the leader go on elsewhere

Cause: which software version began a stream was known to the router that relayed it and to the dispatcher in the leader's memory. Both stand on one host. The next dispatcher asks the routers for full reports, and the one router that could tell is the lost one.

Change: each router sends a second copy of the origins of its streams to the controller that it polls for tables, a follower, with the poll that goes there anyway; the controller names its incarnation, and a router sends all of them again to a new holder. Weighed: the leader sends its origins to the followers (84 KB/s at the leader for each of them at the target, 25 wanted); the next leader collects all copies when it starts (1.3 MB and 84,000 entries at the moment when its loop is busiest); going on at the one version that serves (wrong just after a release).

Conclusion: the fault is the missing copy away from the leader's host. A stream that began within the last poll, up to a second before the loss, is still refused.

--- a/crates/bench/src/origins.rs
+++ b/crates/bench/src/origins.rs
@@ -7,7 +7,7 @@
 use crate::message_slopes::NODE_REQUESTS;
 use crate::options::BenchOptions;
 use crate::slope_fit::median;
-use baobabfall_core::dispatch_messages::{OriginReport, StreamKey, StreamOrigin};
+use baobabfall_core::dispatch_messages::{OriginCopy, OriginReport, StreamKey, StreamOrigin};
 use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::stream_origins::{FLEET_STREAM_LIMIT, OriginBook, OriginDirectory};
@@ -29,6 +29,10 @@
 const MICRO: f64 = 1e6;
 /// Percentage of a core that control may take on a node.
 const CONTROL_PERCENT: f64 = 1.2;
+/// Control traffic that a node may have, in bytes a second.
+const CONTROL_BYTES: f64 = 25_000.0;
+/// Controllers that hold the second copies at the target: all voters but the leader.
+const COPY_HOLDERS: f64 = 4.0;
 
 fn origin(version: u64) -> StreamOrigin {
     let software =
@@ -40,14 +44,18 @@
 pub async fn run(options: &BenchOptions) -> Result<ExperimentResult, BenchError> {
     let mut result = ExperimentResult::new("origins", options.seed);
     let mut random = SmallRng::seed_from_u64(options.seed);
-    let mut last = 0.0;
+    let (mut last, mut quarter) = (0.0, 0.0);
     for keys in SIZES {
-        last = measure_directory(&mut result, &mut random, keys);
+        (quarter, last) = (last, measure_directory(&mut result, &mut random, keys));
         measure_sorted_list(&mut result, &mut random, keys);
     }
     let percent = KEYS_PER_SECOND * last / MICRO * 100.0;
     result.target("leader_core", percent, "%", TargetBound::AtMost(CONTROL_PERCENT));
+    // A holder of copies knows a quarter of the keys, which is the size before the last.
+    let percent = KEYS_PER_SECOND / COPY_HOLDERS * quarter / MICRO * 100.0;
+    result.target("copy_holder_core", percent, "%", TargetBound::AtMost(CONTROL_PERCENT));
     measure_reports(&mut result, &mut random)?;
+    measure_copies(&mut result, &mut random)?;
     Ok(result)
 }
 
@@ -125,3 +133,25 @@
     result.figure("report_bytes_at_leader", KEYS_PER_SECOND * key_bytes, "B/s");
     Ok(())
 }
+
+/// What the second copies add to the polls of a router, and what a holder of copies receives in a
+/// second at the target.
+fn measure_copies(result: &mut ExperimentResult, random: &mut SmallRng) -> Result<(), BenchError> {
+    let mut sizes = Vec::new();
+    for keys in [0_u32, 100, 1_100] {
+        let mut book = OriginBook::default();
+        for _ in 0..keys {
+            book.record(Duration::ZERO, random.random(), Some(&origin(1)), PATIENCE, 1);
+        }
+        let (_, begun) = book.copy(Duration::ZERO, false);
+        let bytes = encode(&OriginCopy { holder: 1_764_000_000_000, begun });
+        let bytes = bytes.map_err(|error| BenchError::Fleet(error.to_string()))?;
+        sizes.push(to_float(u64::try_from(bytes.len()).unwrap_or(u64::MAX)));
+    }
+    let key_bytes = (sizes[2] - sizes[1]) / 1_000.0;
+    result.figure("copy_bytes_per_poll", sizes[0], "B");
+    result.figure("copy_bytes_per_node", NODE_REQUESTS * 2.0 * key_bytes, "B/s");
+    let held = KEYS_PER_SECOND / COPY_HOLDERS * key_bytes;
+    result.target("copy_bytes_at_holder", held, "B/s", TargetBound::AtMost(CONTROL_BYTES));
+    Ok(())
+}
--- a/crates/bench/src/router_model.rs
+++ b/crates/bench/src/router_model.rs
@@ -189,6 +189,7 @@
                 zone: zone_of(index).to_owned(),
                 in_progress: Arc::default(),
                 metrics: metrics.clone(),
+                queue: Arc::clone(&self.queues[index]),
             };
             self.tasks.spawn(async move { sync.run().await });
             views.push(fleet);
--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -8,6 +8,7 @@
 use crate::node_tracker::NodeTracker;
 use crate::operator_api::OperatorApi;
 use crate::options::ControllerOptions;
+use crate::origin_service::OriginService;
 use crate::peer_links::{PeerAddresses, PeerEnvelope, REPLICA_PATH};
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
@@ -26,8 +27,9 @@
 };
 use baobabfall_node::messages::{
     ANNOUNCE_PATH, AnnounceAnswer, AnnounceMessage, CLAIM_PATH, ClaimRequest, DISPATCH_PATH,
-    DISPATCH_PROTOCOL, EVACUATIONS_PATH, FORWARD_PATH, OUTCOME_PATH, OutcomeRequest, REPORT_PATH,
-    ROUTES_PATH, RouteChange, SYNC_PATH, UpstreamDeparture, UpstreamWithdrawal, WITHDRAW_PATH,
+    DISPATCH_PROTOCOL, EVACUATIONS_PATH, FORWARD_PATH, ORIGINS_PATH, OUTCOME_PATH, OutcomeRequest,
+    REPORT_PATH, ROUTES_PATH, RouteChange, SYNC_PATH, UpstreamDeparture, UpstreamWithdrawal,
+    WITHDRAW_PATH,
 };
 use baobabfall_node::node_metrics::NodeMetrics;
 use baobabfall_node::operator_messages::{NodeView, OPERATOR_PREFIX, ZONES_PATH};
@@ -82,6 +84,8 @@
     pub peer_addresses: PeerAddresses,
     /// The group as its members describe it, for a replica that is not one of them.
     pub directory: GroupDirectory,
+    /// Copies of the origins of streams.
+    pub origins: OriginService,
     /// Client for the leader, used to forward announcements that arrive at a follower. Replaced
     /// when the leader's address changes.
     pub leader: Arc<Mutex<Option<Arc<PeerClient>>>>,
@@ -161,6 +165,10 @@
                 Ok(message) => self.sync.sync_response(&message).await,
                 Err(refusal) => refusal.response(),
             },
+            ORIGINS_PATH => match read_message(request).await {
+                Ok(lookup) => message_response(&self.origins.answer(&lookup)),
+                Err(refusal) => refusal.response(),
+            },
             REPLICA_PATH => match read_message(request).await {
                 Ok(PeerEnvelope { address, message }) => {
                     self.peer_addresses.record(&message.from, address);
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -14,6 +14,7 @@
 use crate::operator_api::OperatorApi;
 use crate::operator_views;
 use crate::options::ControllerOptions;
+use crate::origin_service::OriginService;
 use crate::peer_links::{PeerAddresses, PeerLinks, REPLICA_PATH};
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaDriver, ReplicaHandle};
@@ -168,13 +169,14 @@
         tracker: tracker.clone(),
     };
     let (stop, signal) = stop_channel();
-    let directory = GroupDirectory::default();
+    let (directory, origins) = (GroupDirectory::default(), OriginService::new());
     let api = ControlApi {
         sync: SyncService::new(
             replica.clone(),
             registry.clone(),
             tracker.clone(),
             directory.clone(),
+            origins.clone(),
         ),
         actions: ActionService::new(replica.clone()),
         options: Arc::new(options),
@@ -187,6 +189,7 @@
         leader: Arc::default(),
         peer_addresses,
         directory: directory.clone(),
+        origins,
         stop: signal.clone(),
     };
     let mut tasks = JoinSet::new();
@@ -486,6 +489,7 @@
             routes_version: u64::MAX,
             departures_version: u64::MAX,
             evacuations_version: u64::MAX,
+            origins: None,
             leader_term: u64::MAX,
             node: node.clone(),
             kind: NodeKind::Controller,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod operator_api;
 pub mod operator_views;
 pub mod options;
+pub mod origin_service;
 pub mod peer_links;
 pub mod record_codec;
 pub mod registry_service;
--- a/crates/controller/src/sync_service.rs
+++ b/crates/controller/src/sync_service.rs
@@ -3,6 +3,7 @@
 
 use crate::group_directory::GroupDirectory;
 use crate::node_tracker::NodeTracker;
+use crate::origin_service::OriginService;
 use crate::registry_service::RegistryService;
 use crate::replica_driver::ReplicaHandle;
 use baobabfall_core::error_kind::ErrorKind;
@@ -33,21 +34,23 @@
     registry: RegistryService,
     tracker: NodeTracker,
     directory: GroupDirectory,
+    origins: OriginService,
     /// Version and encoding of the latest route table that was sent.
     encoded_routes: Arc<Mutex<Option<(u64, Bytes)>>>,
 }
 
 impl SyncService {
     /// Creates a service that reads the replica's applied state and the registry, and records each
-    /// requesting node in `tracker`. While the replica is not a member, it names the group of
-    /// `directory`.
+    /// requesting node in `tracker` and its copy of origins in `origins`. While the replica is not a
+    /// member, it names the group of `directory`.
     pub fn new(
         replica: ReplicaHandle,
         registry: RegistryService,
         tracker: NodeTracker,
         directory: GroupDirectory,
+        origins: OriginService,
     ) -> Self {
-        Self { replica, registry, tracker, directory, encoded_routes: Arc::default() }
+        Self { replica, registry, tracker, directory, origins, encoded_routes: Arc::default() }
     }
 
     /// Answers a request like [`Self::sync`] and encodes the answer. All answers share one encoding
@@ -93,6 +96,7 @@
     /// changes, so it holds no answer back.
     pub async fn sync(&self, request: &SyncRequest) -> SyncAnswer {
         self.tracker.record_sync(request);
+        request.origins.iter().for_each(|copy| self.origins.record(copy));
         if request.revision == 0 && request.wait_ms == 0 {
             return self.confirmed_answer(request).await;
         }
@@ -189,6 +193,7 @@
             group_age_ms: None,
             evacuations,
             evacuation_pending,
+            holder: request.origins.as_ref().map_or(0, |_| self.origins.incarnation()),
         }
     }
 
--- a/crates/controller/tests/control_group.rs
+++ b/crates/controller/tests/control_group.rs
@@ -182,6 +182,7 @@
         departures_version: 0,
         leader_term: u64::MAX,
         evacuations_version: 0,
+        origins: None,
     }
 }
 
--- a/crates/controller/tests/follower_sync.rs
+++ b/crates/controller/tests/follower_sync.rs
@@ -4,15 +4,22 @@
 
 mod group_fixture;
 
-use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::dispatch_messages::{
+    NodeIdentity, OriginAnswer, OriginCopy, OriginGroup, OriginLookup, StreamOrigin,
+};
+use baobabfall_core::software_version::SoftwareVersion;
 use baobabfall_node::http_client::PeerClient;
 use baobabfall_node::messages::{
-    ANNOUNCE_PATH, NodeKind, SYNC_PATH, SyncAnswer, SyncRequest, WITHDRAW_PATH,
+    ANNOUNCE_PATH, NodeKind, ORIGINS_PATH, SYNC_PATH, SyncAnswer, SyncRequest, WITHDRAW_PATH,
 };
 use group_fixture::{CALL_TIMEOUT, GroupFixture, PROCESS_TOKEN, UPSTREAM_TOKEN};
 use serde_json::{Value, json};
 
 async fn sync(group: &GroupFixture, index: usize) -> SyncAnswer {
+    sync_with(group, index, None).await
+}
+
+async fn sync_with(group: &GroupFixture, index: usize, origins: Option<OriginCopy>) -> SyncAnswer {
     let request = SyncRequest {
         node: NodeIdentity { name: "router-1".to_owned(), incarnation: 1 },
         kind: NodeKind::Router,
@@ -26,6 +33,7 @@
         departures_version: 0,
         leader_term: u64::MAX,
         evacuations_version: 0,
+        origins,
     };
     let client = PeerClient::new(group.address(index));
     client.call(SYNC_PATH, PROCESS_TOKEN, &request, CALL_TIMEOUT).await.unwrap()
@@ -85,3 +93,32 @@
     group.wait_for(|_| (!handle.replica().view().in_contact).then_some(())).await;
     assert!(!sync(&group, others[0]).await.in_contact);
 }
+
+/// Guards against streams that nobody knows any more once the leader and the router that began them
+/// are lost together: a follower holds a copy, and says when it has lost it.
+#[tokio::test]
+async fn sync_with_follower_keeps_copy_of_origins() {
+    let mut group = GroupFixture::start_open(3).await;
+    group.wait_for_voters(3).await;
+    let leader = group.leader().await;
+    let follower = (leader + 1) % 3;
+    let software = SoftwareVersion::parse("v1").unwrap();
+    let origin = StreamOrigin { service: "m".to_owned(), software };
+    let begun = vec![OriginGroup { origin: Some(origin.clone()), streams: vec![(7, 60_000)] }];
+    let copy = OriginCopy { holder: 0, begun };
+    let holder = sync_with(&group, follower, Some(copy)).await.holder;
+    assert!(holder > 0);
+    assert_eq!(sync(&group, follower).await.holder, 0, "nothing was listed");
+    group.kill(leader).await;
+    let lookup = OriginLookup { keys: vec![7, 8] };
+    let client = PeerClient::new(group.address(follower));
+    let answers: Vec<OriginAnswer> =
+        client.call(ORIGINS_PATH, PROCESS_TOKEN, &lookup, CALL_TIMEOUT).await.unwrap();
+    let found: Vec<_> = answers.into_iter().map(|answer| (answer.key, answer.origin)).collect();
+    assert_eq!(found, [(7, Some(origin)), (8, None)]);
+    group.restart(leader).await;
+    group.kill(follower).await;
+    group.restart(follower).await;
+    let later = OriginCopy { holder, begun: vec![] };
+    assert_ne!(sync_with(&group, follower, Some(later)).await.holder, holder);
+}
--- a/crates/controller/tests/open_group.rs
+++ b/crates/controller/tests/open_group.rs
@@ -171,6 +171,7 @@
         departures_version: 0,
         leader_term: u64::MAX,
         evacuations_version: 0,
+        origins: None,
     }
 }
 
--- a/crates/controller/tests/zone_evacuations.rs
+++ b/crates/controller/tests/zone_evacuations.rs
@@ -134,6 +134,7 @@
         departures_version: 0,
         leader_term: u64::MAX,
         evacuations_version: version,
+        origins: None,
     };
     let client = PeerClient::new(group.address(index));
     client.call(SYNC_PATH, PROCESS_TOKEN, &request, CALL_TIMEOUT).await.unwrap()
--- a/crates/core/src/dispatch_intake.rs
+++ b/crates/core/src/dispatch_intake.rs
@@ -246,12 +246,7 @@
 
     /// Records which streams the router began, and which ones it asks for.
     fn apply_origins(&mut self, now: Duration, id: usize, report: &OriginReport) {
-        for group in &report.begun {
-            for &(key, left_ms) in &group.streams {
-                let left = Duration::from_millis(left_ms.into());
-                self.origins.record(now, key, group.origin.as_ref(), left);
-            }
-        }
+        self.origins.record_groups(now, &report.begun);
         let router = &mut self.routers[id];
         for key in &report.lookups {
             router.lookups.insert(*key, ());
--- a/crates/core/src/dispatch_messages.rs
+++ b/crates/core/src/dispatch_messages.rs
@@ -315,6 +315,30 @@
     /// Its origin; `None` when no router has reported it or when it is ambiguous.
     #[serde(rename = "o")]
     pub origin: Option<StreamOrigin>,
+    /// True if streams with this key began at several origins.
+    #[serde(default, rename = "a", skip_serializing_if = "is_default")]
+    pub ambiguous: bool,
+}
+
+/// Second copy of the origins of a router's streams, for a controller that doesn't lead. It
+/// survives the loss of the host of both the router and the leader.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginCopy {
+    /// Incarnation of the controller that has confirmed all other streams; zero if there are none,
+    /// as all are listed.
+    #[serde(rename = "h")]
+    pub holder: u64,
+    /// Streams that the router began.
+    #[serde(rename = "b")]
+    pub begun: Vec<OriginGroup>,
+}
+
+/// Streams whose origins a router looks for in the copies that controllers hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginLookup {
+    /// Keys of the streams.
+    #[serde(rename = "k")]
+    pub keys: Vec<StreamKey>,
 }
 
 /// Requests of one workspace that a router turned away before they could join its queue, since it
--- a/crates/core/src/slot_dispatcher.rs
+++ b/crates/core/src/slot_dispatcher.rs
@@ -676,8 +676,7 @@
             return Vec::new();
         }
         let lookups = std::mem::take(&mut self.routers[id].lookups);
-        let find = |(key, ())| OriginAnswer { key, origin: self.origins.find(now, key).cloned() };
-        lookups.into_iter().map(find).collect()
+        lookups.into_iter().map(|(key, ())| self.origins.answer(now, key)).collect()
     }
 
     /// The request rates that upstreams have named.
--- a/crates/core/src/stream_origins.rs
+++ b/crates/core/src/stream_origins.rs
@@ -2,9 +2,10 @@
 //! a stream at any router gets the rest of it from the same version.
 //!
 //! Each router reports the streams that it begins; the dispatcher keeps those of all routers
-//! and answers lookups.
+//! and answers lookups. Each router also sends a copy to a controller that doesn't lead, for the
+//! case that the router and the leader are lost together.
 
-use crate::dispatch_messages::{OriginGroup, StreamKey, StreamOrigin};
+use crate::dispatch_messages::{OriginAnswer, OriginGroup, StreamKey, StreamOrigin};
 use crate::sorted_map::SortedMap;
 use std::time::Duration;
 
@@ -110,6 +111,23 @@
         self.len += 1;
     }
 
+    /// Records streams that a router has listed.
+    pub fn record_groups(&mut self, now: Duration, groups: &[OriginGroup]) {
+        for group in groups {
+            for &(key, left_ms) in &group.streams {
+                let left = Duration::from_millis(left_ms.into());
+                self.record(now, key, group.origin.as_ref(), left);
+            }
+        }
+    }
+
+    /// What is known of a stream that a router asks for.
+    pub fn answer(&self, now: Duration, key: StreamKey) -> OriginAnswer {
+        let origin = self.find(now, key).cloned();
+        let ambiguous = origin.is_none() && self.locate(now, key).is_some();
+        OriginAnswer { key, origin, ambiguous }
+    }
+
     /// The origin of a stream that can still be resumed, unless it is ambiguous.
     pub fn find(&self, now: Duration, key: StreamKey) -> Option<&StreamOrigin> {
         let (_, entry) = self.locate(now, key)?;
@@ -208,11 +226,20 @@
     begun: OriginDirectory,
     /// Streams that are not acknowledged, with their report.
     unacknowledged: SortedMap<StreamKey, u64>,
+    /// Streams that are not in a confirmed copy, with the number of the first copy that lists them.
+    uncopied: SortedMap<StreamKey, u64>,
+    /// Number of the last copy.
+    copies: u64,
 }
 
 impl Default for OriginBook {
     fn default() -> Self {
-        Self { begun: OriginDirectory::new(ROUTER_STREAM_LIMIT), unacknowledged: SortedMap::new() }
+        Self {
+            begun: OriginDirectory::new(ROUTER_STREAM_LIMIT),
+            unacknowledged: SortedMap::new(),
+            uncopied: SortedMap::new(),
+            copies: 0,
+        }
     }
 }
 
@@ -228,12 +255,34 @@
     ) {
         self.begun.record(now, key, origin, left);
         self.unacknowledged.insert(key, sequence);
-        if self.unacknowledged.len() > ROUTER_STREAM_LIMIT {
-            let begun = &self.begun;
-            self.unacknowledged.retain(|key, _| begun.locate(now, *key).is_some());
+        self.uncopied.insert(key, self.copies + 1);
+        let begun = &self.begun;
+        for pending in [&mut self.unacknowledged, &mut self.uncopied] {
+            if pending.len() > ROUTER_STREAM_LIMIT {
+                pending.retain(|key, _| begun.locate(now, *key).is_some());
+            }
         }
     }
 
+    /// Number and content of the next copy: all streams if it is `full`, otherwise those that are
+    /// not in a confirmed one.
+    pub fn copy(&mut self, now: Duration, full: bool) -> (u64, Vec<OriginGroup>) {
+        self.copies += 1;
+        let groups = match full {
+            true => self.begun.groups(now),
+            false => {
+                let new = self.uncopied.keys().filter_map(|key| self.begun.locate(now, *key));
+                self.begun.group(now, new)
+            }
+        };
+        (self.copies, groups)
+    }
+
+    /// Records that a controller holds the copies up to `number`.
+    pub fn confirm_copy(&mut self, number: u64) {
+        self.uncopied.retain(|_, first| *first > number);
+    }
+
     /// The origin of a stream that this router began.
     pub fn find(&self, now: Duration, key: StreamKey) -> Option<&StreamOrigin> {
         self.begun.find(now, key)
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -115,6 +115,27 @@
     assert_eq!(keys(book.report(NOW + Duration::from_secs(11), true, 4)), [0; 0]);
 }
 
+/// Guards against a second copy that a lost message leaves incomplete, and against a new holder that
+/// learns only of later streams.
+#[test]
+fn copy_repeats_until_confirmed() {
+    let mut book = OriginBook::default();
+    let keys = |(_, groups): (u64, Vec<OriginGroup>)| -> Vec<StreamKey> {
+        groups.iter().flat_map(|group| group.streams.iter().map(|(key, _)| *key)).collect()
+    };
+    book.record(NOW, 7, Some(&origin("v1")), Duration::from_secs(9), 4);
+    let (first, _) = book.copy(NOW, false);
+    book.record(NOW, 8, Some(&origin("v1")), Duration::from_secs(9), 4);
+    assert_eq!(keys(book.copy(NOW, false)), [7, 8], "the first copy was lost");
+    book.confirm_copy(first);
+    assert_eq!(keys(book.copy(NOW, false)), [8], "the first copy arrived late");
+    let (last, _) = book.copy(NOW, false);
+    book.confirm_copy(last);
+    assert_eq!(keys(book.copy(NOW, false)), [0; 0]);
+    assert_eq!(keys(book.copy(NOW, true)), [7, 8]);
+    assert!(book.is_changed(3), "a copy is no report");
+}
+
 /// Guards against a guess: streams of requests with the same content that began at two versions,
 /// at two routers, are ambiguous, also for the next dispatcher.
 #[test]
@@ -127,6 +148,11 @@
     directory.record(NOW, 7, Some(&origin("v2")), lifetime);
     directory.record(NOW, 7, Some(&origin("v2")), lifetime);
     assert_eq!(directory.find(NOW, 7), None);
+    let answers = [directory.answer(NOW, 7), directory.answer(NOW, 8)];
+    assert_eq!(
+        answers.map(|answer| (answer.origin, answer.ambiguous)),
+        [(None, true), (None, false)]
+    );
     let mut next = OriginDirectory::new(100);
     next.record(NOW, 7, Some(&origin("v1")), lifetime);
     for group in directory.groups(NOW) {
@@ -155,8 +181,8 @@
         dispatcher.take_answer(now, "r2").origins
     };
     let answers = ask(&mut second, &mut dispatcher, ms(10));
-    let found = OriginAnswer { key: 7, origin: Some(origin("v1")) };
-    let missing = OriginAnswer { key: 8, origin: None };
+    let found = OriginAnswer { key: 7, origin: Some(origin("v1")), ambiguous: false };
+    let missing = OriginAnswer { key: 8, origin: None, ambiguous: false };
     assert_eq!(answers, [found.clone(), missing.clone()]);
     assert!(dispatcher.take_answer(ms(10), "r2").origins.is_empty());
 
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -271,6 +271,10 @@
         name: "stream_broken",
         meaning: "An upstream broke off an event stream; `again` says whether it is resumed at another upstream.",
     },
+    LogEvent {
+        name: "stream_copies_asked",
+        meaning: "The dispatcher does not know a stream that a caller resumes, or does not answer (`dispatcher_answered`); of the controllers `asked` for their copies, `answered` did; `software` is the version found.",
+    },
     LogEvent {
         name: "stream_not_resumed",
         meaning: "An event stream could not be resumed at another upstream.",
--- a/crates/node/src/messages.rs
+++ b/crates/node/src/messages.rs
@@ -4,7 +4,7 @@
 pub use baobabfall_core::action_ledger::FencingToken;
 pub use baobabfall_core::control_command::StopKind;
 use baobabfall_core::departure_set::DepartureList;
-use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity};
+use baobabfall_core::dispatch_messages::{DispatchAnswer, NodeIdentity, OriginCopy};
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::upstream_registry::UpstreamAnnouncement;
 use baobabfall_core::workspace_table::{RowChange, WorkspaceTable};
@@ -21,6 +21,9 @@
 pub const DISPATCH_PROTOCOL: &str = "baobabfall-dispatch";
 /// `POST` sends a [`SyncRequest`].
 pub const SYNC_PATH: &str = "/control/v1/sync";
+/// `POST` sends a [`baobabfall_core::dispatch_messages::OriginLookup`], which any controller answers
+/// with a list of [`baobabfall_core::dispatch_messages::OriginAnswer`] from the copies that it holds.
+pub const ORIGINS_PATH: &str = "/control/v1/origins";
 /// `POST` forwards an [`AnnounceMessage`] to the leader.
 pub const FORWARD_PATH: &str = "/control/v1/announce";
 /// `POST` sends a [`RouteChange`] from a follower to the leader.
@@ -93,6 +96,9 @@
     /// Version of the list of evacuated zones that the node holds.
     #[serde(default)]
     pub evacuations_version: u64,
+    /// Copy of the origins of the streams that a router began.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origins: Option<OriginCopy>,
 }
 
 /// Answer to a [`SyncRequest`]. Revisions and versions only increase.
@@ -139,6 +145,10 @@
     /// group, in milliseconds. Such an answer names the group at most.
     #[serde(default)]
     pub group_age_ms: Option<u64>,
+    /// Incarnation of the answering controller, which holds the streams that the request listed as
+    /// begun; zero if it holds none.
+    #[serde(default)]
+    pub holder: u64,
     /// The whole route table, when it is newer than the node's. The last field, so that
     /// an encoded table can be appended to an answer that is encoded without one.
     #[serde(default)]
--- a/crates/router/src/exchange_api.rs
+++ b/crates/router/src/exchange_api.rs
@@ -156,7 +156,7 @@
     if head.last_event.is_none() || !route.kind.is_stream() {
         return Ok(None);
     }
-    let found = find_origin(&state.router.queue, stream, deadline).await;
+    let found = find_origin(&state.router.queue, &state.router.link, stream, deadline).await;
     // A change of the route table may have moved the route to other services.
     let found = found.and_then(|origin| match route.has_service(&origin.service) {
         true => Ok(origin),
--- a/crates/router/src/lease_book.rs
+++ b/crates/router/src/lease_book.rs
@@ -11,8 +11,8 @@
 use baobabfall_core::account_statement::{STATEMENT_LIMIT, StatementStore};
 use baobabfall_core::dispatch_messages::{
     BacklogEntry, BacklogRefusal, CostUnits, CrashCasualty, DispatchAnswer, DispatchReport,
-    LeaseEnd, LeaseId, LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, OriginReport, PartId,
-    PartList, PromptSummary, RouterLoad, SlotGrant, StreamKey, StreamOrigin,
+    LeaseEnd, LeaseId, LeaseUsage, MAX_PROMPTS_PER_ENTRY, NodeIdentity, OriginAnswer, OriginGroup,
+    OriginReport, PartId, PartList, PromptSummary, RouterLoad, SlotGrant, StreamKey, StreamOrigin,
     UNKNOWN_FIRST_TOKEN_MS, UpstreamLimit, UpstreamRestriction, UpstreamRoute,
 };
 use baobabfall_core::limit_book::{AnswerTiming, LimitBook, RateStatement};
@@ -289,11 +289,20 @@
         self.origins.find(self.elapsed(), key).cloned()
     }
 
+    /// Number and content of the next copy of the origins of this router's streams; see
+    /// [`OriginBook::copy`].
+    pub fn copy_origins(&mut self, full: bool) -> (u64, Vec<OriginGroup>) {
+        let now = self.elapsed();
+        self.origins.copy(now, full)
+    }
+
+    /// Records that a controller other than the leader holds the copies up to `number`.
+    pub fn confirm_copy(&mut self, number: u64) {
+        self.origins.confirm_copy(number);
+    }
+
     /// Asks the dispatcher for the origin of a stream. `None` when too many lookups wait.
-    pub fn look_up_origin(
-        &mut self,
-        key: StreamKey,
-    ) -> Option<oneshot::Receiver<Option<StreamOrigin>>> {
+    pub fn look_up_origin(&mut self, key: StreamKey) -> Option<oneshot::Receiver<OriginAnswer>> {
         self.lookups.add(key, self.sequence + 1)
     }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -318,6 +318,7 @@
         zone: state.options.settings.node.zone.clone(),
         in_progress: Arc::clone(&state.in_progress),
         metrics: state.metrics.clone(),
+        queue: Arc::clone(&state.queue),
     };
     let control = state.options.control.clone().unwrap_or_else(Handle::current);
     tasks.spawn_on(async move { sync.run().await }, &control);
--- a/crates/router/src/table_sync.rs
+++ b/crates/router/src/table_sync.rs
@@ -2,9 +2,10 @@
 //! the planned stops of a router with the controllers.
 
 use crate::leader_link::LeaderLink;
+use crate::request_queue::SharedQueue;
 use crate::table_view::{FleetView, TableView};
 use baobabfall_core::departure_set::DepartureList;
-use baobabfall_core::dispatch_messages::NodeIdentity;
+use baobabfall_core::dispatch_messages::{NodeIdentity, OriginCopy};
 use baobabfall_core::route_table::RouteTable;
 use baobabfall_core::sorted_map::SortedMap;
 use baobabfall_core::workspace_table::WorkspaceTable;
@@ -71,6 +72,15 @@
     pub in_progress: Arc<AtomicU32>,
     /// Metrics of the router.
     pub metrics: NodeMetrics,
+    /// Queue whose book knows the streams that this router began.
+    pub queue: Arc<SharedQueue>,
+}
+
+/// Controller that holds the copy of the origins of this router's streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct CopyHolder {
+    address: SocketAddr,
+    incarnation: u64,
 }
 
 impl TableSync {
@@ -92,8 +102,9 @@
         let (mut last_heard, mut answer_timeout) = (Instant::now(), ANSWER_TIMEOUT);
         let mut source = self.own_controller();
         let mut substituted = Instant::now();
+        let mut holder = None;
         loop {
-            if self.poll(source, answer_timeout).await {
+            if self.poll(source, answer_timeout, &mut holder).await {
                 last_heard = Instant::now();
                 answer_timeout = (answer_timeout / 2).max(ANSWER_TIMEOUT);
                 let own = self.own_controller();
@@ -145,11 +156,36 @@
 
     /// Runs one long poll. Returns true if the controller hears from its group, which means
     /// that no other controller can have newer data for long.
-    async fn poll(&self, address: SocketAddr, answer_timeout: Duration) -> bool {
+    ///
+    /// The poll carries a copy of the origins of the streams that this router began, unless the
+    /// controller leads: the leader has them from the reports.
+    async fn poll(
+        &self,
+        address: SocketAddr,
+        answer_timeout: Duration,
+        holder: &mut Option<CopyHolder>,
+    ) -> bool {
         let started = Instant::now();
-        let Some(answer) = self.request_sync(address, SYNC_WAIT_MS, answer_timeout).await else {
+        let known = holder.filter(|held| held.address == address);
+        let copy = (address != self.link.named_leader())
+            .then(|| self.queue.book().copy_origins(known.is_none()));
+        let request = SyncRequest {
+            origins: copy.as_ref().map(|(_, begun)| OriginCopy {
+                holder: known.map_or(0, |held| held.incarnation),
+                begun: begun.clone(),
+            }),
+            ..self.sync_request(SYNC_WAIT_MS)
+        };
+        let Some(answer) = self.send_sync(address, &request, answer_timeout).await else {
             return false;
         };
+        let incarnation = answer.holder;
+        let has_earlier = known.is_none_or(|held| held.incarnation == incarnation);
+        *holder = (copy.is_some() && incarnation > 0 && has_earlier)
+            .then_some(CopyHolder { address, incarnation });
+        if let (Some((number, _)), Some(_)) = (&copy, &holder) {
+            self.queue.book().confirm_copy(*number);
+        }
         let is_source = self.hears_group(&answer);
         let updated = self.apply_newer(address, answer);
         if is_source && !updated && started.elapsed() < HELD_ANSWER_MINIMUM {
@@ -210,7 +246,11 @@
         wait_ms: u32,
         answer_timeout: Duration,
     ) -> Option<SyncAnswer> {
-        let request = SyncRequest {
+        self.send_sync(address, &self.sync_request(wait_ms), answer_timeout).await
+    }
+
+    fn sync_request(&self, wait_ms: u32) -> SyncRequest {
+        SyncRequest {
             node: self.identity.clone(),
             kind: NodeKind::Router,
             zone: self.zone.clone(),
@@ -223,9 +263,18 @@
             leader_term: self.link.leader_term(),
             wait_ms,
             evacuations_version: self.fleet.directory().evacuations().version,
-        };
-        let timeout = answer_timeout + Duration::from_millis(wait_ms.into());
-        match self.link.call::<_, SyncAnswer>(address, SYNC_PATH, &request, timeout).await {
+            origins: None,
+        }
+    }
+
+    async fn send_sync(
+        &self,
+        address: SocketAddr,
+        request: &SyncRequest,
+        answer_timeout: Duration,
+    ) -> Option<SyncAnswer> {
+        let timeout = answer_timeout + Duration::from_millis(request.wait_ms.into());
+        match self.link.call::<_, SyncAnswer>(address, SYNC_PATH, request, timeout).await {
             Ok(answer) => Some(answer),
             Err(error) => {
                 log::debug!("sync request failed: {error}");
--- a/crates/router/tests/stream_versions.rs
+++ b/crates/router/tests/stream_versions.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use baobabfall_core::dispatch_messages::StreamOrigin;
+use baobabfall_core::dispatch_messages::{OriginCopy, StreamOrigin};
 use baobabfall_core::local_dispatcher::LocalSettings;
 use baobabfall_core::route_table::RouteShare;
 use baobabfall_core::software_version::SoftwareVersion;
@@ -15,6 +15,7 @@
 use support::exchange_site::{
     ExchangeSite, event, event_chunks, route_table, start_peers, stream_head,
 };
+use support::fake_controller::FakeController;
 use support::fake_upstream::{Step, header_of};
 use support::{Answer, wait_for};
 
@@ -283,3 +284,108 @@
     let others = site.handle.state().queue.book().known_origin(stream_key("team-b", "r1"));
     assert_eq!(others, None);
 }
+
+fn origin_at(version: &str) -> StreamOrigin {
+    let software = SoftwareVersion::parse(version).unwrap();
+    StreamOrigin { service: "cases".to_owned(), software }
+}
+
+/// A router with upstreams of two versions, whose dispatcher runs at the controller of the site,
+/// and two followers, of which it polls one.
+async fn site_with_followers() -> (ExchangeSite, [FakeController; 2]) {
+    let site = site_of(vec![
+        ("v1", vec![broken_after_two(), rest_for("r2")]),
+        ("v2", vec![rest_for("r2"), rest_for("r2")]),
+    ])
+    .await;
+    let followers = [FakeController::start(vec![]).await, FakeController::start(vec![]).await];
+    let leader = site.controller.address;
+    let members = vec![leader, followers[0].address, followers[1].address];
+    for follower in &followers {
+        let mut script = follower.script();
+        (script.leads, script.not_leader, script.in_contact) = (false, true, true);
+        (script.leader, script.members) = (Some(leader), members.clone());
+        script.registry_version = 0;
+    }
+    {
+        let mut script = site.controller.script();
+        // Brings the next answer forward, which names the members.
+        (script.members, script.stops_version) = (members, 1);
+    }
+    wait_for("polls of a follower", || {
+        followers.iter().any(|follower| follower.script().sync_count > 0)
+    })
+    .await;
+    (site, followers)
+}
+
+/// Guards against streams that nobody can take up again once the router that began them is lost
+/// together with the leader, as on one host: the next dispatcher has not heard of them.
+#[tokio::test]
+async fn stream_of_lost_router_and_leader_goes_on() {
+    let (site, followers) = site_with_followers().await;
+    let key = stream_key("team-a", "r1");
+    followers[1].script().origins.insert(key, origin_at("v2"));
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert!(answer.complete, "{}", answer.body);
+    assert_eq!((site.request_count(0), site.request_count(1)), (0, 1));
+}
+
+/// Guards against events of two versions in one stream: copies that differ, or a dispatcher that
+/// knows of several streams, leave the origin open.
+#[tokio::test]
+async fn stream_of_two_origins_is_refused() {
+    let (site, followers) = site_with_followers().await;
+    let key = stream_key("team-a", "r1");
+    followers[0].script().origins.insert(key, origin_at("v2"));
+    site.controller.script().ambiguous.push(key);
+    let answer = site.call(Method::POST, "/long-resume/x", &TAKES_UP_R1).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stream_unknown"));
+    site.controller.script().ambiguous.clear();
+    // A caller that names no request is known by the content of its request.
+    let unnamed = [("x-request", "r2"), ("x-last-event", "2")];
+    begin_stream(&site).await;
+    wait_for("the report of the stream", || {
+        let mut script = site.controller.script();
+        script.copy_reported_origins();
+        script.origins.len() == 2
+    })
+    .await;
+    let content = *site.controller.script().origins.keys().find(|known| **known != key).unwrap();
+    site.controller.script().origins.clear();
+    followers[0].script().origins.insert(content, origin_at("v1"));
+    followers[1].script().origins.insert(content, origin_at("v2"));
+    let answer = site.call(Method::POST, "/long-resume/x", &unnamed).await;
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "stream_unknown"));
+    followers[1].script().origins.clear();
+    let answer = site.call(Method::POST, "/long-resume/x", &unnamed).await;
+    assert!(answer.complete, "{}", answer.body);
+    assert_eq!((site.request_count(0), site.request_count(1)), (2, 0));
+}
+
+/// Guards against a second copy that is missing, that is sent to the leader, or that a follower has
+/// lost by a restart.
+#[tokio::test]
+async fn begun_stream_is_copied_to_follower() {
+    let (site, followers) = site_with_followers().await;
+    let key = stream_key("team-a", "r1");
+    begin_stream(&site).await;
+    let lists = |copies: &[OriginCopy]| {
+        let mut streams = copies.iter().flat_map(|copy| &copy.begun).flat_map(|g| &g.streams);
+        streams.any(|(listed, _)| *listed == key)
+    };
+    let holder = |followers: &[FakeController; 2]| {
+        followers.iter().position(|follower| lists(&follower.script().copies))
+    };
+    wait_for("the copy", || holder(&followers).is_some()).await;
+    assert!(!lists(&site.controller.script().copies), "the leader has it from the report");
+    let held = &followers[holder(&followers).unwrap()];
+    let count = held.script().sync_count;
+    wait_for("a confirmed copy", || held.script().sync_count > count + 1).await;
+    held.script().copies.clear();
+    let count = held.script().sync_count;
+    wait_for("later polls", || held.script().sync_count > count + 2).await;
+    assert!(!lists(&held.script().copies), "a confirmed stream is sent once");
+    held.script().holder = 2;
+    wait_for("a full copy", || lists(&held.script().copies)).await;
+}
--- a/crates/router/tests/support/fake_controller.rs
+++ b/crates/router/tests/support/fake_controller.rs
@@ -3,7 +3,7 @@
 use baobabfall_core::departure_set::DepartureList;
 use baobabfall_core::dispatch_messages::{
     BacklogRefusal, DispatchAnswer, DispatchReport, LeaseEnd, LeaseId, LimitList, OriginAnswer,
-    PartList, SlotGrant, StreamKey, StreamOrigin,
+    OriginCopy, OriginLookup, PartList, SlotGrant, StreamKey, StreamOrigin,
 };
 use baobabfall_core::error_kind::ErrorKind;
 use baobabfall_core::local_dispatcher::route_of;
@@ -17,8 +17,8 @@
 };
 use baobabfall_node::messages::{
     ActionReport, AnnounceMessage, CLAIM_PATH, ClaimAnswer, ClaimRequest, FORWARD_PATH,
-    FencingToken, OUTCOME_PATH, OutcomeRequest, PlannedStop, REPORT_PATH, RegistryView, SYNC_PATH,
-    StopList, SyncAnswer, SyncRequest, TableUpdate,
+    FencingToken, ORIGINS_PATH, OUTCOME_PATH, OutcomeRequest, PlannedStop, REPORT_PATH,
+    RegistryView, SYNC_PATH, StopList, SyncAnswer, SyncRequest, TableUpdate,
 };
 use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
 use http::Request;
@@ -71,6 +71,11 @@
     pub limits: Option<LimitList>,
     /// Origins of streams that other routers began.
     pub origins: SortedMap<StreamKey, StreamOrigin>,
+    /// Streams of several origins, in answers to lookups.
+    pub ambiguous: Vec<StreamKey>,
+    /// Incarnation in sync answers, and the copies of origins in sync requests.
+    pub holder: u64,
+    pub copies: Vec<OriginCopy>,
     /// Grants to send once, in addition to those for the backlog.
     pub extra_grants: Vec<SlotGrant>,
     /// Answers to the next claims, in order; further claims are granted.
@@ -126,6 +131,9 @@
             parts: None,
             limits: None,
             origins: SortedMap::new(),
+            ambiguous: Vec::new(),
+            holder: 1,
+            copies: Vec::new(),
             extra_grants: Vec::new(),
             claim_answers: Vec::new(),
             lost_claim_answers: 0,
@@ -186,11 +194,15 @@
     let delay = script.lock().unwrap().delay;
     tokio::time::sleep(delay).await;
     let path = request.uri().path().to_owned();
-    if path != SYNC_PATH && script.lock().unwrap().not_leader {
+    if ![SYNC_PATH, ORIGINS_PATH].contains(&path.as_str()) && script.lock().unwrap().not_leader {
         return error_response(ErrorKind::NotLeader, "This controller is not the leader.");
     }
     match path.as_str() {
         SYNC_PATH => answer_sync(script, read_message(request).await.unwrap()).await,
+        ORIGINS_PATH => {
+            let lookup: OriginLookup = read_message(request).await.unwrap();
+            message_response(&script.lock().unwrap().answer_lookups(&lookup.keys))
+        }
         REPORT_PATH => answer_report(script, read_message(request).await.unwrap()).await,
         FORWARD_PATH => {
             let message = read_message(request).await.unwrap();
@@ -250,9 +262,14 @@
             evacuations: Some(script.evacuations.clone())
                 .filter(|list| list.version > request.evacuations_version),
             evacuation_pending: script.evacuation_pending,
+            holder: request.origins.as_ref().map_or(0, |_| script.holder),
         }
     };
-    script.lock().unwrap().sync_count += 1;
+    {
+        let mut script = script.lock().unwrap();
+        script.sync_count += 1;
+        script.copies.extend(request.origins.clone());
+    }
     let mut remaining_wait_ms = request.wait_ms;
     loop {
         if script.lock().unwrap().silent {
@@ -317,8 +334,11 @@
     }
 
     fn answer_lookups(&self, lookups: &[StreamKey]) -> Vec<OriginAnswer> {
-        let find =
-            |key: &StreamKey| OriginAnswer { key: *key, origin: self.origins.get(key).cloned() };
+        let find = |key: &StreamKey| OriginAnswer {
+            key: *key,
+            origin: self.origins.get(key).cloned(),
+            ambiguous: self.ambiguous.contains(key),
+        };
         lookups.iter().map(find).collect()
     }
 
