Connections on which no request begins are closed

After 48 s at 35 a second the router held 1,656 of them, said that it was ready and closed every new connection unread.

Cause: the time limit for the headers of a request begins with the version of HTTP, which the server reads from the first bytes without a limit.

Change: the stream of each connection fails its reads after the time limit for headers until the first bytes tell the version (OpeningStream). It holds for all listeners: callers, operators, upstreams, processes, and connections that neighbours hand over. No further system calls; the limit is lifted with the first bytes of an HTTP/1.1 request.

Conclusion: the fault is the phase without a limit, not the gate that counts connections.

--- a/crates/node/src/frame_channel.rs
+++ b/crates/node/src/frame_channel.rs
@@ -8,6 +8,7 @@
 use crate::codec::{self, CodecError, MESSAGE_LIMIT};
 use crate::http_client::{CONNECT_TIMEOUT, PeerError, refused_error};
 use crate::http_server::FullResponse;
+use crate::opening_stream::OpeningStream;
 use crate::tcp_options::set_user_timeout;
 use bytes::{Buf, Bytes, BytesMut};
 use http::header::{AUTHORIZATION, CONNECTION, HOST, UPGRADE};
@@ -90,9 +91,9 @@
 
 /// Returns the socket of an upgraded connection and the bytes that were already read from it.
 pub fn upgraded_stream(upgraded: Upgraded) -> io::Result<(TcpStream, Bytes)> {
-    let parts = downcast::<TokioIo<TcpStream>>(upgraded)
+    let parts = downcast::<TokioIo<OpeningStream<TcpStream>>>(upgraded)
         .map_err(|_| io::Error::other("the connection is not a TCP stream"))?;
-    Ok((parts.io.into_inner(), parts.read_buf))
+    Ok((parts.io.into_inner().into_inner(), parts.read_buf))
 }
 
 impl FrameChannel {
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -4,6 +4,7 @@
 use crate::accept_gate::{AcceptGate, AdmittedConnection};
 use crate::codec::{self, MESSAGE_LIMIT};
 use crate::message_body::MessageBody;
+use crate::opening_stream::OpeningStream;
 use crate::stop_signal::{StopPhase, StopSignal};
 use crate::tcp_options::set_unread_timeout;
 use baobabfall_core::error_kind::ErrorKind;
@@ -44,7 +45,8 @@
     /// Maximum number of open connections; further ones wait in the kernel's
     /// backlog.
     pub connections: usize,
-    /// Time limit for receiving the headers of an HTTP/1.1 request.
+    /// Time limit for receiving the headers of an HTTP/1.1 request, and for the first bytes of a
+    /// connection, which tell the version of HTTP.
     pub header_timeout: Duration,
     /// Maximum number of headers of an HTTP/1.1 request.
     pub headers: usize,
@@ -234,7 +236,8 @@
     builder.http1().keep_alive(false);
     prepare_stream(&stream, limits);
     let service = TowerToHyperService::new(service);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let stream = TokioIo::new(OpeningStream::new(stream, limits.header_timeout));
+    let connection = builder.serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let mut stopped = signal.clone();
     let mut is_draining = false;
@@ -299,7 +302,7 @@
         tokio::spawn(async move {
             let (stream, permit) = begin(accepted);
             prepare_stream(&stream, limits);
-            let stream = TokioIo::new(stream);
+            let stream = TokioIo::new(OpeningStream::new(stream, limits.header_timeout));
             let connection = async {
                 match upgrades {
                     ConnectionUpgrades::Refused => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod message_body;
 pub mod messages;
 pub mod node_metrics;
+pub mod opening_stream;
 pub mod operator_messages;
 pub mod settings;
 pub mod stop_signal;
