The lowest seed that has a disk founds the group

What callers would see: nothing is ever served after the first start of a site whose seed with the lowest address has no disk.

Cause: the seed with the lowest address founds the group, and a host without a disk never becomes a member.

Change: presence answers say whether the process has a disk. At the first start a seed with a disk founds the group once all seeds with lower addresses have answered that they have none; it joins as soon as one has. Nothing is remembered for that, so a restart changes nothing. Weighed: a seed without a disk that appoints the founder also where no seed has a disk; it may forget whom it has appointed when it restarts, and a second group would be worse than none.

Test: lowest_seed_with_disk_founds_group failed with the earlier rule (no leader within 60 s), and passes.

Conclusion: seeds of which some have a disk form a group; seeds of which none has one still don't.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -357,7 +357,7 @@
     fn presence(&self) -> ReplicaPresence {
         let view = self.replica.view();
         if view.members.is_empty() {
-            return self.directory.presence();
+            return self.directory.presence(true);
         }
         let leader = view.leader.as_ref().map(|leader| leader.id);
         let mut members: Vec<_> = view.members.iter().collect();
@@ -366,6 +366,7 @@
             in_group: true,
             members: members.iter().filter_map(|member| member.address.parse().ok()).collect(),
             age_ms: 0,
+            has_disk: true,
         }
     }
 
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -56,6 +56,14 @@
     /// Time since a member told this process of the group, in milliseconds; 0 from a member.
     #[serde(default)]
     pub age_ms: u64,
+    /// False from a process that has no disk and never becomes a member. Releases without this
+    /// field answer only where there is one.
+    #[serde(default = "has_disk")]
+    pub has_disk: bool,
+}
+
+fn has_disk() -> bool {
+    true
 }
 
 /// True when the folder has no files with content, so that no replica has used it yet.
@@ -82,9 +90,13 @@
     let peers = &options.settings.peers;
     if let Some(group) = &options.settings.group {
         // `found` is set only at the first start of the whole site. All disks are empty then, so
-        // no other group can exist and the seed with the lowest address creates it.
-        let lowest = peers.iter().map(|peer| peer.address).min();
-        return match group.found && lowest == Some(address) {
+        // no other group can exist. Of the seeds that have a disk, the one with the lowest address
+        // creates it.
+        let is_seed = peers.iter().any(|peer| peer.address == address);
+        let lower: Vec<SocketAddr> =
+            peers.iter().map(|peer| peer.address).filter(|seed| *seed < address).collect();
+        let founds = group.found && is_seed && lack_disks(&lower, &options.process.token()).await;
+        return match founds {
             true => ReplicaMembers::single(identity.clone(), &address.to_string()),
             false => ReplicaMembers::default(),
         };
@@ -113,6 +125,26 @@
     }
 }
 
+/// Waits until all `seeds` have answered, or one that has a disk. Returns true if none has.
+async fn lack_disks(seeds: &[SocketAddr], token: &str) -> bool {
+    let mut attempts = 0;
+    loop {
+        let queries = seeds.iter().map(|seed| ask_presence_of(*seed, token));
+        let answers = futures_util::future::join_all(queries).await;
+        if answers.iter().flatten().any(|presence| presence.has_disk || presence.in_group) {
+            return false;
+        }
+        if answers.iter().all(Option::is_some) {
+            return true;
+        }
+        if attempts % ATTEMPTS_PER_LOG == 0 {
+            log::info!(event = "group_awaited", seeds = join_addresses(seeds); "waiting for the seeds with lower addresses to respond before creating a group");
+        }
+        attempts += 1;
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
 /// Returns whether any of the other controllers belongs to a group, or `None` if none of those
 /// that answered does and at least one did not answer.
 async fn ask_presence(others: &[PeerClient], token: &str) -> Option<bool> {
--- a/crates/controller/src/seed_service.rs
+++ b/crates/controller/src/seed_service.rs
@@ -50,7 +50,7 @@
                 }
                 Err(refusal) => refusal.response(),
             },
-            PRESENCE_PATH => message_response(&self.directory.presence()),
+            PRESENCE_PATH => message_response(&self.directory.presence(false)),
             SYNC_PATH => message_response(&self.directory.sync_answer()),
             _ => error_response(ErrorKind::NotLeader, "This host is not a member of the group."),
         }
--- a/crates/controller/tests/group_fixture/mod.rs
+++ b/crates/controller/tests/group_fixture/mod.rs
@@ -42,15 +42,20 @@
 impl GroupFixture {
     /// Starts `size` controllers and waits for a leader.
     pub async fn start(size: usize) -> Self {
-        Self::start_with(size, 0).await
+        Self::start_with(size, 0, Vec::new()).await
     }
 
     /// Starts an open group whose first `size` controllers are its seeds.
     pub async fn start_open(size: usize) -> Self {
-        Self::start_with(size, size).await
+        Self::start_with(size, size, Vec::new()).await
     }
 
-    async fn start_with(size: usize, seeds: usize) -> Self {
+    /// Like [`Self::start_open`], with further seeds.
+    pub async fn start_open_behind(size: usize, others: Vec<SocketAddr>) -> Self {
+        Self::start_with(size, size, others).await
+    }
+
+    async fn start_with(size: usize, seeds: usize, others: Vec<SocketAddr>) -> Self {
         let directory = tempfile::tempdir().unwrap();
         for (name, token) in [
             ("process", PROCESS_TOKEN),
@@ -67,6 +72,9 @@
         let addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
         let controllers = Vec::new();
         let mut group = Self { directory, addresses, seeds, named_seeds: None, controllers };
+        if !others.is_empty() {
+            group.named_seeds = Some(others.into_iter().chain(group.addresses.clone()).collect());
+        }
         let mut start_tasks = Vec::new();
         for (index, listener) in listeners.into_iter().enumerate() {
             group.create_data_folder(index);
--- a/crates/controller/tests/seeds_without_disk.rs
+++ b/crates/controller/tests/seeds_without_disk.rs
@@ -8,6 +8,7 @@
 use baobabfall_controller::membership::{PRESENCE_PATH, ReplicaPresence};
 use baobabfall_controller::options::SeedList;
 use baobabfall_controller::seed_service::SeedService;
+use baobabfall_node::credentials::CredentialFile;
 use baobabfall_node::http_client::PeerClient;
 use baobabfall_node::http_server::{FullResponse, ServerLimits, serve};
 use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
@@ -30,9 +31,12 @@
     /// Starts a seed for the processes of `group`, at `address` or at a free one.
     async fn start(group: &GroupFixture, address: Option<SocketAddr>) -> Self {
         let address = address.unwrap_or_else(|| "127.0.0.1:0".parse().unwrap());
-        let listener = bind(address).await;
+        Self::start_on(bind(address).await, group.options(0).process)
+    }
+
+    fn start_on(listener: TcpListener, credential: CredentialFile) -> Self {
         let address = listener.local_addr().unwrap();
-        let service = SeedService::new(SeedList::default(), group.options(0).process);
+        let service = SeedService::new(SeedList::default(), credential);
         let service = tower::service_fn(move |request: Request<Incoming>| {
             let service = service.clone();
             async move { Ok::<FullResponse, Infallible>(service.handle(request).await) }
@@ -150,6 +154,35 @@
     former.wait_for_members(&group, &[0, 1, 2]).await;
 }
 
+/// A listener whose address sorts before those that the system picks.
+async fn bind_low_port() -> TcpListener {
+    for port in 20_000..30_000 {
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)).await {
+            return listener;
+        }
+    }
+    panic!("no port is free");
+}
+
+/// Guards against a site that never forms a group, because the seed with the lowest address has no
+/// disk at the first start.
+#[tokio::test]
+async fn lowest_seed_with_disk_founds_group() {
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("process"), PROCESS_TOKEN).unwrap();
+    let credential = CredentialFile::open(&folder.path().join("process")).unwrap();
+    let listener = bind_low_port().await;
+    let lowest = listener.local_addr().unwrap();
+    let seed = tokio::spawn(async move {
+        // The others start first and wait for it.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        DisklessSeed::start_on(listener, credential)
+    });
+    let group = GroupFixture::start_open_behind(3, vec![lowest]).await;
+    group.wait_for_voters(3).await;
+    seed.await.unwrap().wait_for_members(&group, &[0, 1, 2]).await;
+}
+
 /// Guards against a member that was cut off or removed, whose old list of members must not replace
 /// a later one, whatever its term.
 #[test]
@@ -163,7 +196,7 @@
         members: members.iter().map(|port| member(*port)).collect(),
     };
     let directory = GroupDirectory::default();
-    assert!(!directory.presence().in_group);
+    assert!(!directory.presence(true).in_group);
     assert!(directory.sync_answer().controllers.is_empty());
     directory.record(notice(7, 3, &[1, 2]));
     directory.record(notice(6, 9, &[1, 4]));
