A first start that was interrupted founds the group

Cause: a data folder with any content counted as used, so that its replica had to wait to be added, by a group that nobody founded. The store itself decides otherwise: it creates its files unless it finds a log, which it writes last and by renaming.

Change: both ask the same question, whether the folder has ever stored a log (is_unused).

Test: interrupted_first_start_founds_group failed with the earlier check (no leader within 60 s), and passes.

Measured: log_store, open_group and seeds_without_disk pass.

Conclusion: the two places that told a new folder from a used one disagreed.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -8,7 +8,7 @@
 use crate::group_directory::GroupDirectory;
 use crate::log_store::LogStore;
 use crate::membership::{
-    JoinRequest, inform_seeds, initial_members, is_empty_folder, join_group, stay_in_group,
+    JoinRequest, inform_seeds, initial_members, is_unused_folder, join_group, stay_in_group,
 };
 use crate::node_tracker::NodeTracker;
 use crate::operator_api::OperatorApi;
@@ -298,11 +298,11 @@
     let mut rng: StdRng = rand::make_rng();
     let name = options.settings.node.name.clone();
     let identity = ReplicaIdentity { name, id: rand::Rng::next_u64(&mut rng) };
-    let empty = is_empty_folder(folder).map_err(|error| {
+    let unused = is_unused_folder(folder).map_err(|error| {
         let kind = baobabfall_core::error_kind::ErrorKind::StorageFailed;
         storage_error(kind, format!("Data folder {} cannot be read: {error}.", folder.display()))
     })?;
-    let members = match empty {
+    let members = match unused {
         true => initial_members(options, &identity, address).await,
         false => ReplicaMembers::default(),
     };
--- a/crates/controller/src/log_store.rs
+++ b/crates/controller/src/log_store.rs
@@ -66,6 +66,14 @@
     names.iter().filter_map(generation_of).collect()
 }
 
+/// True if a folder with these names has never stored a log, so that no replica has used it. The
+/// first log file is written last, so a process that ended while it created its files leaves a
+/// first snapshot at most. Other names, such as `lost+found`, say nothing.
+pub fn is_unused(names: &[String]) -> bool {
+    let is_later = |snapshot: &u64| *snapshot > 0;
+    generations(names, "log-").is_empty() && !generations(names, "snapshot-").iter().any(is_later)
+}
+
 fn damaged(file: &str, offset: usize, detail: impl Into<String>) -> StoreError {
     StoreError::Damaged { file: file.to_owned(), offset, detail: detail.into() }
 }
@@ -123,7 +131,7 @@
         let snapshots = generations(&names, "snapshot-");
         let complete = logs.iter().copied().filter(|log| snapshots.contains(log)).max();
         let Some(generation) = complete else {
-            if !logs.is_empty() || snapshots.iter().any(|snapshot| *snapshot > 0) {
+            if !is_unused(&names) {
                 return Err(damaged(&label, 0, "no snapshot has a matching log file"));
             }
             return Self::create(folder, identity, StoredReplica::empty(members));
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -1,6 +1,7 @@
 //! Forms a group of controllers at first start and lets controllers join it later.
 
 use crate::group_directory::{GroupDirectory, GroupNotice, NOTICE_PATH, join_addresses};
+use crate::log_store::is_unused;
 use crate::options::ControllerOptions;
 use crate::peer_links::PeerAddresses;
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
@@ -66,14 +67,12 @@
     true
 }
 
-/// True when the folder has no files with content, so that no replica has used it yet.
-pub fn is_empty_folder(folder: &Path) -> std::io::Result<bool> {
-    for entry in std::fs::read_dir(folder)? {
-        if entry?.metadata()?.len() > 0 {
-            return Ok(false);
-        }
-    }
-    Ok(true)
+/// True when no replica has used the folder yet; see [`is_unused`].
+pub fn is_unused_folder(folder: &Path) -> std::io::Result<bool> {
+    let names = std::fs::read_dir(folder)?
+        .map(|entry| Ok(entry?.file_name().to_string_lossy().into_owned()))
+        .collect::<std::io::Result<Vec<String>>>()?;
+    Ok(is_unused(&names))
 }
 
 /// Determines the membership of a replica that starts with an empty data folder: itself alone if
--- a/crates/controller/tests/group_fixture/mod.rs
+++ b/crates/controller/tests/group_fixture/mod.rs
@@ -108,7 +108,8 @@
         self.options_for_start(index, false)
     }
 
-    fn options_for_start(&self, index: usize, first_start: bool) -> ControllerOptions {
+    /// Options of a start, which may be the first one of the whole site.
+    pub fn options_for_start(&self, index: usize, first_start: bool) -> ControllerOptions {
         let mut text = format!(
             "[node]\nname = \"c{index}\"\nzone = \"z{index}\"\n[control]\nlisten = \"{}\"\n\
              [storage]\nfolder = \"state-{index}\"\n[credentials]\nprocess = \"process\"\n\
@@ -137,6 +138,11 @@
         self.controllers[index].take().unwrap().kill().await;
     }
 
+    /// Data folder of a controller.
+    pub fn data_folder(&self, index: usize) -> std::path::PathBuf {
+        self.directory.path().join(format!("state-{index}"))
+    }
+
     /// Empties the data folder of a stopped controller, as after the loss of its disk.
     pub fn clear_data_folder(&self, index: usize) {
         let path = self.directory.path().join(format!("state-{index}"));
--- a/crates/controller/tests/open_group.rs
+++ b/crates/controller/tests/open_group.rs
@@ -5,6 +5,7 @@
 
 mod group_fixture;
 
+use baobabfall_controller::controller::start_on;
 use baobabfall_controller::membership::find_leader;
 use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::error_kind::ErrorKind;
@@ -205,3 +206,24 @@
     let answer: SyncAnswer = decode(&message).unwrap();
     assert_eq!(answer.routes.unwrap().version, 5, "a later table must not be an earlier copy");
 }
+
+/// Guards against a site that never forms a group because the founding controller was killed while
+/// it created its first files, or because its file system has a folder `lost+found`.
+#[tokio::test]
+async fn interrupted_first_start_founds_group() {
+    let mut group = GroupFixture::start_open(1).await;
+    group.kill(0).await;
+    let folder = group.data_folder(0);
+    for entry in std::fs::read_dir(&folder).unwrap() {
+        let entry = entry.unwrap();
+        if !entry.file_name().to_string_lossy().starts_with("snapshot-") {
+            std::fs::remove_file(entry.path()).unwrap();
+        }
+    }
+    assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 1, "the first snapshot is left");
+    std::fs::create_dir(folder.join("lost+found")).unwrap();
+    let listener = tokio::net::TcpListener::bind(group.address(0)).await.unwrap();
+    let options = group.options_for_start(0, true);
+    group.controllers[0] = Some(start_on(options, listener).await.unwrap());
+    assert_eq!(group.leader().await, 0);
+}
