Review case 13: a site none of whose seeds has a disk never starts

Claim: the three seeds are machines without a disk; five other machines have one. Nothing fails, every configuration is refused for 60 s, and no request is served. The stand-ins of case 15 come with this commit.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -17,6 +17,6 @@
   rm -rf "$REVIEW_FOLDER"
 }
 trap finish EXIT
-timeout 115 "$kit" restarted-server review/13 > /dev/null
+timeout 115 "$kit" seeds-without-disk review/13 > /dev/null
 code=$?
 case $code in 0|1) exit $code ;; *) exit 2 ;; esac
--- a/review/kit-3/src/main.rs
+++ b/review/kit-3/src/main.rs
@@ -5,9 +5,11 @@
 mod late_machine;
 mod replaced_core;
 mod restarted_server;
+mod seeds_without_disk;
 mod site;
 mod streams;
 mod worker;
+mod young_streams;
 
 use std::path::PathBuf;
 use std::time::Duration;
@@ -43,6 +45,8 @@
     let code = match text(0).as_str() {
         "restarted-server" => restarted_server::run(folder, trouble),
         "first-start" => first_start::run(folder, trouble),
+        "seeds-without-disk" => seeds_without_disk::run(folder, trouble),
+        "young-streams" => young_streams::run(folder, trouble),
         "late-machine" => late_machine::run(folder, trouble),
         "replaced-core" => replaced_core::run(folder, trouble),
         _ => EXIT_NOT_RUN,
--- a/review/kit-3/src/restarted_server.rs
+++ b/review/kit-3/src/restarted_server.rs
@@ -23,6 +23,7 @@
 pub struct Servers<'a> {
     pub site: &'a mut Site,
     pub events: u64,
+    pub gap_ms: u64,
 }
 
 impl Servers<'_> {
@@ -48,7 +49,7 @@
             .arg(control.join(","))
             .arg(HEARTBEAT_MS.to_string())
             .arg(self.events.to_string())
-            .arg(EVENT_GAP_MS.to_string())
+            .arg(self.gap_ms.to_string())
             .arg(self.cut_file(number))
             .arg(self.record_file())
             .stdin(Stdio::null())
@@ -92,7 +93,7 @@
         record.line("the site did not start");
         return EXIT_NOT_RUN;
     }
-    let mut servers = Servers { site: &mut site, events: EVENTS };
+    let mut servers = Servers { site: &mut site, events: EVENTS, gap_ms: EVENT_GAP_MS };
     for number in 1..=SERVERS {
         servers.start(number, "v1");
     }
--- a/review/kit-3/src/site.rs
+++ b/review/kit-3/src/site.rs
@@ -39,6 +39,12 @@
     pub network: [u8; 2],
     pub hosts: usize,
     pub disks: usize,
+    /// Machines that serve the control plane without a disk.
+    pub diskless: Vec<usize>,
+    /// The seeds, if they aren't the first three machines.
+    pub seeds: Vec<usize>,
+    /// What may be lost at the same time.
+    pub tolerated: usize,
     pub folder: PathBuf,
     root: PathBuf,
     pub processes: BTreeMap<String, Child>,
@@ -62,8 +68,17 @@
         let folder = std::env::var_os("REVIEW_FOLDER").map(PathBuf::from);
         let folder = folder.unwrap_or_else(|| std::env::temp_dir().join(format!("review-{id}")));
         std::fs::create_dir_all(&folder).expect("temporary folder");
-        let mut site =
-            Self { network: [0, 0], hosts, disks, folder, root, processes: BTreeMap::new() };
+        let mut site = Self {
+            network: [0, 0],
+            hosts,
+            disks,
+            diskless: Vec::new(),
+            seeds: vec![1, 2, 3],
+            tolerated: 1,
+            folder,
+            root,
+            processes: BTreeMap::new(),
+        };
         let free = (0..200u32).find_map(|step| {
             let number = id.wrapping_add(step * 37);
             let network =
@@ -95,8 +110,11 @@
 
     fn fields(&self, role: &str, host: usize, bootstrap: bool) -> BTreeMap<&'static str, String> {
         let quoted = |text: String| format!("\"{text}\"");
-        let seeds: Vec<String> =
-            self.control().iter().take(3).map(|seed| quoted(seed.to_string())).collect();
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|seed| quoted(self.address(*seed, CONTROL).to_string()))
+            .collect();
         let mut fields = BTreeMap::from([
             ("node", quoted(format!("edge-{host}"))),
             ("zone", quoted(format!("zone-{}", host % 3))),
@@ -104,7 +122,7 @@
             ("port_range", format!("[{}, {}]", RANGE.0, RANGE.1)),
             ("seeds", format!("[{}]", seeds.join(", "))),
             ("bootstrap", bootstrap.to_string()),
-            ("fault_tolerance.machines", "1".to_owned()),
+            ("fault_tolerance.machines", self.tolerated.to_string()),
             ("limits.memory_mb", "260".to_owned()),
             ("limits.max_fds", "4100".to_owned()),
             ("limits.cpu_share", "0.45".to_owned()),
@@ -117,8 +135,10 @@
         let listen = |port| quoted(self.address(host, port).to_string());
         if role == "controller" {
             fields.insert("listen.control_plane", listen(CONTROL));
-            let folder = self.data_folder(host);
-            fields.insert("data_dir", quoted(folder.display().to_string()));
+            if !self.diskless.contains(&host) {
+                let folder = self.data_folder(host);
+                fields.insert("data_dir", quoted(folder.display().to_string()));
+            }
         } else {
             fields.insert("listen.frontend", listen(FRONTEND));
             fields.insert("listen.readiness", listen(READINESS));
@@ -142,13 +162,18 @@
             text = text.replace(&format!("{{{{#{name}}}}}"), "");
             text = text.replace(&format!("{{{{/{name}}}}}"), "");
         }
+        // A section without a value is left out.
+        while let (Some(begin), Some(end)) = (text.find("{{#"), text.find("{{/")) {
+            let after = text[end..].find("}}").map_or(text.len(), |length| end + length + 2);
+            text.replace_range(begin..after, "");
+        }
         assert!(!text.contains("{{"), "a field of the template is not known: {text}");
         text
     }
 
     /// Starts a role on a host with the command of the deploy file.
     pub fn start(&mut self, role: &str, host: usize, bootstrap: bool) {
-        if role == "controller" {
+        if role == "controller" && !self.diskless.contains(&host) {
             std::fs::create_dir_all(self.data_folder(host)).expect("data folder");
         }
         let settings = self.folder.join(format!("{role}-{host}.toml"));
--- a/review/kit-3/src/streams.rs
+++ b/review/kit-3/src/streams.rs
@@ -36,6 +36,19 @@
     path: &str,
     deadline: Duration,
     resumes: Option<(&str, u64)>,
+) -> Attempt {
+    read_patiently(router, path, deadline, deadline, resumes, || {})
+}
+
+/// Like [`read_stream`], for a client that leaves after a gap of `patience`. Calls `on_event` at each
+/// event.
+pub fn read_patiently(
+    router: SocketAddr,
+    path: &str,
+    deadline: Duration,
+    patience: Duration,
+    resumes: Option<(&str, u64)>,
+    on_event: impl Fn(),
 ) -> Attempt {
     let id = attempt_id();
     let mut headers = vec![
@@ -54,8 +67,9 @@
     }
     let mut attempt = Attempt { id, status: 0, events: Vec::new(), is_complete: false };
     let end = Instant::now() + deadline;
-    let body = format!("a prompt of {}", attempt.id);
-    let sent = http::send(router, "POST", path, &headers, body.as_bytes(), deadline);
+    // The body of a stream stays the same when it is taken up.
+    let body = format!("a prompt for {path}");
+    let sent = http::send(router, "POST", path, &headers, body.as_bytes(), patience);
     let Ok(mut reply) = sent else { return attempt };
     attempt.status = reply.status;
     if reply.status != 200 {
@@ -74,6 +88,7 @@
         while let Some((event, rest)) = text.split_once("\n\n") {
             attempt.events.extend(parse_event(event));
             text = rest.to_owned();
+            on_event();
         }
     }
     attempt
