Controllers that stop leave their group first

Cause: a controller that got SIGTERM ended without telling its group. It went on to count as a voter until the leader had missed its answers for 3 s.

Change: on a planned stop, a leader passes the lead to a voter that holds the whole log (its lease ends before the request is sent, and voters disregard their contact with it for that one term), then the controller asks the leader to remove it, and ends once that is committed, 3 s later at most. Removals queue and never go below the voters that the settings ask for: then the controller just stops, as before. One that comes back in place joins again; its log may lack the removal, so it asks after 1.5 s without a leader instead of 3 s.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -10,6 +10,7 @@
 use crate::options::ControllerOptions;
 use crate::origin_service::OriginService;
 use crate::peer_links::{PeerAddresses, PeerEnvelope, REPLICA_PATH};
+use crate::planned_stop::{LEAVE_PATH, LeaveRequest, accept_leave};
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaHandle, ReplicaRefusal};
 use crate::sync_service::SyncService;
@@ -206,6 +207,13 @@
                 }
                 Err(refusal) => refusal.response(),
             },
+            LEAVE_PATH => match read_message::<LeaveRequest>(request).await {
+                Ok(leave) => {
+                    let left = accept_leave(&self.options, &self.replica, leave).await;
+                    respond_to(left, |answer| message_response(&answer))
+                }
+                Err(refusal) => refusal.response(),
+            },
             _ => error_response(ErrorKind::NotFound, "There is no such path."),
         }
     }
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -16,6 +16,7 @@
 use crate::options::ControllerOptions;
 use crate::origin_service::OriginService;
 use crate::peer_links::{PeerAddresses, PeerLinks, REPLICA_PATH};
+use crate::planned_stop::LEAVE_PATH;
 use crate::registry_service::RegistryService;
 use crate::replica_driver::{ReplicaDriver, ReplicaHandle};
 use crate::storage_worker::start_storage;
@@ -46,7 +47,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{Instant, MissedTickBehavior};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -77,6 +78,9 @@
     tasks: JoinSet<()>,
     api: ControlApi,
     storage_stopped: oneshot::Receiver<()>,
+    pub(crate) identity: ReplicaIdentity,
+    /// Task that keeps this controller in its group; `None` once it has left.
+    pub(crate) membership: Option<AbortHandle>,
 }
 
 impl ControllerHandle {
@@ -95,9 +99,10 @@
         &self.replica
     }
 
-    /// Shuts down gracefully: accepts no new connections and gives requests in progress 5 s to
-    /// finish.
+    /// Shuts down gracefully: leaves the group, then accepts no new connections and gives requests
+    /// in progress 5 s to finish.
     pub async fn stop(mut self) {
+        self.leave_group().await;
         self.stop.advance(StopPhase::Draining);
         let stop = self.stop.clone();
         tokio::spawn(async move {
@@ -195,19 +200,23 @@
     let mut tasks = JoinSet::new();
     let group = api.options.group_runtime.clone().unwrap_or_else(Handle::current);
     tasks.spawn_on(until_draining(driver.run(), signal.clone()), &group);
-    if api.options.settings.group.is_some() {
-        let options = ControllerOptions::clone(&api.options);
+    let (identity_task, replica_task) = (identity.clone(), replica.clone());
+    let options = ControllerOptions::clone(&api.options);
+    let membership = if api.options.settings.group.is_some() {
         let notice_task = inform_seeds(options.clone(), replica.clone(), advertised);
         tasks.spawn(until_draining(notice_task, signal.clone()));
-        let request = JoinRequest { identity, address: advertised };
+        let request = JoinRequest { identity: identity_task, address: advertised };
         let peers = api.peer_addresses.clone();
         let membership_task = stay_in_group(options, replica.clone(), request, directory, peers);
-        tasks.spawn(until_draining(membership_task, signal.clone()));
-    } else if must_join {
-        let options = ControllerOptions::clone(&api.options);
-        let join_task = join_group(options, replica.clone(), identity, advertised);
-        tasks.spawn(until_draining(join_task, signal.clone()));
-    }
+        tasks.spawn(until_draining(membership_task, signal.clone()))
+    } else {
+        let join_task = async move {
+            if must_join {
+                join_group(options, replica_task, identity_task, advertised).await;
+            }
+        };
+        tasks.spawn(until_draining(join_task, signal.clone()))
+    };
     let watched = api.dispatch.clone();
     let watch = watch_event_loop(api.metrics.clone(), move |delay| watched.record_delay(delay));
     tasks.spawn(until_draining(watch, signal.clone()));
@@ -238,12 +247,22 @@
         .map_err(|error| ControllerError::Listen { address, reason: error.to_string() })?;
     tasks.spawn_on(serve_upgradeable(listener, service, ServerLimits::default(), signal), &group);
     log::info!(event = "controller_started", address = address.to_string(); "controller started");
-    Ok(ControllerHandle { address, replica, stop, tasks, api: handle_api, storage_stopped })
+    Ok(ControllerHandle {
+        address,
+        replica,
+        stop,
+        tasks,
+        api: handle_api,
+        storage_stopped,
+        identity,
+        membership: Some(membership),
+    })
 }
 
 /// Paths that are handled on the runtime of the group: its messages, and changes that followers
 /// pass on, which somebody waits for.
-const GROUP_PATHS: [&str; 4] = [REPLICA_PATH, FORWARD_PATH, ROUTES_PATH, EVACUATIONS_PATH];
+const GROUP_PATHS: [&str; 5] =
+    [REPLICA_PATH, LEAVE_PATH, FORWARD_PATH, ROUTES_PATH, EVACUATIONS_PATH];
 
 /// Handles requests on [`GROUP_PATHS`] at once, and all others on the runtime `work`, if given.
 async fn handle_request(
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod options;
 pub mod origin_service;
 pub mod peer_links;
+pub mod planned_stop;
 pub mod record_codec;
 pub mod registry_service;
 pub mod replica_driver;
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -30,6 +30,9 @@
 /// Time without a leader after which a member of an open group assumes that it was removed and
 /// asks to join again.
 const LEADER_LOSS_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for a member that has not heard from a leader since its start. Its log may lack its
+/// removal, which it asked for before a planned stop. Longer than an election takes.
+const START_LEADER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval at which a member tells the seeds that are not members about its group. A seed that
 /// restarts knows nothing until the next notice.
 const NOTICE_INTERVAL: Duration = Duration::from_secs(1);
@@ -227,7 +230,7 @@
     directory: GroupDirectory,
     peers: PeerAddresses,
 ) {
-    let mut last_contact = Instant::now();
+    let (mut last_contact, mut timeout) = (Instant::now(), START_LEADER_TIMEOUT);
     let mut attempts = 0;
     loop {
         tokio::time::sleep(RETRY_DELAY).await;
@@ -235,11 +238,11 @@
         let member = view.members.get(request.identity.id).is_some();
         let has_leader = member && (view.leads || view.leader.is_some());
         if has_leader {
-            last_contact = Instant::now();
+            (last_contact, timeout) = (Instant::now(), LEADER_LOSS_TIMEOUT);
         }
         // A member without a leader is usually in an election, which ends sooner. A member that
         // was removed stays without a leader.
-        if has_leader || (member && last_contact.elapsed() < LEADER_LOSS_TIMEOUT) {
+        if has_leader || (member && last_contact.elapsed() < timeout) {
             continue;
         }
         let mut known = options.seeds.addresses();
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -122,6 +122,7 @@
     Propose(ControlCommand, oneshot::Sender<ProposalResult>),
     ChangeMembers(MemberChange, oneshot::Sender<ProposalResult>),
     Read(oneshot::Sender<Result<(), ReplicaRefusal>>),
+    PassLead,
 }
 
 /// Cloneable handle through which the services of a controller use the replica.
@@ -234,6 +235,13 @@
         receiver.await.unwrap_or_else(|_| Err(ReplicaRefusal::stopped()))
     }
 
+    /// Asks the core to pass the lead to another voter. It may keep the lead, or have lost it.
+    pub async fn pass_lead(&self) {
+        if self.request(DriverRequest::PassLead).await.is_err() {
+            log::debug!("the replica has stopped before it passed the lead on");
+        }
+    }
+
     async fn request(&self, request: DriverRequest) -> Result<(), ReplicaRefusal> {
         self.requests.send(request).await.map_err(|_| ReplicaRefusal::stopped())
     }
@@ -345,6 +353,7 @@
                 self.proposals.insert(number, sender);
                 events.push(ReplicaEvent::ChangeMembers { proposal: number, change, time_ms });
             }
+            DriverRequest::PassLead => events.push(ReplicaEvent::PassLead),
             DriverRequest::Read(sender) => {
                 self.reads.insert(number, sender);
                 events.push(ReplicaEvent::Read { read: number });
--- a/crates/core/src/replica_core.rs
+++ b/crates/core/src/replica_core.rs
@@ -9,7 +9,7 @@
 use crate::phase_chart::PhaseChart;
 use crate::replica_events::{RejectReason, ReplicaEffect, ReplicaEvent, StoredReplica};
 use crate::replica_log::ReplicaLog;
-use crate::replica_members::{ReplicaIdentity, ReplicaMembers};
+use crate::replica_members::{MemberChange, ReplicaIdentity, ReplicaMembers};
 use crate::replica_messages::{
     APPEND_BYTES_LIMIT, LogEntry, MessageBody, ReplicaMessage, SnapshotData, SnapshotMeta, TermVote,
 };
@@ -127,6 +127,8 @@
     /// Send time of the latest message that the peer answered.
     pub(crate) acked_at: Option<Duration>,
     pub(crate) snapshot_transfer: Option<SnapshotTransfer>,
+    /// True once the peer has asked to leave the group.
+    pub(crate) is_leaving: bool,
 }
 
 impl PeerProgress {
@@ -375,10 +377,16 @@
                 self.append_or_reject(proposal, checked.map(|()| command), time_ms);
             }
             ReplicaEvent::ChangeMembers { proposal, change, time_ms } => {
+                if let MemberChange::Leave { id } = &change
+                    && let Some(peer) = self.peers.get_mut(id)
+                {
+                    peer.is_leaving = true;
+                }
                 let command = self.check_member_change(now, change);
                 self.append_or_reject(proposal, command, time_ms);
             }
             ReplicaEvent::Read { read } => self.on_read(now, read),
+            ReplicaEvent::PassLead => self.pass_lead(now),
             ReplicaEvent::Synced { sequence } => self.on_synced(now, sequence),
             ReplicaEvent::SnapshotTaken(snapshot) => self.on_snapshot_taken(snapshot),
         }
@@ -398,6 +406,7 @@
             MessageBody::AppendAnswer(answer) => self.on_append_answer(now, &from, term, answer),
             MessageBody::Snapshot(chunk) => self.on_snapshot_chunk(now, from, term, chunk),
             MessageBody::SnapshotAnswer(answer) => self.on_chunk_answer(now, &from, term, answer),
+            MessageBody::TakeLead => self.on_take_lead(now, term),
         }
     }
 
--- a/crates/core/src/replica_election.rs
+++ b/crates/core/src/replica_election.rs
@@ -114,15 +114,16 @@
         self.reset_election_deadline(now);
         self.votes.clear();
         self.votes.insert(self.options.identity.id, ());
-        let request = self.vote_request();
+        let request = self.vote_request(false);
         for to in self.other_voters() {
             self.send_with_term(to, self.term() + 1, MessageBody::PreVote(request));
         }
         self.count_pre_votes(now);
     }
 
-    fn vote_request(&self) -> VoteRequest {
-        VoteRequest { last_index: self.log.last_index(), last_term: self.log.last_term() }
+    fn vote_request(&self, lead_passed: bool) -> VoteRequest {
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        VoteRequest { last_index, last_term, lead_passed }
     }
 
     fn other_voters(&self) -> Vec<ReplicaIdentity> {
@@ -178,19 +179,65 @@
         if !members.has_quorum(|id| self.votes.contains_key(&id)) {
             return;
         }
-        self.change_role("pre_vote_won");
+        self.start_election("pre_vote_won", false, now);
+    }
+
+    /// Starts the next term as a candidate and requests the votes of the other voters.
+    fn start_election(&mut self, event: &str, lead_passed: bool, now: Duration) {
+        self.change_role(event);
+        self.leader = None;
         self.votes.clear();
         self.reset_election_deadline(now);
         let vote = Some(self.options.identity.id);
         self.term_vote = TermVote { term: self.term() + 1, vote };
         self.verified_index = self.commit_index;
         self.stage_vote();
-        let request = self.vote_request();
+        let request = self.vote_request(lead_passed);
         for to in self.other_voters() {
             self.send_after_vote_sync(to, MessageBody::Vote(request));
         }
     }
 
+    /// Ends leadership in favour of a voter that holds the whole log. Has no effect while there is
+    /// none or an entry is uncommitted, since its proposal would end with an unknown outcome.
+    pub(crate) fn pass_lead(&mut self, now: Duration) {
+        let last = self.log.last_index();
+        if !self.has_lease(now) || self.commit_index < last {
+            return;
+        }
+        let members = self.log.members();
+        let is_ready = |peer: &&PeerProgress| {
+            members.is_voter(peer.identity.id)
+                && peer.match_index == last
+                && peer.acked_at.is_some_and(|acked| acked + LEADER_LEASE > now)
+        };
+        let mut ready: Vec<&PeerProgress> = self.peers.values().filter(is_ready).collect();
+        if ready.iter().any(|peer| !peer.is_leaving) {
+            ready.retain(|peer| !peer.is_leaving);
+        }
+        let count = u64::try_from(ready.len()).unwrap_or(u64::MAX);
+        if count == 0 {
+            return;
+        }
+        // A random choice, so that several voters that stop at the same time don't pass the lead
+        // back and forth.
+        let choice = usize::try_from(self.rng.next_u64() % count).unwrap_or(0);
+        let successor = ready[choice].identity.clone();
+        // The lease ends here, before anybody can vote for the successor.
+        self.step_down("lead_passed", now);
+        self.send(successor, MessageBody::TakeLead);
+    }
+
+    /// Starts an election on behalf of the leader of `term`, which has stepped down. A late or
+    /// repeated request can't lead to a second leader of the next term, since each voter has one
+    /// vote in it.
+    pub(crate) fn on_take_lead(&mut self, now: Duration, term: u64) {
+        let may_stand = matches!(self.role, ReplicaRole::Follower | ReplicaRole::PreCandidate);
+        if term == self.term() && may_stand {
+            self.start_election("lead_taken", true, now);
+        }
+    }
+
     pub(crate) fn on_vote(
         &mut self,
         now: Duration,
@@ -198,7 +245,10 @@
         term: u64,
         request: VoteRequest,
     ) {
-        let lease_possible = self.leader_lease_possible(now);
+        // A leader that passes the lead on has given up its lease. Leaders of earlier terms lost
+        // theirs before it was elected.
+        let lead_passed = request.lead_passed && term > self.term();
+        let lease_possible = !lead_passed && self.leader_lease_possible(now);
         if term > self.term() && !lease_possible {
             self.adopt_term(term, now);
         }
@@ -266,6 +316,7 @@
                 match_index: 0,
                 acked_at: None,
                 snapshot_transfer: None,
+                is_leaving: false,
             });
         }
     }
--- a/crates/core/src/replica_events.rs
+++ b/crates/core/src/replica_events.rs
@@ -58,6 +58,9 @@
         /// Number by which the answer refers to the read.
         read: u64,
     },
+    /// A leader that is about to stop passes the lead to another voter. Has no effect unless that
+    /// voter holds the whole log and all of it is committed.
+    PassLead,
     /// All writes up to and including this sequence number are durable.
     Synced {
         /// Sequence number of the last synced write.
--- a/crates/core/src/replica_members.rs
+++ b/crates/core/src/replica_members.rs
@@ -50,6 +50,12 @@
         /// Id of the replica.
         id: u64,
     },
+    /// Removes a replica that is about to stop, unless that leaves fewer voters than
+    /// [`ReplicaOptions::min_voters`](crate::replica_core::ReplicaOptions::min_voters).
+    Leave {
+        /// Id of the replica.
+        id: u64,
+    },
 }
 
 impl ReplicaMembers {
--- a/crates/core/src/replica_messages.rs
+++ b/crates/core/src/replica_messages.rs
@@ -100,6 +100,9 @@
     Snapshot(SnapshotChunk),
     /// Answer to a snapshot chunk.
     SnapshotAnswer(SnapshotAnswer),
+    /// The leader of the sender's term has stepped down and asks the receiver to start an election
+    /// at once.
+    TakeLead,
 }
 
 /// End of a candidate's log; a voter grants no vote if its own log is more
@@ -110,6 +113,10 @@
     pub last_index: u64,
     /// Term of the candidate's last entry.
     pub last_term: u64,
+    /// True if the leader of the preceding term has stepped down in favour of the candidate, so
+    /// that no lease depends on the voters.
+    #[serde(default)]
+    pub lead_passed: bool,
 }
 
 /// Answer to a vote or pre-vote request.
--- a/crates/core/src/replica_proposal.rs
+++ b/crates/core/src/replica_proposal.rs
@@ -65,6 +65,15 @@
                 }
                 current.without(id)
             }
+            MemberChange::Leave { id } => {
+                let is_needed =
+                    current.is_voter(id) && current.voters().count() <= self.options.min_voters;
+                // A leader first passes the lead on.
+                if current.get(id).is_none() || id == self.options.identity.id || is_needed {
+                    return Err(RejectReason::InvalidChange);
+                }
+                current.without(id)
+            }
         };
         Ok(ControlCommand::Members { members })
     }
--- a/crates/core/tests/replica_core.rs
+++ b/crates/core/tests/replica_core.rs
@@ -18,7 +18,7 @@
 use replica_sim::{Sim, SimFaults};
 use std::time::Duration;
 
-const NO_FAULTS: SimFaults = SimFaults { loss_permille: 0, fault_permille: 0, suspend_permille: 0 };
+const NO_FAULTS: SimFaults = SimFaults::NONE;
 
 fn ms(number: u64) -> Duration {
     Duration::from_millis(number)
@@ -50,7 +50,7 @@
     MessageBody::Append(AppendRequest { previous_index, previous_term, entries, commit, sent_at })
 }
 
-const EMPTY_LOG: VoteRequest = VoteRequest { last_index: 0, last_term: 0 };
+const EMPTY_LOG: VoteRequest = VoteRequest { last_index: 0, last_term: 0, lead_passed: false };
 
 fn sent_bodies(effects: &[ReplicaEffect]) -> Vec<&MessageBody> {
     let bodies = effects.iter().filter_map(|effect| match effect {
@@ -102,7 +102,7 @@
         next += 1;
     }
     assert_eq!(reached.len(), REPLICA_ROLES.len());
-    assert_eq!((chart.event_names().len(), rejected_steps), (8, 40 - 20));
+    assert_eq!((chart.event_names().len(), rejected_steps), (10, 50 - 23));
 }
 
 /// Guards against two votes in one term: a vote that is sent before it is synced
@@ -593,3 +593,76 @@
     assert_eq!(core.commit_index(), 1);
     assert!(core.leads_with_current_state(ms(2003)));
 }
+
+/// Guards against a planned stop that leaves the group without a leader for as long as an election
+/// takes.
+#[test]
+fn passed_lead_is_taken_at_once() {
+    let mut sim = Sim::new(3, 3, NO_FAULTS);
+    sim.run(3000);
+    let (leader, started) = (sim.leader().unwrap(), sim.time);
+    sim.pass_lead();
+    assert_eq!(sim.leader(), None, "the lease ends before anybody can vote");
+    while sim.leader().is_none() {
+        sim.step();
+    }
+    assert_ne!(sim.leader().unwrap(), leader);
+    assert!(sim.time - started < 600, "{} ms", sim.time - started);
+}
+
+/// Guards against a lead that is passed while a change is uncommitted, whose outcome its caller
+/// would never learn.
+#[test]
+fn lead_with_uncommitted_entry_is_kept() {
+    let mut core = elected_leader(ms(2000));
+    core.handle(ms(2001), [ack(2, 0, ms(2000))]);
+    assert_eq!(core.handle(ms(2002), [ReplicaEvent::PassLead]), []);
+    assert_eq!(core.role(), ReplicaRole::Leader);
+    core.handle(ms(2003), [ReplicaEvent::Synced { sequence: 2 }, ack(2, 1, ms(2001))]);
+    let effects = core.handle(ms(2004), [ReplicaEvent::PassLead]);
+    assert!(matches!(sent_bodies(&effects)[..], [MessageBody::TakeLead]), "{effects:?}");
+    assert!(!core.has_lease(ms(2004)));
+}
+
+/// Guards against a request to take the lead that arrives late, when its sender may lead again.
+#[test]
+fn take_lead_of_older_term_is_ignored() {
+    let mut core = replica(5);
+    assert_eq!(core.handle(ms(700), [message(2, 4, MessageBody::TakeLead)]), []);
+    assert_eq!((core.role(), core.term()), (ReplicaRole::Follower, 5));
+    core.handle(ms(701), [message(2, 5, MessageBody::TakeLead)]);
+    assert_eq!((core.role(), core.term()), (ReplicaRole::Candidate, 6));
+}
+
+/// Guards against a vote that ends a lease: only for the term that follows a passed lead does a
+/// voter disregard its contact with a leader.
+#[test]
+fn vote_after_passed_lead_disregards_lease_of_that_leader_only() {
+    let vote =
+        |term| message(2, term, MessageBody::Vote(VoteRequest { lead_passed: true, ..EMPTY_LOG }));
+    let mut core = replica(5);
+    core.handle(ms(700), [message(3, 5, append(0, 0, ms(1)))]);
+    core.handle(ms(701), [vote(6)]);
+    assert!(vote_granted(&core.handle(ms(702), [ReplicaEvent::Synced { sequence: 9 }])));
+    let mut core = replica(5);
+    core.handle(ms(700), [message(3, 6, append(0, 0, ms(1)))]);
+    let mut effects = core.handle(ms(701), [vote(6)]);
+    effects.extend(core.handle(ms(702), [ReplicaEvent::Synced { sequence: 9 }]));
+    assert!(!vote_granted(&effects), "the leader of term 6 has a lease: {effects:?}");
+}
+
+/// Guards against a removal that leaves fewer voters than the minimum, and against a leader that
+/// removes itself before it has passed the lead on.
+#[test]
+fn leave_below_min_voters_is_refused() {
+    let mut sim = Sim::new(5, 3, NO_FAULTS);
+    sim.run(3000);
+    let leader = sim.leader().unwrap();
+    for node_index in 0..3 {
+        let id = sim.nodes[node_index].identity.id;
+        sim.change_members(leader, MemberChange::Leave { id });
+        sim.run(100);
+    }
+    let core = sim.nodes[leader].core.as_ref().unwrap();
+    assert_eq!(core.members().voters().count(), 3);
+}
--- a/crates/core/tests/replica_kill_runs.rs
+++ b/crates/core/tests/replica_kill_runs.rs
@@ -18,7 +18,12 @@
 type Coverage = [u64; 4];
 
 fn kill_faults(seed: u64, suspend_permille: u64) -> SimFaults {
-    SimFaults { loss_permille: 10 + seed % 150, fault_permille: 3 + seed % 12, suspend_permille }
+    SimFaults {
+        loss_permille: 10 + seed % 150,
+        fault_permille: 3 + seed % 12,
+        suspend_permille,
+        pass_permille: 0,
+    }
 }
 
 fn run_seed(seed: u64) -> Coverage {
@@ -89,3 +94,24 @@
     let covered = [0, 1].map(|column| totals.iter().map(|run| run[column]).sum::<usize>());
     assert!(covered[0] >= 600 && covered[1] >= 6_000, "suspensions and edits: {covered:?}");
 }
+
+/// Runs a seed in which leaders pass the lead on, also while hosts of leaders are suspended. Returns
+/// the number of passed leads and of acknowledged edits.
+fn run_passing(seed: u64) -> [usize; 2] {
+    let faults = SimFaults { pass_permille: 20, ..kill_faults(seed, seed % 2 * 4) };
+    let mut sim = Sim::new(seed, 3 + 2 * usize::from(seed.is_multiple_of(4)), faults);
+    sim.run(10_000);
+    sim.heal();
+    sim.run(5_000);
+    sim.check_final();
+    [sim.passed_leads, sim.acknowledged_edits.len()]
+}
+
+/// Guards against two leases at once and against lost edits when the lead is passed on: the votes
+/// for the successor don't wait until the lease of its predecessor has run out.
+#[test]
+fn passing_run_keeps_guarantees() {
+    let totals = run_seeds(SUSPENDED_RUNS, run_passing);
+    let covered = [0, 1].map(|column| totals.iter().map(|run| run[column]).sum::<usize>());
+    assert!(covered[0] >= 1_000 && covered[1] >= 6_000, "passed leads and edits: {covered:?}");
+}
--- a/crates/core/tests/replica_sim/fault_steps.rs
+++ b/crates/core/tests/replica_sim/fault_steps.rs
@@ -2,7 +2,7 @@
 
 use super::sim_node::apply_write;
 use super::{Sim, identity};
-use baobabfall_core::replica_events::{ReplicaEffect, StoredReplica};
+use baobabfall_core::replica_events::{ReplicaEffect, ReplicaEvent, StoredReplica};
 use baobabfall_core::replica_members::ReplicaMembers;
 
 impl Sim {
@@ -63,6 +63,13 @@
         }
     }
 
+    /// Asks the leader to pass the lead on.
+    pub fn pass_lead(&mut self) {
+        let Some(leader) = self.leader() else { return };
+        self.handle(leader, ReplicaEvent::PassLead);
+        self.passed_leads += usize::from(self.leader() != Some(leader));
+    }
+
     /// Suspends the host of the leader, so that its clock stands still meanwhile.
     pub fn suspend_leader(&mut self) {
         let Some(node_index) = self.leader() else { return };
--- a/crates/core/tests/replica_sim/mod.rs
+++ b/crates/core/tests/replica_sim/mod.rs
@@ -34,6 +34,13 @@
     pub fault_permille: u64,
     /// Chance per step that the host of the leader is suspended.
     pub suspend_permille: u64,
+    /// Chance per step that the leader passes the lead on.
+    pub pass_permille: u64,
+}
+
+impl SimFaults {
+    pub const NONE: Self =
+        Self { loss_permille: 0, fault_permille: 0, suspend_permille: 0, pass_permille: 0 };
 }
 
 pub struct Sim {
@@ -64,6 +71,7 @@
     pub installed_snapshots: usize,
     pub lost_disks: usize,
     pub suspensions: usize,
+    pub passed_leads: usize,
     pub answers: SortedMap<u64, ControlAnswer>,
 }
 
@@ -101,6 +109,7 @@
             installed_snapshots: 0,
             lost_disks: 0,
             suspensions: 0,
+            passed_leads: 0,
             answers: SortedMap::new(),
         };
         for node_index in 0..count {
@@ -401,6 +410,10 @@
             {
                 self.suspend_leader();
             }
+            if self.faults.pass_permille > 0 && self.random_below(1000) < self.faults.pass_permille
+            {
+                self.pass_lead();
+            }
             if self.faults.fault_permille > 0 && self.random_below(6) == 0 {
                 self.client_step();
             }
@@ -413,7 +426,7 @@
 
     /// Ends all faults and restarts the replicas that are down.
     pub fn heal(&mut self) {
-        self.faults = SimFaults { loss_permille: 0, fault_permille: 0, suspend_permille: 0 };
+        self.faults = SimFaults::NONE;
         self.blocked_links.clear();
         while let Some(node_index) = self.nodes.iter().position(|node| node.core.is_none()) {
             self.restart(node_index);
