The first members of a group are agreed on, with the seeds as witnesses

Cause, of all three: one process founded a group of itself alone, because its address was the lowest of a seed with a disk, and each other one decided at its start that it was not the one. No seed with a disk: no founder. Founder lost: no second one. Group of two: the quorum exceeds the tolerated losses, but nobody is left who could elect a leader after one.

Change: controllers with a disk make themselves known at the seeds, which need no disk. One that knows 2 x tolerated + 1 of them has these first members decided by single-decree Paxos, with the seeds as acceptors; a seed with a disk keeps its votes there, one without votes again 10 s after a restart. The members then elect a leader by the usual rules: identities are in the membership, so a first member needs no word of it to vote. Until then changes are refused at once (no_quorum), and founding_awaited says what is missing. A replica that has stored no term yet has answered no leader and need not hold its vote back, so the first election takes milliseconds.

--- a/crates/controller/src/control_api.rs
+++ b/crates/controller/src/control_api.rs
@@ -3,6 +3,9 @@
 use crate::action_service::ActionService;
 use crate::dispatch_channel::serve_channel;
 use crate::dispatch_service::DispatchService;
+use crate::founding_witness::{
+    FOUNDING_PATH, FoundingAnswer, FoundingRequest, FoundingStep, FoundingWitness,
+};
 use crate::group_directory::{GroupDirectory, NOTICE_PATH};
 use crate::membership::{JOIN_PATH, JoinRequest, PRESENCE_PATH, ReplicaPresence, accept_join};
 use crate::node_tracker::NodeTracker;
@@ -85,6 +88,8 @@
     pub peer_addresses: PeerAddresses,
     /// The group as its members describe it, for a replica that is not one of them.
     pub directory: GroupDirectory,
+    /// Votes on the first members of the group, if the settings name this controller as a seed.
+    pub witness: FoundingWitness,
     /// Copies of the origins of streams.
     pub origins: OriginService,
     /// Client for the leader, used to forward announcements that arrive at a follower. Replaced
@@ -193,6 +198,10 @@
                 Err(refusal) => refusal.response(),
             },
             PRESENCE_PATH => message_response(&self.presence()),
+            FOUNDING_PATH => match read_message(request).await {
+                Ok(message) => message_response(&self.answer_founding(message).await),
+                Err(refusal) => refusal.response(),
+            },
             NOTICE_PATH => match read_message(request).await {
                 Ok(notice) => {
                     self.directory.record(notice);
@@ -362,10 +371,18 @@
         }
     }
 
+    async fn answer_founding(&self, request: FoundingRequest) -> FoundingAnswer {
+        if let FoundingStep::Form(members) = &request.step {
+            self.replica.form_group(members.clone(), false).await;
+        }
+        let in_group = self.presence().in_group;
+        self.witness.answer(request, in_group).await
+    }
+
     fn presence(&self) -> ReplicaPresence {
         let view = self.replica.view();
         if view.members.is_empty() {
-            return self.directory.presence(true);
+            return self.directory.presence();
         }
         let leader = view.leader.as_ref().map(|leader| leader.id);
         let mut members: Vec<_> = view.members.iter().collect();
@@ -374,7 +391,6 @@
             in_group: true,
             members: members.iter().filter_map(|member| member.address.parse().ok()).collect(),
             age_ms: 0,
-            has_disk: true,
         }
     }
 
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -5,6 +5,8 @@
 use crate::disk_folder::DiskFolder;
 use crate::dispatch_service::DispatchService;
 use crate::error::ControllerError;
+use crate::founding::FoundingCandidate;
+use crate::founding_witness::{FoundingRecord, FoundingWitness, create_record, read_record};
 use crate::group_directory::GroupDirectory;
 use crate::log_store::LogStore;
 use crate::membership::{
@@ -42,6 +44,7 @@
 use rand::rngs::StdRng;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -157,7 +160,7 @@
     let epoch = Instant::now();
     let metrics = NodeMetrics::new().map_err(ControllerError::Metrics)?;
     let peer_addresses = PeerAddresses::default();
-    let OpenedReplica { driver, replica, identity, must_join, storage_stopped } =
+    let OpenedReplica { driver, replica, identity, must_join, storage_stopped, record } =
         open_replica(&options, epoch, advertised, peer_addresses.clone()).await?;
     let registry = RegistryService::new(epoch, options.announcement_lapse);
     let tracker = NodeTracker::default();
@@ -175,6 +178,8 @@
     };
     let (stop, signal) = stop_channel();
     let (directory, origins) = (GroupDirectory::default(), OriginService::new());
+    let folder = &options.settings.storage.folder;
+    let witness = FoundingWitness::with_disk(folder, &options.seeds.addresses(), record.as_ref());
     let api = ControlApi {
         sync: SyncService::new(
             replica.clone(),
@@ -194,6 +199,7 @@
         leader: Arc::default(),
         peer_addresses,
         directory: directory.clone(),
+        witness,
         origins,
         stop: signal.clone(),
     };
@@ -206,6 +212,9 @@
         let notice_task = inform_seeds(options.clone(), replica.clone(), advertised);
         tasks.spawn(until_draining(notice_task, signal.clone()));
         let request = JoinRequest { identity: identity_task, address: advertised };
+        let (joining, forming) = (replica.clone(), request.clone());
+        let candidate = FoundingCandidate::new(options.clone(), joining, forming, record);
+        tasks.spawn(until_draining(candidate.run(), signal.clone()));
         let peers = api.peer_addresses.clone();
         let membership_task = stay_in_group(options, replica.clone(), request, directory, peers);
         tasks.spawn(until_draining(membership_task, signal.clone()))
@@ -304,6 +313,8 @@
     must_join: bool,
     /// Resolves once the storage thread has closed its files.
     storage_stopped: oneshot::Receiver<()>,
+    /// What the disk holds of the first start of an open group.
+    record: Option<FoundingRecord>,
 }
 
 async fn open_replica(
@@ -321,6 +332,11 @@
         let kind = baobabfall_core::error_kind::ErrorKind::StorageFailed;
         storage_error(kind, format!("Data folder {} cannot be read: {error}.", folder.display()))
     })?;
+    let record = match options.settings.group.as_ref() {
+        None => None,
+        Some(group) if group.found && unused => Some(first_start_record(options, folder)?),
+        Some(_) => read_record(folder)?,
+    };
     let members = match unused {
         true => initial_members(options, &identity, address).await,
         false => ReplicaMembers::default(),
@@ -353,7 +369,18 @@
     // A replica with a log that is not a member was removed by an operator or is still catching
     // up with the leader. Only a replica that never stored anything asks to be added.
     let must_join = !has_log && replica.view().members.get(identity.id).is_none();
-    Ok(OpenedReplica { driver, replica, identity, must_join, storage_stopped })
+    Ok(OpenedReplica { driver, replica, identity, must_join, storage_stopped, record })
+}
+
+/// The record of the first start, which an interrupted one may have left.
+fn first_start_record(
+    options: &ControllerOptions,
+    folder: &Path,
+) -> Result<FoundingRecord, ControllerError> {
+    match read_record(folder)? {
+        Some(record) => Ok(record),
+        None => create_record(folder, options.seeds.addresses()),
+    }
 }
 
 /// Runs a dispatcher while this controller leads a term, and passes it every change of the workspace
--- a/crates/controller/src/group_directory.rs
+++ b/crates/controller/src/group_directory.rs
@@ -82,12 +82,12 @@
         self.lock().as_ref().map_or_else(Vec::new, |known| known.notice.ordered_members())
     }
 
-    /// Answer to a process that asks for the members, from one that has a disk or not.
-    pub fn presence(&self, has_disk: bool) -> ReplicaPresence {
+    /// Answer to a process that asks for the members.
+    pub fn presence(&self) -> ReplicaPresence {
         let known = self.lock();
         let members = known.as_ref().map_or_else(Vec::new, |known| known.notice.ordered_members());
         let age_ms = known.as_ref().map_or(0, |known| millis(known.heard.elapsed()));
-        ReplicaPresence { in_group: !members.is_empty(), members, age_ms, has_disk }
+        ReplicaPresence { in_group: !members.is_empty(), members, age_ms }
     }
 
     /// Answer to a node that asks for tables, which this process does not have; it names the group
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod dispatch_service;
 pub mod error;
 pub mod evacuation_orders;
+pub mod founding;
+pub mod founding_witness;
 pub mod group_directory;
 pub mod log_store;
 pub mod membership;
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -41,7 +41,7 @@
 const FORMER_SEED_RETENTION: Duration = Duration::from_secs(60);
 
 /// Request to the leader to add a replica to the group.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JoinRequest {
     /// Replica to be added.
     pub identity: ReplicaIdentity,
@@ -60,14 +60,6 @@
     /// Time since a member told this process of the group, in milliseconds; 0 from a member.
     #[serde(default)]
     pub age_ms: u64,
-    /// False from a process that has no disk and never becomes a member. Releases without this
-    /// field answer only where there is one.
-    #[serde(default = "has_disk")]
-    pub has_disk: bool,
-}
-
-fn has_disk() -> bool {
-    true
 }
 
 /// True when no replica has used the folder yet; see [`is_unused`].
@@ -79,7 +71,8 @@
 }
 
 /// Determines the membership of a replica that starts with an empty data folder: itself alone if
-/// it creates the group, otherwise empty.
+/// it creates the group, otherwise empty. The first members of an open group are agreed on later;
+/// see [`founding`](crate::founding).
 ///
 /// Only the first controller in the settings may create a group, and only after every other
 /// controller answered that it knows of none. If the first controller lost its disk, it must join
@@ -89,20 +82,10 @@
     identity: &ReplicaIdentity,
     address: SocketAddr,
 ) -> ReplicaMembers {
-    let peers = &options.settings.peers;
-    if let Some(group) = &options.settings.group {
-        // `found` is set only at the first start of the whole site. All disks are empty then, so
-        // no other group can exist. Of the seeds that have a disk, the one with the lowest address
-        // creates it.
-        let is_seed = peers.iter().any(|peer| peer.address == address);
-        let lower: Vec<SocketAddr> =
-            peers.iter().map(|peer| peer.address).filter(|seed| *seed < address).collect();
-        let founds = group.found && is_seed && lack_disks(&lower, &options.process.token()).await;
-        return match founds {
-            true => ReplicaMembers::single(identity.clone(), &address.to_string()),
-            false => ReplicaMembers::default(),
-        };
+    if options.settings.group.is_some() {
+        return ReplicaMembers::default();
     }
+    let peers = &options.settings.peers;
     let is_first = peers.first().is_some_and(|peer| peer.name == identity.name);
     if !is_first || options.settings.storage.join {
         return ReplicaMembers::default();
@@ -127,26 +110,6 @@
     }
 }
 
-/// Waits until all `seeds` have answered, or one that has a disk. Returns true if none has.
-async fn lack_disks(seeds: &[SocketAddr], token: &str) -> bool {
-    let mut attempts = 0;
-    loop {
-        let queries = seeds.iter().map(|seed| ask_presence_of(*seed, token));
-        let answers = futures_util::future::join_all(queries).await;
-        if answers.iter().flatten().any(|presence| presence.has_disk || presence.in_group) {
-            return false;
-        }
-        if answers.iter().all(Option::is_some) {
-            return true;
-        }
-        if attempts % ATTEMPTS_PER_LOG == 0 {
-            log::info!(event = "group_awaited", seeds = join_addresses(seeds); "waiting for the seeds with lower addresses to respond before creating a group");
-        }
-        attempts += 1;
-        tokio::time::sleep(RETRY_DELAY).await;
-    }
-}
-
 /// Returns whether any of the other controllers belongs to a group, or `None` if none of those
 /// that answered does and at least one did not answer.
 async fn ask_presence(others: &[PeerClient], token: &str) -> Option<bool> {
--- a/crates/controller/src/options.rs
+++ b/crates/controller/src/options.rs
@@ -43,8 +43,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GroupSection {
-    /// True only at the first start of the whole site. The seed with the lowest address then
-    /// creates the group.
+    /// True only at the first start of the whole site. The controllers then agree on the first
+    /// members of the group.
     pub found: bool,
     /// Number of controllers whose disks may be lost at the same time without losing data.
     pub tolerated: usize,
--- a/crates/controller/src/replica_driver.rs
+++ b/crates/controller/src/replica_driver.rs
@@ -123,6 +123,7 @@
     ChangeMembers(MemberChange, oneshot::Sender<ProposalResult>),
     Read(oneshot::Sender<Result<(), ReplicaRefusal>>),
     PassLead,
+    FormGroup { members: ReplicaMembers, stand: bool },
 }
 
 /// Cloneable handle through which the services of a controller use the replica.
@@ -242,6 +243,14 @@
         }
     }
 
+    /// Tells the core the first members of a new group. With `stand`, it starts an election.
+    pub async fn form_group(&self, members: ReplicaMembers, stand: bool) {
+        let request = DriverRequest::FormGroup { members, stand };
+        if self.request(request).await.is_err() {
+            log::debug!("the replica has stopped before it formed a group");
+        }
+    }
+
     async fn request(&self, request: DriverRequest) -> Result<(), ReplicaRefusal> {
         self.requests.send(request).await.map_err(|_| ReplicaRefusal::stopped())
     }
@@ -354,6 +363,9 @@
                 events.push(ReplicaEvent::ChangeMembers { proposal: number, change, time_ms });
             }
             DriverRequest::PassLead => events.push(ReplicaEvent::PassLead),
+            DriverRequest::FormGroup { members, stand } => {
+                events.push(ReplicaEvent::FormGroup { members, stand });
+            }
             DriverRequest::Read(sender) => {
                 self.reads.insert(number, sender);
                 events.push(ReplicaEvent::Read { read: number });
--- a/crates/controller/src/seed_service.rs
+++ b/crates/controller/src/seed_service.rs
@@ -1,6 +1,7 @@
 //! Answers processes that start, on a host that serves the control plane and is no member of the
 //! group, for want of a disk. The host only knows what members tell it.
 
+use crate::founding_witness::{FOUNDING_PATH, FoundingRequest, FoundingWitness};
 use crate::group_directory::{GroupDirectory, GroupNotice, NOTICE_PATH};
 use crate::membership::{PRESENCE_PATH, find_leader};
 use crate::options::SeedList;
@@ -20,13 +21,15 @@
     directory: GroupDirectory,
     seeds: SeedList,
     process: CredentialFile,
+    witness: FoundingWitness,
 }
 
 impl SeedService {
     /// Creates a service that knows the seeds of its settings and no member yet. Requests must
-    /// present the credential `process`.
-    pub fn new(seeds: SeedList, process: CredentialFile) -> Self {
-        Self { directory: GroupDirectory::default(), seeds, process }
+    /// present the credential `process`. `first_start` is true at the first start of the site.
+    pub fn new(seeds: SeedList, process: CredentialFile, first_start: bool) -> Self {
+        let witness = FoundingWitness::without_disk(first_start);
+        Self { directory: GroupDirectory::default(), seeds, process, witness }
     }
 
     /// Answers one request of another process. Whatever needs a member is refused as
@@ -50,7 +53,14 @@
                 }
                 Err(refusal) => refusal.response(),
             },
-            PRESENCE_PATH => message_response(&self.directory.presence(false)),
+            PRESENCE_PATH => message_response(&self.directory.presence()),
+            FOUNDING_PATH => match read_message::<FoundingRequest>(request).await {
+                Ok(message) => {
+                    let in_group = self.directory.presence().in_group;
+                    message_response(&self.witness.answer(message, in_group).await)
+                }
+                Err(refusal) => refusal.response(),
+            },
             SYNC_PATH => message_response(&self.directory.sync_answer()),
             _ => error_response(ErrorKind::NotLeader, "This host is not a member of the group."),
         }
--- a/crates/controller/tests/group_fixture/mod.rs
+++ b/crates/controller/tests/group_fixture/mod.rs
@@ -56,6 +56,17 @@
     }
 
     async fn start_with(size: usize, seeds: usize, others: Vec<SocketAddr>) -> Self {
+        let mut group = Self::prepare(size, seeds);
+        if !others.is_empty() {
+            group.named_seeds = Some(others.into_iter().chain(group.addresses.clone()).collect());
+        }
+        group.start_first_time(&Vec::from_iter(0..size)).await;
+        group.leader().await;
+        group
+    }
+
+    /// Reserves addresses and data folders for `size` controllers and starts none of them.
+    pub fn prepare(size: usize, seeds: usize) -> Self {
         let directory = tempfile::tempdir().unwrap();
         for (name, token) in [
             ("process", PROCESS_TOKEN),
@@ -65,27 +76,27 @@
         ] {
             std::fs::write(directory.path().join(name), token).unwrap();
         }
-        let mut listeners = Vec::new();
-        for _ in 0..size {
-            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-        }
+        // The listeners are held until all addresses are known, so that these differ.
+        let listeners: Vec<_> =
+            (0..size).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         let addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
-        let controllers = Vec::new();
-        let mut group = Self { directory, addresses, seeds, named_seeds: None, controllers };
-        if !others.is_empty() {
-            group.named_seeds = Some(others.into_iter().chain(group.addresses.clone()).collect());
-        }
+        let controllers = (0..size).map(|_| None).collect();
+        let group = Self { directory, addresses, seeds, named_seeds: None, controllers };
+        (0..size).for_each(|index| group.create_data_folder(index));
+        group
+    }
+
+    /// Starts some controllers at the same time, as at the first start of the site.
+    pub async fn start_first_time(&mut self, indices: &[usize]) {
         let mut start_tasks = Vec::new();
-        for (index, listener) in listeners.into_iter().enumerate() {
-            group.create_data_folder(index);
-            start_tasks
-                .push(tokio::spawn(start_on(group.options_for_start(index, true), listener)));
+        for index in indices {
+            let listener = TcpListener::bind(self.addresses[*index]).await.unwrap();
+            let options = self.options_for_start(*index, true);
+            start_tasks.push(tokio::spawn(start_on(options, listener)));
         }
-        for task in start_tasks {
-            group.controllers.push(Some(task.await.unwrap().unwrap()));
+        for (index, task) in indices.iter().zip(start_tasks) {
+            self.controllers[*index] = Some(task.await.unwrap().unwrap());
         }
-        group.leader().await;
-        group
     }
 
     fn create_data_folder(&self, index: usize) {
--- a/crates/controller/tests/open_group.rs
+++ b/crates/controller/tests/open_group.rs
@@ -5,7 +5,6 @@
 
 mod group_fixture;
 
-use baobabfall_controller::controller::start_on;
 use baobabfall_controller::membership::find_leader;
 use baobabfall_core::dispatch_messages::NodeIdentity;
 use baobabfall_core::error_kind::ErrorKind;
@@ -44,8 +43,9 @@
     for index in 0..3 {
         wait_for_version(&group, index, 3).await;
     }
-    let single_group = GroupFixture::start_open(1).await;
-    let api = single_group.controllers[single_group.leader().await].as_ref().unwrap().api().clone();
+    let mut single_group = GroupFixture::prepare(1, 1);
+    single_group.start_first_time(&[0]).await;
+    let api = single_group.controllers[0].as_ref().unwrap().api().clone();
     let refusal = api.replace_routes(route_table(1), vec![1]).await.unwrap_err();
     assert_eq!(refusal.kind, ErrorKind::NoQuorum);
 }
@@ -207,11 +207,12 @@
     assert_eq!(answer.routes.unwrap().version, 5, "a later table must not be an earlier copy");
 }
 
-/// Guards against a site that never forms a group because the founding controller was killed while
-/// it created its first files, or because its file system has a folder `lost+found`.
+/// Guards against a site that never forms a group because a controller was killed while it created
+/// its first files, or because its file system has a folder `lost+found`.
 #[tokio::test]
 async fn interrupted_first_start_founds_group() {
-    let mut group = GroupFixture::start_open(1).await;
+    let mut group = GroupFixture::prepare(3, 3);
+    group.start_first_time(&[0, 1]).await;
     group.kill(0).await;
     let folder = group.data_folder(0);
     for entry in std::fs::read_dir(&folder).unwrap() {
@@ -222,8 +223,7 @@
     }
     assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 1, "the first snapshot is left");
     std::fs::create_dir(folder.join("lost+found")).unwrap();
-    let listener = tokio::net::TcpListener::bind(group.address(0)).await.unwrap();
-    let options = group.options_for_start(0, true);
-    group.controllers[0] = Some(start_on(options, listener).await.unwrap());
-    assert_eq!(group.leader().await, 0);
+    group.start_first_time(&[0, 2]).await;
+    group.wait_for_voters(3).await;
+    replace_routes_at_leader(&group, 3).await;
 }
--- a/crates/controller/tests/seeds_without_disk.rs
+++ b/crates/controller/tests/seeds_without_disk.rs
@@ -2,86 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod diskless_seed;
 mod group_fixture;
 
 use baobabfall_controller::group_directory::{GroupDirectory, GroupNotice};
-use baobabfall_controller::membership::{PRESENCE_PATH, ReplicaPresence};
-use baobabfall_controller::options::SeedList;
-use baobabfall_controller::seed_service::SeedService;
 use baobabfall_node::credentials::CredentialFile;
-use baobabfall_node::http_client::PeerClient;
-use baobabfall_node::http_server::{FullResponse, ServerLimits, serve};
-use baobabfall_node::stop_signal::{StopPhase, StopSender, stop_channel};
-use group_fixture::{CALL_TIMEOUT, GroupFixture, PROCESS_TOKEN, WAIT_LIMIT};
-use http::Request;
-use hyper::body::Incoming;
-use std::convert::Infallible;
+use diskless_seed::DisklessSeed;
+use group_fixture::{GroupFixture, PROCESS_TOKEN};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::Instant;
-
-/// A running seed without a disk.
-struct DisklessSeed {
-    address: SocketAddr,
-    stop: StopSender,
-}
-
-impl DisklessSeed {
-    /// Starts a seed for the processes of `group`, at `address` or at a free one.
-    async fn start(group: &GroupFixture, address: Option<SocketAddr>) -> Self {
-        let address = address.unwrap_or_else(|| "127.0.0.1:0".parse().unwrap());
-        Self::start_on(bind(address).await, group.options(0).process)
-    }
-
-    fn start_on(listener: TcpListener, credential: CredentialFile) -> Self {
-        let address = listener.local_addr().unwrap();
-        let service = SeedService::new(SeedList::default(), credential);
-        let service = tower::service_fn(move |request: Request<Incoming>| {
-            let service = service.clone();
-            async move { Ok::<FullResponse, Infallible>(service.handle(request).await) }
-        });
-        let (stop, signal) = stop_channel();
-        tokio::spawn(serve(listener, service, ServerLimits::default(), signal));
-        Self { address, stop }
-    }
-
-    /// Ends the seed and starts it again at its address, without what it knew.
-    async fn restart(self, group: &GroupFixture) -> Self {
-        self.stop.advance(StopPhase::Stopped);
-        Self::start(group, Some(self.address)).await
-    }
-
-    /// Waits until the seed names these members.
-    async fn wait_for_members(&self, group: &GroupFixture, indices: &[usize]) {
-        let mut expected: Vec<_> = indices.iter().map(|index| group.address(*index)).collect();
-        expected.sort_unstable();
-        let deadline = Instant::now() + WAIT_LIMIT;
-        loop {
-            let client = PeerClient::new(self.address);
-            let presence: Result<ReplicaPresence, _> =
-                client.call(PRESENCE_PATH, PROCESS_TOKEN, &(), CALL_TIMEOUT).await;
-            let mut members = presence.map_or_else(|_| Vec::new(), |presence| presence.members);
-            members.sort_unstable();
-            if members == expected {
-                return;
-            }
-            assert!(Instant::now() < deadline, "the seed names {members:?}");
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-}
-
-async fn bind(address: SocketAddr) -> TcpListener {
-    let deadline = Instant::now() + WAIT_LIMIT;
-    loop {
-        match TcpListener::bind(address).await {
-            Ok(listener) => return listener,
-            Err(error) => assert!(Instant::now() < deadline, "{error}"),
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
 
 /// Names other seeds to all running controllers, as changed settings do.
 fn exchange_seeds(group: &mut GroupFixture, seeds: &[SocketAddr]) {
@@ -176,7 +106,7 @@
     let seed = tokio::spawn(async move {
         // The others start first and wait for it.
         tokio::time::sleep(Duration::from_millis(300)).await;
-        DisklessSeed::start_on(listener, credential)
+        DisklessSeed::start_on(listener, credential, true)
     });
     let group = GroupFixture::start_open_behind(3, vec![lowest]).await;
     group.wait_for_voters(3).await;
@@ -196,7 +126,7 @@
         members: members.iter().map(|port| member(*port)).collect(),
     };
     let directory = GroupDirectory::default();
-    assert!(!directory.presence(true).in_group);
+    assert!(!directory.presence().in_group);
     assert!(directory.sync_answer().controllers.is_empty());
     directory.record(notice(7, 3, &[1, 2]));
     directory.record(notice(6, 9, &[1, 4]));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod engine_memory;
 pub mod error_kind;
 pub mod fair_order;
+pub mod founding_vote;
 pub mod hedge_policy;
 pub mod limit_book;
 pub mod local_dispatcher;
--- a/crates/core/src/replica_core.rs
+++ b/crates/core/src/replica_core.rs
@@ -198,7 +198,8 @@
     /// synced.
     pub(crate) messages_awaiting_sync: VecDeque<(u64, ReplicaMessage)>,
     pub(crate) election_deadline: Duration,
-    pub(crate) last_leader_contact: Duration,
+    /// `None` if this replica has never heard from a leader.
+    pub(crate) last_leader_contact: Option<Duration>,
     /// Ids of the replicas that granted the current pre-vote or vote.
     pub(crate) votes: SortedMap<u64, ()>,
     /// Progress of the other members by id; empty unless this replica leads.
@@ -253,6 +254,10 @@
     /// ```
     pub fn new(now: Duration, options: ReplicaOptions, stored: StoredReplica, rng: R) -> Self {
         let log = ReplicaLog::new(&stored.snapshot.meta, stored.entries);
+        // A restarted replica does not know when it last heard from a leader whose lease may still
+        // depend on it, so it assumes contact just now. A new one has stored no term yet, without
+        // which it has answered no leader.
+        let may_know_leader = stored.term_vote.term > 0 || log.last_index() > 0;
         let index = stored.snapshot.meta.index;
         let mut core = Self {
             options,
@@ -273,9 +278,7 @@
             staged_entries_from: None,
             messages_awaiting_sync: VecDeque::new(),
             election_deadline: now,
-            // A restarted replica does not know when it last heard from a leader
-            // whose lease may still depend on it, so it assumes contact just now.
-            last_leader_contact: now,
+            last_leader_contact: may_know_leader.then_some(now),
             votes: SortedMap::new(),
             peers: SortedMap::new(),
             next_heartbeat_at: now,
@@ -387,6 +390,7 @@
             }
             ReplicaEvent::Read { read } => self.on_read(now, read),
             ReplicaEvent::PassLead => self.pass_lead(now),
+            ReplicaEvent::FormGroup { members, stand } => self.on_form_group(now, members, stand),
             ReplicaEvent::Synced { sequence } => self.on_synced(now, sequence),
             ReplicaEvent::SnapshotTaken(snapshot) => self.on_snapshot_taken(snapshot),
         }
@@ -446,6 +450,23 @@
         }
     }
 
+    /// Starts with a membership that is stored only with the first entry of the log, which the first
+    /// leader appends.
+    fn on_form_group(&mut self, now: Duration, members: ReplicaMembers, stand: bool) {
+        let is_empty = self.log.members().is_empty() && self.log.last_index() == 0;
+        if !is_empty || !members.is_voter(self.options.identity.id) {
+            return;
+        }
+        self.snapshot.meta.members = members;
+        self.log = ReplicaLog::new(&self.snapshot.meta, Vec::new());
+        self.update_own_role();
+        self.reset_election_deadline(now);
+        if stand {
+            self.election_deadline = now;
+            self.check_election_timeout(now);
+        }
+    }
+
     fn reject(&mut self, proposal: u64, reason: RejectReason) {
         self.effects.push(ReplicaEffect::RejectProposal { proposal, reason });
     }
--- a/crates/core/src/replica_election.rs
+++ b/crates/core/src/replica_election.rs
@@ -44,7 +44,7 @@
         match self.role {
             ReplicaRole::Leader => self.has_lease(now),
             ReplicaRole::Follower | ReplicaRole::Learner => {
-                self.leader.is_some() && self.last_leader_contact + ELECTION_TIMEOUT_MIN > now
+                self.leader.is_some() && self.had_recent_contact(now)
             }
             ReplicaRole::PreCandidate | ReplicaRole::Candidate => false,
         }
@@ -101,10 +101,14 @@
     fn leader_lease_possible(&self, now: Duration) -> bool {
         match self.role {
             ReplicaRole::Leader => self.has_lease(now),
-            _ => self.last_leader_contact + ELECTION_TIMEOUT_MIN > now,
+            _ => self.had_recent_contact(now),
         }
     }
 
+    fn had_recent_contact(&self, now: Duration) -> bool {
+        self.last_leader_contact.is_some_and(|contact| contact + ELECTION_TIMEOUT_MIN > now)
+    }
+
     pub(crate) fn check_election_timeout(&mut self, now: Duration) {
         if now < self.election_deadline || self.role == ReplicaRole::Learner {
             return;
@@ -340,7 +344,7 @@
     pub(crate) fn record_leader_contact(&mut self, from: &ReplicaIdentity, now: Duration) {
         self.change_role("leader_heard");
         self.leader = Some(from.clone());
-        self.last_leader_contact = now;
+        self.last_leader_contact = Some(now);
         self.reset_election_deadline(now);
     }
 
--- a/crates/core/src/replica_events.rs
+++ b/crates/core/src/replica_events.rs
@@ -58,6 +58,14 @@
         /// Number by which the answer refers to the read.
         read: u64,
     },
+    /// The first members of a new group were decided. Has no effect unless this replica is one of
+    /// them and has neither a log nor a membership.
+    FormGroup {
+        /// The first members, all of them voters.
+        members: ReplicaMembers,
+        /// True at one replica, which starts an election at once.
+        stand: bool,
+    },
     /// A leader that is about to stop passes the lead to another voter. Has no effect unless that
     /// voter holds the whole log and all of it is committed.
     PassLead,
--- a/crates/node/src/log_events.rs
+++ b/crates/node/src/log_events.rs
@@ -118,10 +118,30 @@
         name: "first_tables_awaited",
         meaning: "A router that started has no tables yet; `answers` says what each controller that it asked answered, and how old the knowledge of a seed that is not a member is.",
     },
+    LogEvent {
+        name: "founding_awaited",
+        meaning: "A controller with a disk waits for answers of the seeds, for enough others with a disk, or to be added to a group; `candidates` are those known, `needed` is their number.",
+    },
+    LogEvent {
+        name: "founding_record_damaged",
+        meaning: "What the disk holds of the first start of the site can't be read; the controller doesn't propose first members.",
+    },
+    LogEvent {
+        name: "founding_refused",
+        meaning: "Too few of the seeds agreed to a proposal of first members in this `step`; it is tried again.",
+    },
+    LogEvent {
+        name: "founding_vote_lost",
+        meaning: "A vote on the first members could not be stored, and was not cast.",
+    },
     LogEvent {
         name: "group_awaited",
         meaning: "The first controller waits for answers from the other controllers before it bootstraps a new group.",
     },
+    LogEvent {
+        name: "group_founded",
+        meaning: "The seeds agreed on the first members of the group, which elect a leader.",
+    },
     LogEvent {
         name: "group_joined",
         meaning: "This controller was added to the group of controllers.",
@@ -130,6 +150,10 @@
         name: "group_learned",
         meaning: "A process that is not a member of the group was told by the member `sender` who belongs to it; `silence_ms` is the time since the last notice.",
     },
+    LogEvent {
+        name: "group_left",
+        meaning: "A controller that is about to stop passed the lead on and left its group, as far as `outcome` says; the group keeps one that it needs.",
+    },
     LogEvent {
         name: "handover_begun",
         meaning: "The router is crowded and hands new connections of callers to neighbours with room; nothing is read from a connection before a neighbour has taken it.",
@@ -176,6 +200,10 @@
         meaning: "The queue of log lines was full and lines were dropped; `info` and `warnings` count them.",
     },
     LogEvent { name: "member_added", meaning: "The leader is adding a controller to the group." },
+    LogEvent {
+        name: "member_left",
+        meaning: "The leader is removing a controller that is about to stop.",
+    },
     LogEvent {
         name: "members_changed",
         meaning: "The membership of the group of controllers changed.",
