Controllers without a group ask the seeds less often after ten seconds

Cause: a site with too few controllers with a disk waits for good, and each of these asked each seed ten times a second. Change: twice a second after the first 100 rounds; a candidate is listed for 2 s so that one slow call doesn't hide it. Conclusion: no effect on a start that finds enough controllers.

--- a/crates/controller/src/founding.rs
+++ b/crates/controller/src/founding.rs
@@ -21,6 +21,10 @@
 
 /// Interval at which a candidate makes itself known and looks for others.
 const ROUND_INTERVAL: Duration = Duration::from_millis(100);
+/// The same once it has waited for longer than a start takes.
+const LATE_ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// Rounds after which the longer interval applies.
+const EARLY_ROUNDS: u32 = 100;
 /// Timeout of one call. A seed that does not answer must not keep the others waiting for long.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Each candidate leaves those with lower addresses this much time to propose first. It exceeds the
@@ -85,8 +89,9 @@
                 let known: Vec<SocketAddr> = candidates.keys().copied().collect();
                 log::info!(event = "founding_awaited", seeds = join_addresses(&witnesses), answers = answers.len(), candidates = join_addresses(&known), needed = self.options.min_voters(), group = has_group; "waiting for seeds and for enough controllers with a disk, or to be added to a group");
             }
-            rounds = rounds.wrapping_add(1);
-            tokio::time::sleep(ROUND_INTERVAL).await;
+            rounds = rounds.saturating_add(1);
+            let interval = if rounds < EARLY_ROUNDS { ROUND_INTERVAL } else { LATE_ROUND_INTERVAL };
+            tokio::time::sleep(interval).await;
         }
     }
 
--- a/crates/controller/src/founding_witness.rs
+++ b/crates/controller/src/founding_witness.rs
@@ -28,7 +28,7 @@
 /// helped to found have sent it notices by then, unless all of them have been out of reach since.
 const FORGOTTEN_VOTE_DELAY: Duration = Duration::from_secs(10);
 /// Time after which a candidate that has fallen silent is no longer listed.
-const CANDIDATE_LAPSE: Duration = Duration::from_secs(1);
+const CANDIDATE_LAPSE: Duration = Duration::from_secs(2);
 /// Most candidates that a witness lists.
 const CANDIDATE_LIMIT: usize = 256;
 
@@ -69,7 +69,7 @@
 pub struct FoundingAnswer {
     /// True if the witness knows a group, so that none may be founded.
     pub in_group: bool,
-    /// Candidates that have registered within the last second.
+    /// Candidates that have registered within the last 2 s.
     pub candidates: Vec<ListedCandidate>,
     /// True if the witness made the promise or cast the vote that it was asked for.
     pub granted: bool,
