Tests of planned stops beside other losses

Related paths of the planned replacement: a stop beside a killed member, without a quorum, a group that is replaced twice and takes an old member back, five voters with two lost disks. No change to the product.

--- a/crates/controller/tests/group_fixture/mod.rs
+++ b/crates/controller/tests/group_fixture/mod.rs
@@ -33,6 +33,8 @@
     addresses: Vec<SocketAddr>,
     /// Number of seeds of an open group; 0 for a group of fixed peers.
     seeds: usize,
+    /// Number of lost disks that an open group tolerates.
+    pub tolerated: usize,
     /// Seeds that the settings of the next starts name in place of the first controllers.
     pub named_seeds: Option<Vec<SocketAddr>>,
     /// Controllers by index; `None` while one is stopped.
@@ -81,7 +83,8 @@
             (0..size).map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap()).collect();
         let addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
         let controllers = (0..size).map(|_| None).collect();
-        let group = Self { directory, addresses, seeds, named_seeds: None, controllers };
+        let group =
+            Self { directory, addresses, seeds, tolerated: 1, named_seeds: None, controllers };
         (0..size).for_each(|index| group.create_data_folder(index));
         group
     }
@@ -128,7 +131,8 @@
             self.addresses[index]
         );
         if self.seeds > 0 {
-            text.push_str(&format!("[group]\nfound = {first_start}\ntolerated = 1\n"));
+            let tolerated = self.tolerated;
+            text.push_str(&format!("[group]\nfound = {first_start}\ntolerated = {tolerated}\n"));
         }
         let peers = if self.seeds > 0 { self.seeds } else { self.addresses.len() };
         let first = self.addresses.iter().take(peers).copied().collect();
--- a/crates/controller/tests/planned_stop.rs
+++ b/crates/controller/tests/planned_stop.rs
@@ -132,3 +132,82 @@
     assert!(elapsed < Duration::from_millis(500), "{elapsed:?}, an election takes 600 ms or more");
     assert_eq!(read_version(&group).await, 7);
 }
+
+/// Guards against a planned stop that fails while another member does not answer.
+#[tokio::test]
+async fn replaced_group_survives_stop_beside_killed_member() {
+    let mut group = group_with_successors(1).await;
+    let leader = group.leader().await;
+    group.kill((leader + 1) % 4).await;
+    stop(&mut group, leader).await;
+    replace_routes(&group, 8).await;
+    group.restart((leader + 1) % 4).await;
+    group.wait_for_voters(3).await;
+    assert_eq!(read_version(&group).await, 8);
+}
+
+/// Guards against a stop that waits for a quorum which does not exist.
+#[tokio::test]
+async fn stop_without_quorum_ends_in_time() {
+    let mut group = group_with_successors(1).await;
+    let leader = group.leader().await;
+    for offset in [1, 2] {
+        group.kill((leader + offset) % 4).await;
+    }
+    let started = Instant::now();
+    stop(&mut group, leader).await;
+    assert!(started.elapsed() < Duration::from_secs(7), "{:?}", started.elapsed());
+}
+
+/// Guards against replacements that work only once, and against an old member that comes back with
+/// its disk when everybody whom its settings name has left.
+#[tokio::test]
+async fn group_replaced_twice_takes_old_member_back() {
+    let mut group = group_with_successors(3).await;
+    for index in 0..3 {
+        stop(&mut group, index).await;
+    }
+    replace_routes(&group, 8).await;
+    group.named_seeds = Some((3..6).map(|index| group.address(index)).collect());
+    for _ in 0..3 {
+        group.add_controller().await;
+    }
+    group.wait_for_voters(6).await;
+    for index in 3..6 {
+        stop(&mut group, index).await;
+    }
+    replace_routes(&group, 9).await;
+    group.named_seeds = Some((0..3).map(|index| group.address(index)).collect());
+    // It left when its successors had joined, so its log names them, and not those after them.
+    group.restart(5).await;
+    group.wait_for_voters(4).await;
+    assert_eq!(read_version(&group).await, 9);
+}
+
+/// Guards against a group of five that loses its quorum when it is replaced and two disks are lost
+/// at the same time, as its settings allow.
+#[tokio::test]
+async fn replaced_group_of_five_survives_two_lost_disks() {
+    let mut group = GroupFixture::prepare(5, 3);
+    group.tolerated = 2;
+    group.start_first_time(&[0, 1, 2, 3, 4]).await;
+    group.wait_for_voters(5).await;
+    for _ in 0..2 {
+        group.add_controller().await;
+    }
+    group.wait_for_voters(7).await;
+    replace_routes(&group, 7).await;
+    for index in 0..2 {
+        stop(&mut group, index).await;
+    }
+    for index in 2..4 {
+        group.kill(index).await;
+        group.clear_data_folder(index);
+    }
+    for index in 2..4 {
+        group.restart(index).await;
+    }
+    group.wait_for_voters(5).await;
+    assert_eq!(read_version(&group).await, 7);
+    replace_routes(&group, 8).await;
+}
