Soak: planned stops of several controllers of an open group

Six controllers form an open group; two or three of them get SIGTERM within three seconds and come back in place after 1.5 to 4 s, beside faults of routers and upstreams; the same invariants.

--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -20,11 +20,13 @@
         optional --fresh
         /// Inject fewer and longer faults, which disable one controller at a time for several seconds.
         optional --lasting
+        /// Stop several controllers of an open group one after the other, beside faults of routers and upstreams.
+        optional --series
         /// Run the recorded seeds that violated an invariant in the past.
         optional --regressions
         /// Nominal seconds of load per seed (default 16); faults begin in the first 55 percent.
         optional --seconds seconds: u64
-        /// Number of controllers, 3 or 5 (default 3).
+        /// Number of controllers, 3 or 5 (default 3); with --series, 4 to 7 (default 6).
         optional --controllers count: usize
         /// Number of routers (default 3).
         optional --routers count: usize
@@ -45,6 +47,7 @@
     pub seeds: Option<u64>,
     pub fresh: bool,
     pub lasting: bool,
+    pub series: bool,
     pub regressions: bool,
     pub seconds: Option<u64>,
     pub controllers: Option<usize>,
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -33,6 +33,17 @@
 /// It exceeds 3 s because a second fault within that time would exempt the router again.
 const LASTING_PAUSE_MS: (u64, u64) = (3_200, 4_500);
 
+/// Fewest and most controllers that are stopped in one series.
+const SERIES_LENGTH: (usize, usize) = (2, 3);
+/// Longest time between two stops of a series, in milliseconds. A silent voter is removed after
+/// 3 s, which must not be what saves the group.
+const SERIES_GAP_MS: u64 = 1_000;
+/// Shortest and longest time until a controller of a series is started again, in milliseconds.
+const SERIES_DOWN_MS: (u64, u64) = (1_500, 4_000);
+/// Shortest and longest pause between two series, in milliseconds. In a short one, not all
+/// controllers have joined the group again.
+const SERIES_PAUSE_MS: (u64, u64) = (500, 4_000);
+
 /// Style of a fault schedule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultStyle {
@@ -40,6 +51,8 @@
     Dense,
     /// Loss of one controller at a time, for several seconds.
     Lasting,
+    /// Planned stops of several controllers of an open group, one after the other.
+    Series,
 }
 
 /// Network fault that a proxy applies to the connections that pass through it.
@@ -183,6 +196,52 @@
     faults
 }
 
+/// Schedule of a run in which controllers of an open group are stopped as planned, several within
+/// three seconds, while routers and upstreams have faults of the dense style.
+///
+/// ```
+/// use baobabfall_soak::fault_schedule::{FaultKind, SiteSize, plan_series_faults};
+/// use std::time::Duration;
+/// let size = SiteSize { controllers: 6, routers: 3, upstreams: 4 };
+/// let faults = plan_series_faults(7, Duration::from_secs(16), size);
+/// let stops = faults.iter().filter(|fault| matches!(fault.kind, FaultKind::StopController(_)));
+/// assert!(stops.count() >= 2);
+/// ```
+pub fn plan_series_faults(seed: u64, span: Duration, size: SiteSize) -> Vec<PlannedFault> {
+    let mut faults = plan_faults(seed, span, size);
+    faults.retain(|fault| {
+        !matches!(
+            fault.kind,
+            FaultKind::KillController(_)
+                | FaultKind::TearLog(_)
+                | FaultKind::PauseController(_)
+                | FaultKind::StopController(_)
+                | FaultKind::Link(..)
+        )
+    });
+    let mut rng = StdRng::seed_from_u64(seed);
+    let window_end = duration_ms(span) * FAULT_WINDOW_PERCENT / 100;
+    let mut at = rng.random_range(800..2_000);
+    while at < window_end {
+        let count = rng.random_range(SERIES_LENGTH.0..=SERIES_LENGTH.1);
+        let first = rng.random_range(0..size.controllers);
+        let mut end = at;
+        for number in 0..count {
+            let duration = rng.random_range(SERIES_DOWN_MS.0..SERIES_DOWN_MS.1);
+            faults.push(PlannedFault {
+                at: Duration::from_millis(at),
+                duration: Duration::from_millis(duration),
+                kind: FaultKind::StopController((first + number) % size.controllers),
+            });
+            end = end.max(at + duration);
+            at += rng.random_range(0..SERIES_GAP_MS);
+        }
+        at = end + rng.random_range(SERIES_PAUSE_MS.0..SERIES_PAUSE_MS.1);
+    }
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
 /// Schedule of a run in the dense style, ordered by the start of the faults.
 ///
 /// ```
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -29,14 +29,28 @@
 /// Runs the seeds that the flags select, prints a report for each, and returns true if every
 /// invariant held.
 pub fn run(flags: &BaobabfallSoak) -> Result<bool, SoakError> {
+    let style = match (flags.lasting, flags.series) {
+        (false, false) => FaultStyle::Dense,
+        (true, false) => FaultStyle::Lasting,
+        (false, true) => FaultStyle::Series,
+        (true, true) => {
+            return Err(SoakError::Usage("Use either --lasting or --series.".to_owned()));
+        }
+    };
+    let (default_count, counts) = match style {
+        FaultStyle::Dense | FaultStyle::Lasting => (3, &[3, 5][..]),
+        FaultStyle::Series => (6, &[4, 5, 6, 7][..]),
+    };
     let size = SiteSize {
-        controllers: flags.controllers.unwrap_or(3),
+        controllers: flags.controllers.unwrap_or(default_count),
         routers: flags.routers.unwrap_or(3),
         upstreams: flags.upstreams.unwrap_or(4),
     };
-    if !matches!(size.controllers, 3 | 5) || size.routers == 0 || size.upstreams < 2 {
-        let message = "Use 3 or 5 controllers, at least one router and at least two upstreams.";
-        return Err(SoakError::Usage(message.to_owned()));
+    if !counts.contains(&size.controllers) || size.routers == 0 || size.upstreams < 2 {
+        let message = format!(
+            "Use one of {counts:?} controllers, at least one router and at least two upstreams."
+        );
+        return Err(SoakError::Usage(message));
     }
     let programs = match &flags.programs {
         Some(folder) => folder.clone(),
@@ -51,7 +65,6 @@
         true => REGRESSION_SEEDS.iter().map(|(seed, _)| *seed).collect(),
         false => (first..first + flags.seeds.unwrap_or(1)).collect(),
     };
-    let style = if flags.lasting { FaultStyle::Lasting } else { FaultStyle::Dense };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let mut failed = 0;
     for seed in seeds {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -4,6 +4,7 @@
 use crate::error::SoakError;
 use crate::fault_schedule::{
     FaultKind, FaultStyle, PlannedFault, SiteSize, plan_faults, plan_lasting_faults,
+    plan_series_faults,
 };
 use crate::in_force_check::{FaultEvent, RouterSample};
 use crate::invariant_check::{
@@ -87,18 +88,21 @@
 
 /// Executes one run. Fails if the processes cannot be started or do not become ready.
 pub async fn run_seed(plan: RunPlan<'_>) -> Result<RunOutcome, SoakError> {
-    let mut site = SoakSite::start(plan.folder, plan.programs, plan.size).await?;
+    let is_open = plan.style == FaultStyle::Series;
+    let mut site = SoakSite::start(plan.folder, plan.programs, plan.size, is_open).await?;
     let records = SharedRecords::start();
     let operator = SoakOperator::new("first", &site.controller_addresses, records.clone());
     if let Err(error) = wait_until_ready(&site, &operator).await {
         let exits = site.unexpected_exits().join(", ");
         return Err(SoakError::NotReady(format!("{error} {exits}")));
     }
+    site.end_first_start()?;
     let (stop, stop_signal) = watch::channel(false);
     let tasks = start_load(plan, &site, &records, &stop_signal);
     let faults = match plan.style {
         FaultStyle::Dense => plan_faults(plan.seed, plan.span, plan.size),
         FaultStyle::Lasting => plan_lasting_faults(plan.seed, plan.span, plan.size),
+        FaultStyle::Series => plan_series_faults(plan.seed, plan.span, plan.size),
     };
     let mut evidence = RunEvidence { controllers: plan.size.controllers, ..RunEvidence::default() };
     inject_faults(&mut site, &faults, &records, &mut evidence).await?;
--- a/crates/soak/src/soak_site.rs
+++ b/crates/soak/src/soak_site.rs
@@ -45,6 +45,13 @@
 const ROUTER_LIMIT_SETTINGS: &str = "stop_notice = \"500ms\"\nstop_queue = \"500ms\"\n\
      stop_running = \"7s\"\ndeadline = \"6s\"\nqueue_wait = \"3s\"\n";
 
+/// Number of controllers of an open group that the settings name as seeds.
+const SEED_COUNT: usize = 3;
+/// Settings of an open group that survives the loss of one disk, at the first start of the site.
+const FIRST_START_SETTINGS: &str = "[group]\nfound = true\ntolerated = 1\n";
+/// The same at later starts.
+const LATER_START_SETTINGS: &str = "[group]\nfound = false\ntolerated = 1\n";
+
 /// A stand-in upstream with the execution records of its earlier incarnations.
 #[derive(Debug)]
 struct UpstreamSlot {
@@ -57,6 +64,7 @@
 #[derive(Debug)]
 pub struct SoakSite {
     folder: PathBuf,
+    is_open: bool,
     controllers: Vec<RoleProcess>,
     routers: Vec<RoleProcess>,
     links: Vec<FaultProxy>,
@@ -84,7 +92,14 @@
 
 impl SoakSite {
     /// Writes the settings to `folder` and starts the proxies, processes and upstreams.
-    pub async fn start(folder: &Path, programs: &Path, size: SiteSize) -> Result<Self, SoakError> {
+    ///
+    /// With `is_open`, the first controllers are the seeds of an open group that all join.
+    pub async fn start(
+        folder: &Path,
+        programs: &Path,
+        size: SiteSize,
+        is_open: bool,
+    ) -> Result<Self, SoakError> {
         for kind in CREDENTIALS {
             fs::write(folder.join(kind), credential(kind))?;
         }
@@ -101,7 +116,10 @@
         for (index, listen) in controller_addresses.iter().enumerate() {
             let name = format!("controller-{}", index + 1);
             fs::create_dir_all(folder.join(format!("state-{}", index + 1)))?;
-            let text = controller_settings(index, *listen, &proxy_addresses);
+            let mut text = controller_settings(index, *listen, &proxy_addresses, is_open);
+            if is_open {
+                text.push_str(FIRST_START_SETTINGS);
+            }
             controllers.push(start_role(folder, programs, "baobabfall-controller", &name, &text)?);
         }
         let mut routers = Vec::new();
@@ -111,6 +129,7 @@
             routers.push(start_role(folder, programs, "baobabfall-router", &name, &text)?);
         }
         let mut site = Self {
+            is_open,
             folder: folder.to_owned(),
             controllers,
             routers,
@@ -128,6 +147,19 @@
         Ok(site)
     }
 
+    /// Changes the settings of controllers in an open group, which has formed, for their next start.
+    pub fn end_first_start(&self) -> Result<(), SoakError> {
+        if !self.is_open {
+            return Ok(());
+        }
+        for role in &self.controllers {
+            let path = self.folder.join(format!("{}.toml", role.name()));
+            let text = fs::read_to_string(&path)?;
+            fs::write(path, text.replace(FIRST_START_SETTINGS, LATER_START_SETTINGS))?;
+        }
+        Ok(())
+    }
+
     /// Starts an engine for an even `index` and a service for an odd one.
     async fn start_upstream(
         &self,
@@ -298,7 +330,12 @@
     Ok(())
 }
 
-fn controller_settings(index: usize, listen: SocketAddr, proxy_addresses: &[SocketAddr]) -> String {
+fn controller_settings(
+    index: usize,
+    listen: SocketAddr,
+    proxy_addresses: &[SocketAddr],
+    is_open: bool,
+) -> String {
     let number = index + 1;
     let mut text = format!(
         "[node]\nname = \"controller-{number}\"\nzone = \"zone-{number}\"\n\
@@ -307,7 +344,8 @@
         proxy_addresses[index],
         credential_section(true)
     );
-    for (index, address) in proxy_addresses.iter().enumerate() {
+    let peers = if is_open { SEED_COUNT } else { proxy_addresses.len() };
+    for (index, address) in proxy_addresses.iter().enumerate().take(peers) {
         let _ = write!(
             text,
             "[[peers]]\nname = \"controller-{}\"\naddress = \"{address}\"\n",
--- a/crates/soak/tests/fault_schedule.rs
+++ b/crates/soak/tests/fault_schedule.rs
@@ -1,6 +1,6 @@
 //! Tests of the fault schedule.
 
-use baobabfall_soak::fault_schedule::{FaultKind, SiteSize, plan_faults};
+use baobabfall_soak::fault_schedule::{FaultKind, SiteSize, plan_faults, plan_series_faults};
 use quickcheck::quickcheck;
 use std::time::Duration;
 
@@ -42,6 +42,25 @@
     }
 }
 
+/// Guards against series that the removal of silent voters would survive as well: three stops have
+/// to come within its 3 s in many schedules.
+#[test]
+fn series_stops_follow_closely() {
+    let size = SiteSize { controllers: 6, ..SIZE };
+    let is_stop = |kind: FaultKind| matches!(kind, FaultKind::StopController(_));
+    let mut close = 0;
+    for seed in 0..200 {
+        let mut stops = plan_series_faults(seed, SPAN, size);
+        stops.retain(|fault| is_stop(fault.kind));
+        let within = |stops: &[_; 3]| {
+            let [first, _, last]: &[baobabfall_soak::fault_schedule::PlannedFault; 3] = stops;
+            last.at < first.at + Duration::from_secs(3)
+        };
+        close += stops.array_windows::<3>().filter(|stops| within(stops)).count();
+    }
+    assert!(close > 200, "{close}");
+}
+
 /// Guards against fault kinds that no seed selects, and against schedules in which
 /// faults on different targets never overlap.
 #[test]
