Membership tasks of a controller start in one function

Cause: the start of a controller named copies of values after the tasks that take them. Change: one function starts the tasks of an open group; join_group takes the request that its caller builds. No change of behaviour.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -198,7 +198,7 @@
         metrics,
         leader: Arc::default(),
         peer_addresses,
-        directory: directory.clone(),
+        directory,
         witness,
         origins,
         stop: signal.clone(),
@@ -206,25 +206,14 @@
     let mut tasks = JoinSet::new();
     let group = api.options.group_runtime.clone().unwrap_or_else(Handle::current);
     tasks.spawn_on(until_draining(driver.run(), signal.clone()), &group);
-    let (identity_task, replica_task) = (identity.clone(), replica.clone());
-    let options = ControllerOptions::clone(&api.options);
-    let membership = if api.options.settings.group.is_some() {
-        let notice_task = inform_seeds(options.clone(), replica.clone(), advertised);
-        tasks.spawn(until_draining(notice_task, signal.clone()));
-        let request = JoinRequest { identity: identity_task, address: advertised };
-        let (joining, forming) = (replica.clone(), request.clone());
-        let candidate = FoundingCandidate::new(options.clone(), joining, forming, record);
-        tasks.spawn(until_draining(candidate.run(), signal.clone()));
-        let peers = api.peer_addresses.clone();
-        let membership_task = stay_in_group(options, replica.clone(), request, directory, peers);
-        tasks.spawn(until_draining(membership_task, signal.clone()))
-    } else {
-        let join_task = async move {
-            if must_join {
-                join_group(options, replica_task, identity_task, advertised).await;
-            }
-        };
-        tasks.spawn(until_draining(join_task, signal.clone()))
+    let request = JoinRequest { identity: identity.clone(), address: advertised };
+    let membership = match api.options.settings.group {
+        Some(_) => spawn_open_membership(&mut tasks, &api, request, record, &signal),
+        None => {
+            let options = ControllerOptions::clone(&api.options);
+            let join_task = join_group(options, replica.clone(), request, must_join);
+            tasks.spawn(until_draining(join_task, signal.clone()))
+        }
     };
     let watched = api.dispatch.clone();
     let watch = watch_event_loop(api.metrics.clone(), move |delay| watched.record_delay(delay));
@@ -268,6 +257,27 @@
     })
 }
 
+/// Starts the tasks that form an open group, keep this controller in it and make it known to seeds.
+/// Returns the one that joins the group, which a planned stop has to end first.
+fn spawn_open_membership(
+    tasks: &mut JoinSet<()>,
+    api: &ControlApi,
+    request: JoinRequest,
+    record: Option<FoundingRecord>,
+    signal: &StopSignal,
+) -> AbortHandle {
+    let options = ControllerOptions::clone(&api.options);
+    let replica = &api.replica;
+    let notice_task = inform_seeds(options.clone(), replica.clone(), request.address);
+    tasks.spawn(until_draining(notice_task, signal.clone()));
+    let candidate =
+        FoundingCandidate::new(options.clone(), replica.clone(), request.clone(), record);
+    tasks.spawn(until_draining(candidate.run(), signal.clone()));
+    let (directory, peers) = (api.directory.clone(), api.peer_addresses.clone());
+    let membership_task = stay_in_group(options, replica.clone(), request, directory, peers);
+    tasks.spawn(until_draining(membership_task, signal.clone()))
+}
+
 /// Paths that are handled on the runtime of the group: its messages, and changes that followers
 /// pass on, which somebody waits for.
 const GROUP_PATHS: [&str; 5] =
--- a/crates/controller/src/membership.rs
+++ b/crates/controller/src/membership.rs
@@ -126,13 +126,15 @@
     all_answered.then_some(false)
 }
 
-/// Asks the other controllers to add this replica, and retries until it is a member.
+/// Asks the other controllers to add this replica, and retries until it is a member. Returns at
+/// once unless `must_join` is set.
 pub async fn join_group(
     options: ControllerOptions,
     replica: ReplicaHandle,
-    identity: ReplicaIdentity,
-    address: SocketAddr,
+    request: JoinRequest,
+    must_join: bool,
 ) {
+    let identity = &request.identity;
     let others: Vec<PeerClient> = options
         .settings
         .peers
@@ -140,8 +142,7 @@
         .filter(|peer| peer.name != identity.name)
         .map(|peer| PeerClient::new(peer.address))
         .collect();
-    let request = JoinRequest { identity: identity.clone(), address };
-    while replica.view().members.get(identity.id).is_none() {
+    while must_join && replica.view().members.get(identity.id).is_none() {
         for peer in &others {
             let token = options.process.token();
             let joined: Result<(), _> =
